--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# VENV may point at an environment that already holds the pinned packages.
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+SOURCES = core wire daemon client standins
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(SOURCES),$(CURDIR)/packages/$(p)/src))
+
+.PHONY: setup test lint check format demo bench soak docs clean
+
+ifeq ($(VENV),.venv)
+setup: $(VENV)/installed
+else
+setup:
+endif
+
+$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(PYTHON) || python3.11 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --constraint constraints.txt setuptools
+	$(PYTHON) -m pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
+	$(PYTHON) -m pip install --quiet --constraint constraints.txt --no-build-isolation \
+		$(foreach p,$(SOURCES),--editable packages/$(p))
+	touch $@
+
+lint: setup
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+	$(VENV)/bin/lint-imports --no-cache
+
+format: setup
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+check: setup
+	$(PYTHON) scripts/run_tests.py
+
+test: lint check
+
+demo: setup
+	$(PYTHON) scripts/demo.py
+
+clean:
+	rm -rf .venv .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/packages/client/src/peridothatch_client/__init__.py
@@ -0,0 +1,1 @@
+"""The peridothatch command-line client."""
--- /dev/null
+++ b/packages/core/src/peridothatch_core/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes and decisions of peridothatch; no I/O."""
--- /dev/null
+++ b/packages/core/src/peridothatch_core/admit/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that accept or refuse what callers and operators send."""
--- /dev/null
+++ b/packages/core/src/peridothatch_core/configure/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that order and apply configuration changes."""
--- /dev/null
+++ b/packages/core/src/peridothatch_core/member/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that track which agents and entries are alive."""
--- /dev/null
+++ b/packages/core/src/peridothatch_core/message/__init__.py
@@ -0,0 +1,1 @@
+"""Messages that peridothatch processes exchange, free of any encoding."""
--- /dev/null
+++ b/packages/core/src/peridothatch_core/model/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes shared by every decision."""
--- /dev/null
+++ b/packages/core/src/peridothatch_core/order/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that order waiting jobs by slack to their target."""
--- /dev/null
+++ b/packages/core/src/peridothatch_core/place/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that place gangs on workers and keep guarantees formable."""
--- /dev/null
+++ b/packages/core/src/peridothatch_core/report/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that explain decisions and promises."""
--- /dev/null
+++ b/packages/core/src/peridothatch_core/route/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that route requests to backend servers."""
--- /dev/null
+++ b/packages/core/src/peridothatch_core/start/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that start gangs whole and keep their leases."""
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The peridothatchd daemon: entry and agent processes."""
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/decide/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own a state and run a decision on each message."""
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Sources: HTTP and links, bytes to messages."""
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/messages.py
@@ -0,0 +1,184 @@
+"""Messages between the tasks of one process."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from peridothatch_core.message import link, store
+    from peridothatch_core.model import config, job, request
+    from peridothatch_wire import mailbox
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """A timer fired."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DumpState:
+    """Answer with the state of the task as plain JSON types, without secrets."""
+
+    reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """Take no new work, finish what is in flight, then answer with True."""
+
+    reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigChanged:
+    """A newer configuration is in force."""
+
+    snapshot: config.Snapshot
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigFresh:
+    """The store confirmed the configuration of a read that was sent at ``read_sent_at``."""
+
+    revision: int
+    read_sent_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerOpened:
+    """A peer connected; a second connection of one peer replaces the first."""
+
+    peer: link.Hello
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerClosed:
+    """The last connection to a peer has ended."""
+
+    peer: link.Hello
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FromPeer:
+    """A message from a peer."""
+
+    peer: link.Hello
+    message: link.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToPeer:
+    """Send a message to a peer; it is dropped when the peer is not connected."""
+
+    peer_id: str
+    message: link.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Commit:
+    """Apply a transaction; ``store.Committed`` goes to ``reply_to``."""
+
+    transaction: store.Transaction
+    reply_to: mailbox.Mailbox
+    timeout_seconds: float = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Read:
+    """Read rows; ``store.Rows`` with this tag goes to ``reply_to``."""
+
+    tag: str
+    keys: tuple[str, ...]
+    prefixes: tuple[str, ...]
+    reply_to: mailbox.Mailbox
+    timeout_seconds: float = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmitRequest:
+    """Serve a request; ``result.Result[request.Answer, verdict.Refusal]`` is the reply.
+
+    ``idempotency_key`` is empty when the caller gave none.
+    """
+
+    request: request.Request
+    idempotency_key: str
+    reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindRequest:
+    """Look up the outcome of an earlier request; replies as ``SubmitRequest`` does."""
+
+    request_id: str
+    customer: str
+    reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmitJob:
+    """Accept a job; ``result.Result[job.Job, verdict.Refusal]`` is the reply."""
+
+    job: job.Job
+    idempotency_key: str
+    reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindJob:
+    """Look up a job; replies as ``SubmitJob`` does. An empty customer is an operator."""
+
+    job_id: str
+    customer: str
+    reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListJobs:
+    """List jobs of a customer, or of all for an operator; a list of ``job.Job`` is the reply."""
+
+    customer: str
+    state: str
+    reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelJob:
+    """Cancel a job; replies as ``SubmitJob`` does."""
+
+    job_id: str
+    customer: str
+    reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExplainJob:
+    """Explain a job; ``result.Result[list[str], verdict.Refusal]`` is the reply."""
+
+    job_id: str
+    customer: str
+    reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeConfig:
+    """Make a change; ``result.Result[config.Change, verdict.Refusal]`` is the reply.
+
+    ``value`` is the data class of ``kind``, or ``None`` to delete.
+    """
+
+    kind: str
+    name: str
+    value: Any
+    changed_by: str
+    reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListChanges:
+    """List accepted changes, newest first; a list of ``config.Change`` is the reply."""
+
+    limit: int
+    reply: mailbox.Reply
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/observe/__init__.py
@@ -0,0 +1,1 @@
+"""State dump, metrics and logs."""
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/outlet/__init__.py
@@ -0,0 +1,1 @@
+"""Sinks: messages to the store, agents, workers and backend servers."""
--- /dev/null
+++ b/packages/wire/src/peridothatch_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between peridothatch processes: codec, frames, connections and mailboxes."""
