Add links, settings and specifications of the protocol

Cause: entries and agents had no connections, no settings and no checked protocol. Conclusion: the specifications can fail; the processes are not wired yet.

--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Run the daemon as ``python -m peridothatch_daemon``."""
+
+from peridothatch_daemon import main
+
+main.run()
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/intake/dialer.py
@@ -0,0 +1,188 @@
+"""Links of an agent: the task that keeps connections to a few entries."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+import typing
+
+from peridothatch_core.member import entries
+from peridothatch_core.message import link
+from peridothatch_daemon import messages
+from peridothatch_daemon.decide import loop
+from peridothatch_wire import connection, mailbox, task
+
+if typing.TYPE_CHECKING:
+    import ssl
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.25
+HEARTBEAT_SECONDS = 2.0
+INBOX_MESSAGES = 16_384
+
+
+class Dialer:
+    """Connections of an agent by entry id, and what it knows of entries."""
+
+    __slots__ = (
+        "_connections", "_dials", "_heartbeat_at", "_inbox", "_main", "_own",
+        "_ssl", "_state", "_target", "_timer",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        own: link.Hello,
+        seeds: tuple[tuple[str, int], ...],
+        target: mailbox.Mailbox,
+        inbox: mailbox.Mailbox,
+        context: ssl.SSLContext | None,
+    ) -> None:
+        self._own = own
+        self._target = target
+        self._ssl = context
+        self._inbox = inbox
+        self._state = entries.Dialing(own.data_centre, own.region, seeds)
+        self._connections: dict[str, connection.Connection] = {}
+        self._dials: dict[tuple[str, int], task.Task] = {}
+        self._heartbeat_at = 0.0
+        self._main: task.Task | None = None
+        self._timer: task.Task | None = None
+
+    @property
+    def inbox(self) -> mailbox.Mailbox:
+        """Takes ``ToPeer``, ``DumpState`` and connection events."""
+        return self._inbox
+
+
+class _DialEnded(typing.NamedTuple):
+    address: tuple[str, int]
+
+
+def start(
+    own: link.Hello,
+    seeds: tuple[tuple[str, int], ...],
+    target: mailbox.Mailbox,
+    inbox: mailbox.Mailbox,
+    context: ssl.SSLContext | None = None,
+) -> Dialer:
+    """Keep connections open and pass what comes in to ``target``.
+
+    Parameters
+    ----------
+    seeds : tuple of (host, port)
+        Addresses of the settings.
+    inbox : mailbox.Mailbox
+        Mailbox of the new task, made beforehand because ``target`` needs it too.
+    """
+    dialer = Dialer(own, seeds, target, inbox, context)
+    body = loop.run(inbox, lambda message: _handle(dialer, message))
+    dialer._main = task.start("dialer", body)
+    timer = task.every(TICK_SECONDS, inbox, messages.Tick())
+    dialer._timer = task.start("dialer timer", timer)
+    return dialer
+
+
+async def close(dialer: Dialer) -> None:
+    """Let queued messages go out and close all connections."""
+    for item in dialer._connections.values():
+        connection.close(item)
+    await asyncio.sleep(0.05)
+    for item in (dialer._timer, dialer._main, *dialer._dials.values()):
+        if item is not None:
+            await task.close(item)
+
+
+def _handle(dialer: Dialer, message: typing.Any) -> None:
+    match message:
+        case connection.Received():
+            _received(dialer, message)
+        case messages.ToPeer():
+            _send(dialer, message)
+        case connection.Opened():
+            _opened(dialer, message.connection)
+        case connection.Closed():
+            _closed(dialer, message)
+        case messages.Tick():
+            _tick(dialer, time.monotonic())
+        case _DialEnded():
+            entries.failed(dialer._state, message.address, time.monotonic(), random.random())
+        case messages.DumpState():
+            mailbox.answer(message.reply, _dump(dialer))
+
+
+def _received(dialer: Dialer, event: connection.Received) -> None:
+    if isinstance(event.message, link.Welcome):
+        entries.learn(dialer._state, event.message)
+    incoming = messages.FromPeer(event.connection.peer, event.message)
+    mailbox.post(dialer._target, incoming)
+
+
+def _send(dialer: Dialer, message: messages.ToPeer) -> None:
+    target = dialer._connections.get(message.peer_id)
+    if target is not None:
+        connection.send(target, message.message)
+
+
+def _opened(dialer: Dialer, opened: connection.Connection) -> None:
+    previous = dialer._connections.get(opened.peer.id)
+    dialer._connections[opened.peer.id] = opened
+    if previous is not None:
+        connection.close(previous)
+        closed = messages.PeerClosed(previous.peer, "replaced")
+        mailbox.post(dialer._target, closed)
+    mailbox.post(dialer._target, messages.PeerOpened(opened.peer))
+
+
+def _closed(dialer: Dialer, event: connection.Closed) -> None:
+    peer = event.connection.peer
+    if dialer._connections.get(peer.id) is not event.connection:
+        return
+    del dialer._connections[peer.id]
+    logger.info("connection to entry %s ended: %s", peer.id, event.reason)
+    mailbox.post(dialer._target, messages.PeerClosed(peer, event.reason))
+
+
+def _tick(dialer: Dialer, now: float) -> None:
+    for address in entries.to_drop(dialer._state):
+        _give_up(dialer, address)
+    for address in entries.to_dial(dialer._state, now):
+        dialer._state.active.add(address)
+        dialer._dials[address] = task.start(f"dial {address}", _dial(dialer, address))
+    if now - dialer._heartbeat_at >= HEARTBEAT_SECONDS:
+        dialer._heartbeat_at = now
+        mailbox.post(dialer._target, messages.HeartbeatDue(tuple(dialer._connections)))
+
+
+def _give_up(dialer: Dialer, address: tuple[str, int]) -> None:
+    """Close the least wanted connection, to make room for the planner's entry."""
+    for item in dialer._connections.values():
+        entry = dialer._state.known.get(item.peer.id)
+        if entry is not None and (entry.host, entry.port) == address:
+            connection.close(item)
+
+
+async def _dial(dialer: Dialer, address: tuple[str, int]) -> None:
+    opened_at = time.monotonic()
+    try:
+        await connection.dial(*address, dialer._own, dialer._inbox, dialer._ssl)
+    except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError) as error:
+        logger.info("cannot reach entry at %s:%d: %s", *address, error)
+    if time.monotonic() - opened_at > connection.SILENCE_LIMIT_SECONDS:
+        entries.connected(dialer._state, address)
+    await mailbox.put(dialer._inbox, _DialEnded(address))
+
+
+def _dump(dialer: Dialer) -> dict[str, typing.Any]:
+    return {
+        "planner": dialer._state.planner,
+        "entries": sorted(dialer._state.known),
+        "connections": [
+            {"peer": peer_id, "bytes_in": item.bytes_in, "bytes_out": item.bytes_out}
+            for peer_id, item in dialer._connections.items()
+        ],
+        "inbox": dialer._inbox.depth,
+        "dropped": dialer._inbox.dropped,
+    }
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/intake/peer_routes.py
@@ -0,0 +1,54 @@
+"""Which task of an entry takes which message of a peer."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from peridothatch_core.message import link
+
+if typing.TYPE_CHECKING:
+    from peridothatch_wire import mailbox
+
+
+@dataclasses.dataclass(slots=True)
+class Routes:
+    """Mailboxes of the deciding tasks.
+
+    Attributes
+    ----------
+    planners : dict
+        Planner task by data centre.
+    """
+
+    dispatch: mailbox.Mailbox
+    config: mailbox.Mailbox
+    jobs: mailbox.Mailbox
+    planners: dict[str, mailbox.Mailbox]
+
+
+def for_message(routes: Routes, peer: link.Hello, message: link.Message) -> list[mailbox.Mailbox]:
+    """Return the mailboxes that take a message of ``peer``."""
+    match message:
+        case link.AnnounceBackend() | link.AnswerReady() | link.RequestState():
+            return [routes.dispatch]
+        case link.ConfigRevision() | link.RevisionsWanted():
+            return [routes.config]
+        case link.CapacityDigest():
+            return [routes.jobs]
+        case link.JobChanged():
+            return _planner(routes, message.data_centre)
+        case _:
+            return _planner(routes, peer.data_centre)
+
+
+def for_peer(routes: Routes, peer: link.Hello) -> list[mailbox.Mailbox]:
+    """Return the mailboxes that hear of connections of ``peer``."""
+    if peer.role == "agent":
+        return [routes.dispatch, *_planner(routes, peer.data_centre)]
+    return [routes.dispatch, routes.config, routes.jobs, *routes.planners.values()]
+
+
+def _planner(routes: Routes, data_centre: str) -> list[mailbox.Mailbox]:
+    target = routes.planners.get(data_centre)
+    return [target] if target is not None else []
--- a/packages/daemon/src/peridothatch_daemon/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/messages.py
@@ -182,3 +182,10 @@
 
     limit: int
     reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeartbeatDue:
+    """An agent should send a heartbeat to each of these entries."""
+
+    entry_ids: tuple[str, ...]
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/observe/metrics.py
@@ -0,0 +1,135 @@
+"""OpenTelemetry metrics in the Prometheus format, read from the state dump of each task."""
+
+from __future__ import annotations
+
+import re
+import resource
+import typing
+
+import prometheus_client
+from opentelemetry import metrics as otel
+from opentelemetry.exporter.prometheus import PrometheusMetricReader  # noqa: N813
+from opentelemetry.sdk import metrics as sdk
+from opentelemetry.sdk import resources
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+
+# One breach of an invariant must be visible as a number that is not zero, so that each
+# invariant is exported from the start.
+INVARIANTS = (
+    "guarantee_reclaimable",
+    "gang_whole",
+    "no_start_after_out",
+    "own_answer",
+    "true_not_run",
+    "at_most_once",
+    "no_work_to_leaving",
+    "graceful_stop",
+    "config_monotonic",
+)
+
+Dump = dict[str, typing.Any]
+
+
+class Metrics:
+    """The instruments of a process and the dump that they read."""
+
+    __slots__ = ("_counters", "_dump", "_gauges", "_meter", "_provider", "_reader", "_registry")
+
+    def __init__(self, process_id: str) -> None:
+        self._dump: Dump = {"tasks": {}}
+        self._registry = prometheus_client.CollectorRegistry()
+        self._reader = PrometheusMetricReader(disable_target_info=False, registry=self._registry)
+        identity = resources.Resource.create({"service.instance.id": process_id})
+        self._provider = sdk.MeterProvider([self._reader], resource=identity)
+        self._meter = self._provider.get_meter("peridothatch")
+        self._counters: set[str] = set()
+        self._gauges: set[str] = set()
+
+
+def start(process_id: str) -> Metrics:
+    """Return the metrics of a process, with the fixed instruments registered."""
+    metrics = Metrics(process_id)
+    metrics._meter.create_observable_counter(
+        "peridothatch_invariant_breaches",
+        [lambda _: _breaches(metrics._dump)],
+        description="Breaches of each invariant; must read zero",
+    )
+    metrics._meter.create_observable_gauge(
+        "peridothatch_resident_bytes",
+        [lambda _: [otel.Observation(resident_bytes())]],
+        description="Resident memory of this process",
+    )
+    metrics._meter.create_observable_counter(
+        "peridothatch_cpu_seconds",
+        [lambda _: [otel.Observation(cpu_seconds())]],
+        description="Processor time of this process",
+    )
+    return metrics
+
+
+def close(metrics: Metrics) -> None:
+    """Shut the provider down."""
+    metrics._provider.shutdown()
+
+
+def render(metrics: Metrics, dump: Dump) -> bytes:
+    """Return the metrics text for a fresh state dump.
+
+    Tasks report numbers under ``counters`` and ``gauges`` of their dump; each becomes
+    ``peridothatch_TASK_NAME``.
+    """
+    metrics._dump = dump
+    for task_name, state in dump["tasks"].items():
+        for name in _numbers(state, "counters"):
+            _register(metrics, task_name, name, "counters", metrics._counters)
+        for name in _numbers(state, "gauges"):
+            _register(metrics, task_name, name, "gauges", metrics._gauges)
+    return prometheus_client.generate_latest(metrics._registry)
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process in bytes."""
+    with open("/proc/self/statm") as statm:  # noqa: PTH123
+        return int(statm.read().split()[1]) * resource.getpagesize()
+
+
+def cpu_seconds() -> float:
+    """Return the processor time of this process in seconds."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+def _register(metrics: Metrics, task_name: str, name: str, group: str, known: set[str]) -> None:
+    metric = re.sub(r"[^a-z0-9_]", "_", f"peridothatch_{task_name}_{name}".lower())
+    if metric in known:
+        return
+    known.add(metric)
+
+    def observe(_: otel.CallbackOptions) -> list[otel.Observation]:
+        value = _numbers(metrics._dump["tasks"].get(task_name), group).get(name)
+        return [] if value is None else [otel.Observation(value)]
+
+    if group == "counters":
+        metrics._meter.create_observable_counter(metric, [observe])
+    else:
+        metrics._meter.create_observable_gauge(metric, [observe])
+
+
+def _numbers(state: typing.Any, group: str) -> dict[str, float]:
+    if not isinstance(state, dict) or not isinstance(state.get(group), dict):
+        return {}
+    return {
+        name: value
+        for name, value in state[group].items()
+        if isinstance(value, (int, float)) and not isinstance(value, bool)
+    }
+
+
+def _breaches(dump: Dump) -> list[otel.Observation]:
+    totals = dict.fromkeys(INVARIANTS, 0)
+    for state in dump["tasks"].values():
+        for name, value in _numbers(state, "breaches").items():
+            if name in totals:
+                totals[name] += int(value)
+    return [otel.Observation(value, {"invariant": name}) for name, value in totals.items()]
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/tls.py
@@ -0,0 +1,31 @@
+"""TLS contexts for links and HTTP."""
+
+from __future__ import annotations
+
+import ssl
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from peridothatch_daemon import settings
+
+
+def server(files: settings.Tls | None) -> ssl.SSLContext | None:
+    """Return a context for a listener that asks for a certificate of the authority."""
+    if files is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=files.authority_path)
+    context.load_cert_chain(files.certificate_path, files.key_path)
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def client(files: settings.Tls | None) -> ssl.SSLContext | None:
+    """Return a context for dialling a listener of the same authority."""
+    if files is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=files.authority_path)
+    context.load_cert_chain(files.certificate_path, files.key_path)
+    # Processes are addressed by IP number and replaced at any time, so certificates name the
+    # installation and not the host.
+    context.check_hostname = False
+    return context
--- /dev/null
+++ b/specs/request.py
@@ -0,0 +1,195 @@
+"""Specification: a keyed non-idempotent request runs at most once, and refusals are true.
+
+Two entries receive the same call (the caller repeats it), two agents stand beside backend
+servers. Messages may be delayed, lost or delivered twice; an agent may restart and forget; the
+store may lose the answer to a claim.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import minicheck
+
+ENTRIES = (0, 1)
+AGENTS = (0, 1)
+
+GUARDS = {
+    "claim the key first": "at_most_once",
+    "send again only after not_run": "at_most_once",
+    "agent remembers ids": "at_most_once",
+    "query leaves a tombstone": "true_not_run",
+    "another incarnation has forgotten": "true_not_run",
+}
+
+
+class Entry(typing.NamedTuple):
+    """``phase`` is idle, claiming, claimed, sent, asking, or a final verdict.
+
+    ``agent`` and ``incarnation`` say where the request was sent; ``tries`` counts sends.
+    """
+
+    phase: str = "idle"
+    agent: int = -1
+    incarnation: int = 0
+    tries: int = 0
+
+
+class Agent(typing.NamedTuple):
+    """``memory`` is unknown, running, done or tombstone; ``incarnation`` counts restarts."""
+
+    memory: str = "unknown"
+    incarnation: int = 0
+
+
+class State(typing.NamedTuple):
+    """``flight`` holds the dispatches under way as (entry, agent); a delivery may repeat."""
+
+    claim: int = -1
+    entries: tuple[Entry, ...] = (Entry(), Entry())
+    agents: tuple[Agent, ...] = (Agent(), Agent())
+    flight: frozenset[tuple[int, int]] = frozenset()
+    runs: int = 0
+    told_not_run: int = 0
+
+
+def protocol(removed: frozenset[str] = frozenset()) -> minicheck.Protocol:
+    """Return the specification without the guards in ``removed``."""
+    return minicheck.Protocol(
+        name="request",
+        candidate=False,
+        fields=State._fields,
+        initial=State(),
+        transitions=lambda state: list(_transitions(State(*state), removed)),
+        invariants={
+            "at_most_once": lambda state: state["runs"] <= 1,
+            # Only the holder of the claim can have run the request.
+            "true_not_run": lambda state: not (state["told_not_run"] and state["runs"]),
+        },
+    )
+
+
+def _transitions(
+    state: State, removed: frozenset[str]
+) -> typing.Iterator[tuple[str, State]]:
+    for number in ENTRIES:
+        yield from _claim(state, number, removed)
+        yield from _send(state, number, removed)
+        yield from _hear(state, number, removed)
+    for number in AGENTS:
+        yield from _agent(state, number, removed)
+
+
+def _with_entry(state: State, number: int, **changes: typing.Any) -> State:
+    entries = list(state.entries)
+    entries[number] = entries[number]._replace(**changes)
+    return state._replace(entries=tuple(entries))
+
+
+def _with_agent(state: State, number: int, **changes: typing.Any) -> State:
+    agents = list(state.agents)
+    agents[number] = agents[number]._replace(**changes)
+    return state._replace(agents=tuple(agents))
+
+
+def _claim(
+    state: State, number: int, removed: frozenset[str]
+) -> typing.Iterator[tuple[str, State]]:
+    phase = state.entries[number].phase
+    if phase == "idle":
+        yield f"caller calls entry {number}", _with_entry(state, number, phase="claiming")
+    if phase != "claiming":
+        return
+    if "claim the key first" in removed:
+        yield f"entry {number} goes on", _with_entry(state, number, phase="claimed")
+        return
+    if state.claim < 0:
+        applied = state._replace(claim=number)
+        yield f"claim of {number} applies", _with_entry(applied, number, phase="claimed")
+        # The answer is lost: the claim stands and this entry sends nothing.
+        yield f"claim of {number}: answer lost", _with_entry(applied, number, phase="not_sent")
+    elif state.claim != number:
+        # The other call may have run; this one says so.
+        yield f"claim of {number} conflicts", _with_entry(state, number, phase="may_have_run")
+
+
+def _send(
+    state: State, number: int, removed: frozenset[str]
+) -> typing.Iterator[tuple[str, State]]:
+    entry = state.entries[number]
+    if entry.phase != "claimed" or entry.tries >= len(AGENTS):
+        return
+    for agent in AGENTS:
+        if agent == entry.agent:
+            continue
+        sent = _with_entry(
+            state, number, phase="sent", agent=agent, tries=entry.tries + 1,
+            incarnation=state.agents[agent].incarnation,
+        )  # fmt: skip
+        yield (
+            f"entry {number} sends to agent {agent}",
+            sent._replace(flight=state.flight | {(number, agent)}),
+        )
+
+
+def _hear(
+    state: State, number: int, removed: frozenset[str]
+) -> typing.Iterator[tuple[str, State]]:
+    entry = state.entries[number]
+    if entry.phase == "sent":
+        yield f"connection of entry {number} is lost", _with_entry(state, number, phase="asking")
+    if entry.phase not in ("sent", "asking"):
+        return
+    agent = state.agents[entry.agent]
+    if agent.incarnation != entry.incarnation and (
+        "another incarnation has forgotten" not in removed
+    ):
+        if entry.phase == "asking":
+            yield from _uncertain(state, number, removed)
+        return
+    if agent.memory == "done":
+        yield f"entry {number} gets the answer", _with_entry(state, number, phase="ran")
+    if agent.memory == "unknown" and entry.phase == "asking":
+        asked = state
+        if "query leaves a tombstone" not in removed:
+            asked = _with_agent(state, entry.agent, memory="tombstone")
+        yield from _not_run(asked, number)
+    if agent.memory == "tombstone" and entry.phase == "asking":
+        yield from _not_run(state, number)
+
+
+def _uncertain(
+    state: State, number: int, removed: frozenset[str]
+) -> typing.Iterator[tuple[str, State]]:
+    yield f"entry {number}: may have run", _with_entry(state, number, phase="may_have_run")
+    if "send again only after not_run" in removed:
+        yield f"entry {number} tries again", _with_entry(state, number, phase="claimed")
+
+
+def _not_run(state: State, number: int) -> typing.Iterator[tuple[str, State]]:
+    yield f"entry {number} may send again", _with_entry(state, number, phase="claimed")
+    told = _with_entry(state, number, phase="not_run")
+    yield f"entry {number} says not run", told._replace(told_not_run=1)
+
+
+def _agent(
+    state: State, number: int, removed: frozenset[str]
+) -> typing.Iterator[tuple[str, State]]:
+    agent = state.agents[number]
+    arriving = any(target == number for _, target in state.flight)
+    known = agent.memory != "unknown" and "agent remembers ids" not in removed
+    # A delivered dispatch stays in flight: it may be delivered twice. A connection belongs to
+    # one incarnation, so a dispatch sent before a restart is lost with it.
+    if arriving and not known and state.runs < 2 and agent.memory != "tombstone":
+        yield (
+            f"agent {number} passes the request on",
+            _with_agent(state, number, memory="running")._replace(runs=state.runs + 1),
+        )
+    if agent.memory == "running":
+        yield f"backend server of agent {number} answers", _with_agent(
+            state, number, memory="done"
+        )
+    if agent.incarnation == 0:
+        lost = frozenset(item for item in state.flight if item[1] != number)
+        restarted = _with_agent(state, number, memory="unknown", incarnation=1)
+        yield f"agent {number} restarts", restarted._replace(flight=lost)
--- /dev/null
+++ b/specs/service_out.py
@@ -0,0 +1,144 @@
+"""Specification: no task starts in a data centre that was taken out.
+
+One store, one planner, one agent with its worker. Time passes in ticks; every message may be
+delayed for any time or lost. A cut region and a store that is down are messages that never
+arrive. The agent may pause between its check and the call to the worker.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import minicheck
+
+# Ticks for which a proof is valid; one more than needed for each message to be late by a tick.
+PROOF_TICKS = 3
+NONE = PROOF_TICKS + 1
+
+# Each guard with the invariant that must fail without it.
+GUARDS = {
+    "age counts from when the read was sent": "no_start_after_out",
+    "age counts from t0 of the heartbeat": "no_start_after_out",
+    "agent checks the proof": "no_start_after_out",
+    "worker checks not_after": "no_start_after_out",
+    "lower revisions are ignored": "config_monotonic",
+}
+
+
+class State(typing.NamedTuple):
+    """Ages are in ticks; ``NONE`` stands for absent or too old to matter.
+
+    ``read`` is a store read in flight (age, value or -1 before the store processed it);
+    ``proof`` is what the planner knows; ``beat`` a heartbeat in flight; ``ack`` its answer
+    (in service, proof age when sent, age of ``t0``, revision); ``held`` the agent's proof age;
+    ``handed`` the proof age of a start on its way to the worker.
+    """
+
+    in_service: int = 1
+    since_out: int = 0
+    read: tuple[int, int] = (NONE, -1)
+    proof: tuple[int, int] = (NONE, 0)
+    beat: int = NONE
+    ack: tuple[int, int, int] = (0, NONE, NONE)
+    agent_revision: int = 0
+    held: int = NONE
+    handed: int = NONE
+    late_start: int = 0
+    reverted: int = 0
+
+
+def protocol(removed: frozenset[str] = frozenset()) -> minicheck.Protocol:
+    """Return the specification without the guards in ``removed``."""
+    return minicheck.Protocol(
+        name="service out",
+        candidate=False,
+        fields=State._fields,
+        initial=State(),
+        transitions=lambda state: list(_transitions(State(*state), removed)),
+        invariants={
+            "no_start_after_out": lambda state: not state["late_start"],
+            "config_monotonic": lambda state: not state["reverted"],
+        },
+    )
+
+
+def _transitions(
+    state: State, removed: frozenset[str]
+) -> typing.Iterator[tuple[str, State]]:
+    yield "tick", _tick(state)
+    if state.in_service:
+        yield "operator takes the data centre out", state._replace(in_service=0, since_out=0)
+    yield from _planner(state, removed)
+    yield from _agent(state, removed)
+    yield from _worker(state, removed)
+
+
+def _older(age: int) -> int:
+    return min(NONE, age + 1)
+
+
+def _tick(state: State) -> State:
+    in_service, proof_age, beat_age = state.ack
+    return state._replace(
+        since_out=0 if state.in_service else _older(state.since_out),
+        read=(_older(state.read[0]), state.read[1]) if state.read[0] < NONE else (NONE, -1),
+        proof=(_older(state.proof[0]), state.proof[1]),
+        beat=_older(state.beat),
+        ack=(in_service, proof_age, _older(beat_age)),
+        held=_older(state.held),
+        handed=_older(state.handed),
+    )
+
+
+def _planner(
+    state: State, removed: frozenset[str]
+) -> typing.Iterator[tuple[str, State]]:
+    if state.read[0] == NONE:
+        yield "planner sends a read", state._replace(read=(0, -1))
+    elif state.read[1] < 0:
+        yield "store answers the read", state._replace(read=(state.read[0], state.in_service))
+    else:
+        age = state.read[0] if "age counts from when the read was sent" not in removed else 0
+        done = state._replace(read=(NONE, -1))
+        yield "planner gets the answer", done._replace(proof=(age, state.read[1]))
+    if state.beat < NONE:
+        answer = (state.proof[1], state.proof[0], state.beat)
+        yield "planner answers the heartbeat", state._replace(beat=NONE, ack=answer)
+
+
+def _agent(state: State, removed: frozenset[str]) -> typing.Iterator[tuple[str, State]]:
+    if state.beat == NONE:
+        yield "agent sends a heartbeat", state._replace(beat=0)
+    in_service, proof_age, beat_age = state.ack
+    if proof_age < NONE or beat_age < NONE:
+        yield from _ack_arrives(state, removed, in_service, proof_age, beat_age)
+    checked = state.held <= PROOF_TICKS or "agent checks the proof" in removed
+    if checked and state.handed == NONE and state.agent_revision == 0:
+        handed = min(state.held, PROOF_TICKS)
+        yield "agent hands a start to the worker", state._replace(handed=handed)
+
+
+def _ack_arrives(
+    state: State, removed: frozenset[str], in_service: int, proof_age: int, beat_age: int
+) -> typing.Iterator[tuple[str, State]]:
+    counted = beat_age if "age counts from t0 of the heartbeat" not in removed else 0
+    total = min(NONE, proof_age + counted)
+    revision = 0 if in_service else 1
+    if revision < state.agent_revision and "lower revisions are ignored" not in removed:
+        # The message stays in flight: it may arrive again.
+        return
+    held = total if in_service else NONE
+    yield "agent gets the answer", state._replace(
+        held=min(held, state.held) if in_service else NONE,
+        agent_revision=revision,
+        reverted=max(state.reverted, int(revision < state.agent_revision)),
+    )
+
+
+def _worker(state: State, removed: frozenset[str]) -> typing.Iterator[tuple[str, State]]:
+    if state.handed < NONE or "worker checks not_after" in removed:
+        late = not state.in_service and state.since_out > PROOF_TICKS
+        if state.handed < NONE or state.held < NONE or late:
+            yield "worker starts the task", state._replace(
+                handed=NONE, late_start=max(state.late_start, int(late))
+            )
