Add the fleet, gang placement, guarantees, reclaim, order and admission

Cause: the planner needs these decisions as pure functions. Change: fleet keeps buddy blocks with indexes by block size and rack; gang places by best fit; slots and guarantees bind guaranteed shapes to cells; reclaim chooses borrowed work to stop; runtimes, slack, ejection, fragmentation and admit/jobs are complete but not yet tested.

--- /dev/null
+++ b/packages/core/src/peridothatch_core/place/ejection.py
@@ -0,0 +1,120 @@
+"""Workers on which several jobs fail, and jobs that fail on several workers."""
+
+from __future__ import annotations
+
+import dataclasses
+
+JOBS_TO_EJECT = 3
+"""Different jobs that fail on a worker before it is ejected; one or two may be at fault."""
+
+WORKERS_TO_BLAME_JOB = 3
+"""Different workers on which a job fails before the job is held at fault."""
+
+MOST_FAILURES = 6
+"""Failed runs after which a job is not retried, on whatever workers they were."""
+
+WINDOW_SECONDS = 3600.0
+"""Failures older than this no longer count against a worker."""
+
+PROBE_SECONDS = 600.0
+"""Time until an ejected worker takes work again; doubled each time it is ejected again."""
+
+LONGEST_PROBE_SECONDS = 7200.0
+
+SHARE = 0.2
+"""Largest share of the workers that is ejected, but always one: a fault common to all workers
+must not take the whole data centre away."""
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """Failures that count.
+
+    Attributes
+    ----------
+    by_worker : dict
+        For each worker, when each job last failed on it.
+    by_job : dict
+        For each job, the workers on which it failed.
+    until : dict
+        For each ejected worker, when it takes work again.
+    probes : dict
+        For each worker that was ejected, how long its last probe period was, in seconds.
+    """
+
+    by_worker: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
+    by_job: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    runs: dict[str, int] = dataclasses.field(default_factory=dict)
+    until: dict[str, float] = dataclasses.field(default_factory=dict)
+    probes: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+def fail(record: Record, job_id: str, workers: tuple[str, ...], now: float) -> bool:
+    """Record a failed run; return whether the job may run again.
+
+    A job found at fault no longer counts against the workers on which it failed.
+    """
+    for worker_id in workers:
+        record.by_worker.setdefault(worker_id, {})[job_id] = now
+    blamed = record.by_job.setdefault(job_id, set())
+    blamed.update(worker_id for worker_id in workers if worker_id not in record.until)
+    record.runs[job_id] = record.runs.get(job_id, 0) + 1
+    if len(blamed) < WORKERS_TO_BLAME_JOB and record.runs[job_id] < MOST_FAILURES:
+        return True
+    if len(blamed) >= WORKERS_TO_BLAME_JOB:
+        for failures in record.by_worker.values():
+            failures.pop(job_id, None)
+    return False
+
+
+def succeed(record: Record, job_id: str, workers: tuple[str, ...]) -> None:
+    """Record a run that succeeded: it clears the workers and the job."""
+    for worker_id in workers:
+        record.by_worker.pop(worker_id, None)
+        record.probes.pop(worker_id, None)
+    forget(record, job_id)
+
+
+def forget(record: Record, job_id: str) -> None:
+    """Drop what is known of a job that ended."""
+    record.by_job.pop(job_id, None)
+    record.runs.pop(job_id, None)
+
+
+def eject(record: Record, workers: int, now: float) -> tuple[str, ...]:
+    """Return workers to eject now, the worst first, within ``SHARE`` of all ``workers``."""
+    bad = []
+    for worker_id, failures in list(record.by_worker.items()):
+        recent = {job: at for job, at in failures.items() if now - at <= WINDOW_SECONDS}
+        record.by_worker[worker_id] = recent
+        if not recent:
+            del record.by_worker[worker_id]
+        needed = 1 if worker_id in record.probes else JOBS_TO_EJECT
+        if worker_id not in record.until and len(recent) >= needed:
+            bad.append((-len(recent), worker_id))
+    room = max(1, int(SHARE * workers)) - len(record.until)
+    ejected = tuple(worker_id for _, worker_id in sorted(bad)[: max(0, room)])
+    for worker_id in ejected:
+        last = record.probes.get(worker_id, PROBE_SECONDS / 2)
+        record.probes[worker_id] = min(2 * last, LONGEST_PROBE_SECONDS)
+        record.until[worker_id] = now + record.probes[worker_id]
+    return ejected
+
+
+def readmit(record: Record, now: float) -> tuple[str, ...]:
+    """Return ejected workers whose probe period is over; their failures are forgotten.
+
+    One more failure ejects such a worker again, until a job succeeds on it.
+    """
+    ready = tuple(sorted(worker_id for worker_id, at in record.until.items() if at <= now))
+    for worker_id in ready:
+        del record.until[worker_id]
+        record.by_worker.pop(worker_id, None)
+    return ready
+
+
+def remove_worker(record: Record, worker_id: str) -> None:
+    """Forget a worker that is gone, so that a vanished one does not count as ejected."""
+    record.until.pop(worker_id, None)
+    record.by_worker.pop(worker_id, None)
+    record.probes.pop(worker_id, None)
--- /dev/null
+++ b/packages/core/tests/place/test_gang.py
@@ -0,0 +1,149 @@
+"""Guards against accelerators given twice, gangs placed in part, and indexes that drift."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from peridothatch_core.model import job, shape, worker
+from peridothatch_core.place import block, fleet, gang
+
+SETTINGS = hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
+TASKS = strategies.builds(
+    shape.TaskShape,
+    accelerators=strategies.integers(0, 9),
+    cores=strategies.integers(0, 6),
+    memory_mb=strategies.sampled_from([0, 100, 900]),
+)
+GANGS = strategies.builds(
+    shape.GangShape,
+    tasks=strategies.integers(1, 9),
+    task=TASKS,
+    adjacency=strategies.sampled_from(shape.Adjacency),
+)
+WORKERS = strategies.lists(
+    strategies.tuples(strategies.sampled_from([0, 1, 3, 6, 8, 16]), strategies.integers(0, 20)),
+    min_size=1,
+    max_size=9,
+)
+
+
+def build(offers):
+    state = fleet.Fleet()
+    for i, (accelerators, cores) in enumerate(offers):
+        name, rack = f"w{i}", f"r{i // 3}"
+        fleet.add_worker(state, worker.Worker(name, "dc", rack, accelerators, cores, 2000))
+    return state
+
+
+def capacity(state, wanted):
+    """Return how many tasks each domain can take, from the machines alone."""
+    totals = {}
+    for machine in state.machines.values():
+        limits = [shape.MAX_GANG_TASKS]
+        if wanted.task.accelerators:
+            size = 1 << block.order_of(wanted.task.accelerators)
+            starts = range(0, machine.free_mask.bit_length(), size)
+            whole = ((1 << size) - 1,)[0]
+            limits.append(sum(machine.free_mask >> s & whole == whole for s in starts))
+        if wanted.task.cores:
+            limits.append(machine.free_cores // wanted.task.cores)
+        if wanted.task.memory_mb:
+            limits.append(machine.free_memory_mb // wanted.task.memory_mb)
+        domain = {"worker": machine.id, "rack": machine.rack}.get(wanted.adjacency.value, "")
+        totals[domain] = totals.get(domain, 0) + max(0, min(limits))
+    return totals
+
+
+@SETTINGS
+@hypothesis.given(WORKERS, strategies.lists(strategies.tuples(GANGS, strategies.booleans())))
+def test_a_gang_gets_cells_exactly_when_a_domain_has_room(offers, steps):
+    """Guards against refusing room that is there, and against cells outside one domain."""
+    state = build(offers)
+    for number, (wanted, leave) in enumerate(steps):
+        totals = capacity(state, wanted)
+        cells = gang.place(state, wanted)
+        room = max(totals.values()) >= wanted.tasks
+        if wanted.task.cores or wanted.task.accelerators:
+            assert (cells is not None) == room
+        if cells is None:
+            continue
+        assert sorted(cell.task for cell in cells) == list(range(wanted.tasks))
+        assert all(len(cell.accelerators) == wanted.task.accelerators for cell in cells)
+        domains = {
+            {"worker": c.worker, "rack": state.machines[c.worker].rack}.get(wanted.adjacency, "")
+            for c in cells
+        }
+        assert len(domains) == 1
+        fleet.take(state, f"j{number}", cells, wanted.task, True, "c")
+        if leave and number % 2:
+            fleet.give_back(state, f"j{number - 1}")
+        check_indexes(state)
+
+
+def check_indexes(state):
+    """Compare the indexes and free room with a fleet that is built anew."""
+    again = fleet.Fleet()
+    for machine in state.machines.values():
+        fleet.offer(again, machine.id, machine.rack, machine.total)
+    used = set()
+    for holding in state.holdings.values():
+        for cell in holding.cells:
+            for accelerator in cell.accelerators:
+                assert (cell.worker, accelerator) not in used
+                used.add((cell.worker, accelerator))
+        fleet.take(again, holding.job_id, holding.cells, holding.task, True, "c")
+    assert fleet.digest(again) == fleet.digest(state)
+    for name in ("by_block", "by_formable", "racks_by_formable", "racks_by_cores"):
+        assert getattr(again, name) == getattr(state, name)
+    assert (again.idle_by_cores, again.formable) == (state.idle_by_cores, state.formable)
+
+
+def test_best_fit_keeps_large_blocks_whole():
+    """Guards against a small task that breaks a whole worker while a fragment is free."""
+    state = build([(8, 16), (8, 16)])
+    one = shape.TaskShape(1)
+    fleet.take(state, "a", (job.Cell(0, "w1", (0,)),), one, True, "c")
+    for size in (1, 2, 3):
+        cells = gang.place(state, shape.GangShape(1, shape.TaskShape(size)))
+        assert [cell.worker for cell in cells] == ["w1"]
+        fleet.take(state, f"s{size}", cells, shape.TaskShape(size), True, "c")
+    assert fleet.digest(state) == fleet.Digest(8, (0, 0, 0, 1))
+
+
+def test_tasks_without_accelerators_avoid_free_accelerators():
+    """Guards against cores taken where accelerators would be stranded without them."""
+    state = build([(8, 16), (0, 16)])
+    cells = gang.place(state, shape.GangShape(3, shape.TaskShape(0, 4)))
+    assert {cell.worker for cell in cells} == {"w1"}
+
+
+def test_room_of_a_returning_worker_stays_held():
+    """Guards against giving cells twice after a worker announced itself again."""
+    state = build([(8, 16)])
+    cells = gang.place(state, shape.GangShape(1, shape.TaskShape(5)))
+    fleet.take(state, "a", cells, shape.TaskShape(5), True, "c")
+    assert fleet.remove_worker(state, "w0") == ("a",)
+    fleet.add_worker(state, worker.Worker("w0", "dc", "r0", 8, 16, 2000))
+    assert gang.place(state, shape.GangShape(1, shape.TaskShape(1))) is None
+    with pytest.raises(ValueError, match="not free"):
+        fleet.take(state, "b", (job.Cell(0, "w0", (7,)),), shape.TaskShape(1), True, "c")
+    fleet.give_back(state, "a")
+    assert fleet.digest(state).free_accelerators == 8
+
+
+def test_a_claim_gets_freed_room_before_others():
+    """Guards against a preempted job's cells going to a job other than the one that needs them."""
+    state = build([(8, 16)])
+    task = shape.TaskShape(8)
+    cells = (job.Cell(0, "w0", tuple(range(8))),)
+    fleet.take(state, "small", (job.Cell(0, "w0", (2,)),), shape.TaskShape(1), True, "c")
+    fleet.claim(state, "large", cells, task)
+    assert not fleet.claim_is_full(state, "large")
+    holding = state.holdings["small"]
+    fleet.give_back(state, "small")
+    assert fleet.claim_is_full(state, "large")
+    fleet.put_back(state, holding)
+    assert not fleet.claim_is_full(state, "large")
+    fleet.give_back(state, "small")
+    fleet.drop_claim(state, "large")
+    assert fleet.digest(state) == fleet.Digest(8, (0, 0, 0, 1))
