Add the job decisions of a data centre

Cause: the planner needs one entry point for placement, preemption and moving out. Change: decide.py with state, choose and elsewhere; slots bound to cells keep guarantees formable; jobs that waited too long get a reservation of room and of their customer's quota.

--- a/packages/core/src/peridothatch_core/place/block.py
+++ b/packages/core/src/peridothatch_core/place/block.py
@@ -7,6 +7,8 @@
 MAX_ORDER = 7
 """Order of the largest block; accelerators of a worker beyond 128 are not used."""
 
+ORDERS = range(MAX_ORDER + 1)
+
 
 def order_of(accelerators: int) -> int:
     """Return the order of the smallest block that holds this many accelerators."""
--- a/packages/core/src/peridothatch_core/place/decide.py
+++ b/packages/core/src/peridothatch_core/place/decide.py
@@ -8,91 +8,51 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping
+import heapq
+import math
 
-from peridothatch_core.model import config, job, worker
+from peridothatch_core.model import config, datacentre, job, shape, worker
+from peridothatch_core.order import runtimes, slack
+from peridothatch_core.place import (
+    choose,
+    decision,
+    ejection,
+    elsewhere,
+    fleet,
+    guarantees,
+)
+from peridothatch_core.place import state as planner_state
 
+MOST_SEARCHES = 128
+"""Searches for cells in one call, which bounds its time; later calls go on."""
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
-    """Start the whole gang on these cells.
+RESERVE_AFTER_SECONDS = 900.0
+"""Wait after which a job that finds no room gets a reservation, so that it does not starve."""
 
-    The cells are taken in the state. ``record_started`` confirms the start; ``record_waiting``
-    gives the cells back when the gang could not be started.
-    """
-
-    job_id: str
-    cells: tuple[job.Cell, ...]
-    borrowed: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Preempt:
-    """Stop a borrowed job for another one, after a checkpoint where it can write one.
-
-    Its cells stay taken until ``record_waiting`` or ``record_ended`` reports that it stopped.
-    """
-
-    job_id: str
-    for_job: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class MoveOut:
-    """Checkpoint and stop a job because the data centre is out of service.
-
-    Each job is returned once, until ``record_waiting`` or ``record_ended`` reports it.
-    """
-
-    job_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Elsewhere:
-    """A waiting job cannot run here; the planner should write another data centre in its row.
+MOST_RESERVATIONS = 1
+"""Reservations at a time: each leaves room idle until the last of its cells is free."""
 
-    ``data_centre`` is the choice by the digests of the others, empty when none has room. The job
-    stays in the state, and is returned again after a pause, until ``record_ended`` removes it.
-    """
-
-    job_id: str
-    reason: str
-    data_centre: str = ""
-
-
-Decision = Place | Preempt | MoveOut | Elsewhere
+MOST_LONG_WAITS = 8
+"""Jobs looked at before the queue in one call, the longest wait first."""
 
+RESERVATION_SECONDS = 1800.0
+"""Age after which a reservation is chosen again, since its holders outran their estimates."""
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OtherCentre:
-    """Free capacity of another data centre, from its planner's digest."""
+REQUEUE_SECONDS = 60.0
+"""Age after which the order of waiting jobs is computed again from new estimates."""
 
-    in_service: bool
-    free_accelerators: int
-    free_blocks: tuple[int, ...]
+MOVING_SHARE = 0.25
+"""Share of the running jobs that move out at a time, so that the others go on working."""
 
+LEAST_MOVING = 4
 
-@dataclasses.dataclass(slots=True)
-class State:
-    """What the planner of one data centre knows; changed by this module's functions only.
-
-    Attributes
-    ----------
-    in_service : bool
-        Whether the data centre is in service, from the snapshot.
-    others : mapping of str to OtherCentre
-        The other data centres by name; assigned by the planner.
-    held_elsewhere : mapping of str to int
-        Accelerators that each customer holds in other data centres; assigned by the planner.
-    """
-
-    data_centre: str
-    snapshot: config.Snapshot = dataclasses.field(default_factory=config.Snapshot)
-    in_service: bool = True
-    others: Mapping[str, OtherCentre] = dataclasses.field(default_factory=dict)
-    held_elsewhere: Mapping[str, int] = dataclasses.field(default_factory=dict)
-    waiting: dict[str, job.Job] = dataclasses.field(default_factory=dict)
-    running: dict[str, job.Job] = dataclasses.field(default_factory=dict)
+State = planner_state.State
+OtherCentre = planner_state.OtherCentre
+Decision = decision.Decision
+Place = decision.Place
+Preempt = decision.Preempt
+MoveOut = decision.MoveOut
+Elsewhere = decision.Elsewhere
 
 
 def create(data_centre: str) -> State:
@@ -108,12 +68,40 @@
     now : float
         Seconds since 1970-01-01 UTC, as in job rows. It affects order and waits only.
     """
-    raise NotImplementedError
+    _judge_workers(state, now)
+    planner_state.settle(state, now)
+    if not state.in_service:
+        return _move_out(state) + elsewhere.send(state, now)
+    if now - state.requeued_at >= REQUEUE_SECONDS:
+        state.requeued_at = now
+        for one in state.waiting.values():
+            planner_state.enqueue(state, one)
+    return (
+        _fill_claims(state, now)
+        + _serve_long_waits(state, now)
+        + _place_waiting(state, now)
+        + elsewhere.send(state, now)
+    )
 
 
 def record_config(state: State, snapshot: config.Snapshot, now: float) -> None:
-    """Record a new configuration; it carries the service state of the data centre."""
-    raise NotImplementedError
+    """Record a new configuration; it carries the service state of the data centre.
+
+    A data centre that the snapshot does not name is not in service.
+    """
+    here = snapshot.data_centres.get(state.data_centre)
+    state.in_service = here is not None and here.service is datacentre.Service.IN
+    reorder = snapshot.classes != state.snapshot.classes
+    state.snapshot = snapshot
+    kept = [g for g in snapshot.guarantees.values() if g.data_centre == state.data_centre]
+    planner_state.leave_slots(state, guarantees.set_guarantees(state.ledger, kept))
+    state.repacked_at = float("-inf")
+    if reorder:
+        state.requeued_at = float("-inf")
+    if not state.in_service:
+        for job_id in list(state.claims):
+            planner_state.drop_claim(state, job_id)
+    planner_state.settle(state, now)
 
 
 def record_waiting(state: State, waiting: job.Job, now: float) -> None:
@@ -121,20 +109,49 @@
 
     Cells that it held are free again, so it must be certain that none of its tasks runs.
     """
-    raise NotImplementedError
+    planner_state.release(state, waiting.id)
+    state.waiting[waiting.id] = waiting
+    state.since.setdefault(waiting.id, now)
+    planner_state.enqueue(state, waiting)
 
 
 def record_started(state: State, started: job.Job, now: float) -> None:
     """Record that a job holds ``started.cells``, after ``Place`` or when read from its row.
 
-    The cells may be on workers that have not joined yet.
+    The cells may be on workers that have not joined yet. ``started.started_at`` is the time
+    from which its run time is learnt; ``now`` stands in for it when it is 0.
     """
-    raise NotImplementedError
+    if not started.started_at:
+        started = dataclasses.replace(started, started_at=now)
+    state.since.pop(started.id, None)
+    state.elsewhere_at.pop(started.id, None)
+    known = state.running.get(started.id)
+    if known is not None and set(known.cells) == set(started.cells):
+        state.running[started.id] = dataclasses.replace(started, borrowed=known.borrowed)
+        return
+    planner_state.release(state, started.id)
+    covered = not started.borrowed and guarantees.cover(
+        state.ledger, started.id, started.customer, started.cells, started.shape.task
+    )
+    planner_state.hold(state, started, started.cells, borrowed=not covered, force=True)
+    if not started.borrowed and not covered:
+        state.outside.add(started.id)
+        state.unsettled = True
 
 
 def record_ended(state: State, job_id: str, now: float, *, succeeded: bool = False) -> None:
     """Record that a job ended, was cancelled or went to another data centre."""
-    raise NotImplementedError
+    running = state.running.get(job_id)
+    if running is not None and succeeded:
+        if running.started_at:
+            seconds = max(0.0, now - running.started_at)
+            runtimes.learn(state.estimates, running.customer, running.work_class, seconds)
+        workers = tuple({cell.worker for cell in running.cells})
+        ejection.succeed(state.faults, job_id, workers)
+    planner_state.release(state, job_id)
+    ejection.forget(state.faults, job_id)
+    for times in (state.since, state.preempted_at, state.elsewhere_at):
+        times.pop(job_id, None)
 
 
 def record_failed(state: State, job_id: str, workers: tuple[str, ...], now: float) -> bool:
@@ -142,14 +159,180 @@
 
     The job keeps its cells until ``record_waiting`` or ``record_ended`` follows.
     """
-    raise NotImplementedError
+    return ejection.fail(state.faults, job_id, workers, now)
 
 
 def record_worker_joined(state: State, joined: worker.Worker, now: float) -> None:
     """Record a worker that announced itself, or announced itself again."""
-    raise NotImplementedError
+    known = state.hardware.machines.get(joined.id)
+    total = fleet.total_of(joined)
+    if known is not None and (known.rack, known.total) == (joined.rack, total):
+        return
+    if known is not None:
+        record_worker_lost(state, joined.id, now)
+    ejected = joined.id in state.faults.until
+    fleet.add_worker(state.fleet, joined)
+    fleet.add_worker(state.hardware, joined)
+    fleet.bar(state.fleet, joined.id, barred=ejected)
+    if not ejected:
+        guarantees.add_worker(state.ledger, joined)
+    state.never.clear()
+    state.unsettled = True
 
 
 def record_worker_lost(state: State, worker_id: str, now: float) -> tuple[str, ...]:
-    """Record that a worker is gone; return the jobs that hold cells on it."""
-    raise NotImplementedError
+    """Record that a worker is gone; return the jobs that hold cells on it.
+
+    Their cells stay taken until ``record_waiting`` or ``record_ended``, also when the worker
+    joins again before.
+    """
+    state.never.clear()
+    fleet.remove_worker(state.hardware, worker_id)
+    _withdraw(state, worker_id)
+    held = fleet.remove_worker(state.fleet, worker_id)
+    planner_state.settle(state, now)
+    return held
+
+
+def _withdraw(state: State, worker_id: str) -> None:
+    """Take a worker out of promises and claims."""
+    for job_id, wanted in list(state.fleet.wants.items()):
+        if worker_id in wanted:
+            planner_state.drop_claim(state, job_id)
+    planner_state.leave_slots(state, guarantees.remove_worker(state.ledger, worker_id))
+
+
+def _judge_workers(state: State, now: float) -> None:
+    """Eject workers on which several jobs failed, and take back those whose probe is due."""
+    for worker_id in ejection.readmit(state.faults, now):
+        machine = state.hardware.machines.get(worker_id)
+        if machine is not None:
+            fleet.bar(state.fleet, worker_id, barred=False)
+            fleet.offer(state.ledger.promised, worker_id, machine.rack, machine.total)
+            state.unsettled = True
+    for worker_id in ejection.eject(state.faults, state.hardware.machines, now):
+        _withdraw(state, worker_id)
+        fleet.bar(state.fleet, worker_id, barred=True)
+
+
+def _fill_claims(state: State, now: float) -> list[Decision]:
+    """Place jobs whose cells are all free; give up claims that cannot fill any more."""
+    decisions: list[Decision] = []
+    for job_id, claim in list(state.claims.items()):
+        if fleet.claim_is_full(state.fleet, job_id):
+            planner_state.fill_claim(state, state.waiting[job_id])
+            decisions.append(Place(job_id, claim.cells, claim.borrowed))
+        elif claim.reserved:
+            if now - claim.made_at >= RESERVATION_SECONDS:
+                planner_state.drop_claim(state, job_id)
+        elif not any(victim in state.stopping for victim in claim.stopping):
+            planner_state.drop_claim(state, job_id)
+    return decisions
+
+
+def _place_waiting(state: State, now: float) -> list[Decision]:
+    """Find cells for waiting jobs in order; jobs behind one that finds none may go first."""
+    decisions: list[Decision] = []
+    failed: set[tuple[str, shape.GangShape, bool]] = set()
+    saving = _saving_quota(state, now)
+    searches = 0
+    for job_id in list(slack.in_order(state.queue, now)):
+        waiting = state.waiting[job_id]
+        claim = state.claims.get(job_id)
+        key = (waiting.customer, waiting.shape, planner_state.is_urgent(state, waiting))
+        if key in failed or (claim is not None and not claim.reserved):
+            continue
+        if saving.get(waiting.customer, job_id) != job_id and not key[2]:
+            continue
+        if searches == MOST_SEARCHES:
+            break
+        if claim is not None:
+            planner_state.drop_claim(state, job_id)
+        if not planner_state.over_quota(state, waiting):
+            searches += 1
+            found = choose.find(state, waiting, now)
+            if found is not None:
+                decisions += _apply(state, waiting, found, now)
+                continue
+            if job_id not in state.faults.by_job:
+                failed.add(key)
+        if claim is not None:
+            planner_state.make_claim(state, waiting, claim)
+    return decisions
+
+
+def _saving_quota(state: State, now: float) -> dict[str, str]:
+    """Return, by customer, the job that has waited too long for the customer's quota.
+
+    The customer's other jobs wait for it unless they are urgent; otherwise its small jobs would
+    use up the quota each time before enough of it is free for this one.
+    """
+    saving: dict[str, str] = {}
+    for job_id, waiting in state.waiting.items():
+        since = state.since[job_id]
+        first = saving.get(waiting.customer)
+        if now - since < RESERVE_AFTER_SECONDS or (first and state.since[first] <= since):
+            continue
+        if job_id not in state.claims and planner_state.over_quota(state, waiting):
+            saving[waiting.customer] = job_id
+    return saving
+
+
+def _apply(state: State, waiting: job.Job, found: choose.Finding, now: float) -> list[Decision]:
+    """Record a finding: place the job, or keep its cells while others stop."""
+    for job_id in found.drop:
+        planner_state.drop_claim(state, job_id)
+    if not found.stop:
+        planner_state.hold(state, waiting, found.cells, borrowed=found.borrowed)
+        return [Place(waiting.id, found.cells, found.borrowed)]
+    claim = planner_state.Claim(found.cells, found.borrowed, False, now, frozenset(found.stop))
+    planner_state.make_claim(state, waiting, claim)
+    decisions: list[Decision] = []
+    for job_id in found.stop:
+        if job_id not in state.stopping:
+            state.stopping[job_id] = waiting.id
+            state.preempted_at[job_id] = now
+            decisions.append(Preempt(job_id, waiting.id))
+    return decisions
+
+
+def _serve_long_waits(state: State, now: float) -> list[Decision]:
+    """Place jobs that have waited too long before all others, or keep cells for them.
+
+    They come before the queue because work placed from it could use up the quota or the room
+    again in the same call.
+    """
+    decisions: list[Decision] = []
+    reserved = sum(claim.reserved for claim in state.claims.values())
+    late = [
+        (state.since[job_id], job_id)
+        for job_id in state.waiting
+        if now - state.since[job_id] >= RESERVE_AFTER_SECONDS and job_id not in state.claims
+    ]
+    for _, job_id in heapq.nsmallest(MOST_LONG_WAITS, late):
+        waiting = state.waiting[job_id]
+        if planner_state.over_quota(state, waiting):
+            continue
+        found = choose.find(state, waiting, now)
+        if found is not None:
+            decisions += _apply(state, waiting, found, now)
+        elif reserved < MOST_RESERVATIONS and not elsewhere.never_fits(state, waiting.shape):
+            cells = choose.await_cells(state, waiting, now)
+            if cells is not None:
+                claim = planner_state.Claim(cells, True, True, now)
+                planner_state.make_claim(state, waiting, claim)
+                reserved += 1
+    return decisions
+
+
+def _move_out(state: State) -> list[Decision]:
+    """Return jobs to move out: borrowed ones first, then in the order of their targets."""
+    allowed = max(LEAST_MOVING, math.ceil(MOVING_SHARE * len(state.running)))
+    staying = sorted(
+        (not running.borrowed, running.due_at, job_id)
+        for job_id, running in state.running.items()
+        if job_id not in state.stopping
+    )
+    moving = [job_id for _, _, job_id in staying[: max(0, allowed - len(state.stopping))]]
+    state.stopping.update(dict.fromkeys(moving, ""))
+    return [MoveOut(job_id) for job_id in moving]
--- a/packages/core/src/peridothatch_core/place/ejection.py
+++ b/packages/core/src/peridothatch_core/place/ejection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Collection
 
 JOBS_TO_EJECT = 3
 """Different jobs that fail on a worker before it is ejected; one or two may be at fault."""
@@ -81,8 +82,8 @@
     record.runs.pop(job_id, None)
 
 
-def eject(record: Record, workers: int, now: float) -> tuple[str, ...]:
-    """Return workers to eject now, the worst first, within ``SHARE`` of all ``workers``."""
+def eject(record: Record, present: Collection[str], now: float) -> tuple[str, ...]:
+    """Return workers to eject now, the worst first, within ``SHARE`` of those present."""
     bad = []
     for worker_id, failures in list(record.by_worker.items()):
         recent = {job: at for job, at in failures.items() if now - at <= WINDOW_SECONDS}
@@ -90,9 +91,11 @@
         if not recent:
             del record.by_worker[worker_id]
         needed = 1 if worker_id in record.probes else JOBS_TO_EJECT
-        if worker_id not in record.until and len(recent) >= needed:
+        known = worker_id in present and worker_id not in record.until
+        if known and len(recent) >= needed:
             bad.append((-len(recent), worker_id))
-    room = max(1, int(SHARE * workers)) - len(record.until)
+    out = sum(worker_id in present for worker_id in record.until)
+    room = max(1, int(SHARE * len(present))) - out
     ejected = tuple(worker_id for _, worker_id in sorted(bad)[: max(0, room)])
     for worker_id in ejected:
         last = record.probes.get(worker_id, PROBE_SECONDS / 2)
@@ -111,10 +114,3 @@
         del record.until[worker_id]
         record.by_worker.pop(worker_id, None)
     return ready
-
-
-def remove_worker(record: Record, worker_id: str) -> None:
-    """Forget a worker that is gone, so that a vanished one does not count as ejected."""
-    record.until.pop(worker_id, None)
-    record.by_worker.pop(worker_id, None)
-    record.probes.pop(worker_id, None)
--- a/packages/core/src/peridothatch_core/place/fleet.py
+++ b/packages/core/src/peridothatch_core/place/fleet.py
@@ -8,12 +8,11 @@
 
 import sortedcontainers
 
-from peridothatch_core.place import block
+from peridothatch_core.place import block, index
 
 if TYPE_CHECKING:
     from peridothatch_core.model import job, shape, worker
 
-ORDERS = range(block.MAX_ORDER + 1)
 CLAIM = "claim:"
 """Prefix of the holdings that keep room for a job that is not placed yet."""
 
@@ -47,7 +46,7 @@
     """Workers of a rack and the number of blocks of each order that they can give."""
 
     machines: dict[str, Machine] = dataclasses.field(default_factory=dict)
-    formable: list[int] = dataclasses.field(default_factory=lambda: [0 for _ in ORDERS])
+    formable: list[int] = dataclasses.field(default_factory=lambda: [0 for _ in block.ORDERS])
     cores: int = 0
 
 
@@ -72,7 +71,7 @@
 
 
 def _orders() -> list[sortedcontainers.SortedList]:
-    return [sortedcontainers.SortedList() for _ in ORDERS]
+    return [sortedcontainers.SortedList() for _ in block.ORDERS]
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,8 +95,8 @@
     holdings: dict[str, Holding] = dataclasses.field(default_factory=dict)
     on_worker: dict[str, dict[str, Room]] = dataclasses.field(default_factory=dict)
     wants: dict[str, dict[str, Room]] = dataclasses.field(default_factory=dict)
-    formable: list[int] = dataclasses.field(default_factory=lambda: [0 for _ in ORDERS])
-    blocks: list[int] = dataclasses.field(default_factory=lambda: [0 for _ in ORDERS])
+    formable: list[int] = dataclasses.field(default_factory=lambda: [0 for _ in block.ORDERS])
+    blocks: list[int] = dataclasses.field(default_factory=lambda: [0 for _ in block.ORDERS])
     free_accelerators: int = 0
     free_cores: int = 0
     by_block: list[sortedcontainers.SortedList] = dataclasses.field(default_factory=_orders)
@@ -118,8 +117,12 @@
 
 def add_worker(fleet: Fleet, added: worker.Worker) -> None:
     """Add a worker, or change what it offers; room that jobs hold on it already stays held."""
-    mask = block.full_mask(added.accelerators)
-    offer(fleet, added.id, added.rack, Room(mask, added.cores, added.memory_mb))
+    offer(fleet, added.id, added.rack, total_of(added))
+
+
+def total_of(added: worker.Worker) -> Room:
+    """Return all that a worker offers."""
+    return Room(block.full_mask(added.accelerators), added.cores, added.memory_mb)
 
 
 def offer(fleet: Fleet, worker_id: str, rack: str, total: Room) -> None:
@@ -134,7 +137,7 @@
         fleet.machines[worker_id] = machine
         fleet.racks.setdefault(rack, Rack()).machines[worker_id] = machine
         if len(fleet.racks[rack].machines) == 1:
-            _list_rack(fleet, rack, add=True)
+            index.list_rack(fleet, rack, add=True)
     machine.total = total
     _recount(fleet, machine)
 
@@ -148,11 +151,11 @@
     if machine is None:
         return ()
     machine.barred = True
-    _relist(fleet, machine)
+    index.relist(fleet, machine)
     rack = fleet.racks[machine.rack]
     del fleet.machines[worker_id], rack.machines[worker_id]
     if not rack.machines:
-        _list_rack(fleet, machine.rack, add=False)
+        index.list_rack(fleet, machine.rack, add=False)
         del fleet.racks[machine.rack]
     held = fleet.on_worker.get(worker_id, ())
     return tuple(job_id for job_id in held if not job_id.startswith(CLAIM))
@@ -163,7 +166,7 @@
     machine = fleet.machines.get(worker_id)
     if machine is not None and machine.barred != barred:
         machine.barred = barred
-        _relist(fleet, machine)
+        index.relist(fleet, machine)
 
 
 def take(
@@ -241,6 +244,14 @@
         _let_go(fleet, CLAIM + job_id, wanted)
 
 
+def fill_claim(fleet: Fleet, job_id: str) -> None:
+    """Free the room kept for a job, past other claims, for the job to ``take`` at once."""
+    for worker_id in fleet.wants.pop(job_id, ()):
+        fleet.on_worker.get(worker_id, {}).pop(CLAIM + job_id, None)
+        if worker_id in fleet.machines:
+            _recount(fleet, fleet.machines[worker_id])
+
+
 def claim_is_full(fleet: Fleet, job_id: str) -> bool:
     """Return whether the claim of a job has all the room that it wants."""
     return all(
@@ -265,7 +276,7 @@
 
 def digest(fleet: Fleet) -> Digest:
     """Return the free capacity of the workers that take work."""
-    last = max((order for order in ORDERS if fleet.blocks[order]), default=0)
+    last = max((order for order in block.ORDERS if fleet.blocks[order]), default=0)
     return Digest(fleet.free_accelerators, tuple(fleet.blocks[: last + 1]))
 
 
@@ -291,7 +302,7 @@
         machine.free_mask &= ~room.mask
         machine.free_cores -= room.cores
         machine.free_memory_mb -= room.memory_mb
-        _relist(fleet, machine)
+        index.relist(fleet, machine)
 
 
 def _let_go(fleet: Fleet, key: str, workers: Iterable[str]) -> None:
@@ -336,61 +347,4 @@
         cores -= room.cores
         memory -= room.memory_mb
     machine.free_mask, machine.free_cores, machine.free_memory_mb = mask, cores, memory
-    _relist(fleet, machine)
-
-
-def _relist(fleet: Fleet, machine: Machine) -> None:
-    """Move a worker to the places in the indexes that its free room asks for."""
-    mask = 0 if machine.barred else machine.free_mask
-    cores = 0 if machine.barred else max(0, machine.free_cores)
-    old_mask, old_cores = machine.listed_mask, machine.listed_cores
-    if (mask, cores) == (old_mask, old_cores):
-        return
-    rack = fleet.racks[machine.rack]
-    if old_cores:
-        _by_cores(fleet, old_mask).remove((old_cores, machine.id))
-    if cores:
-        _by_cores(fleet, mask).add((cores, machine.id))
-    if cores != old_cores:
-        fleet.racks_by_cores.remove((rack.cores, machine.rack))
-        rack.cores += cores - old_cores
-        fleet.free_cores += cores - old_cores
-        fleet.racks_by_cores.add((rack.cores, machine.rack))
-    _relist_blocks(fleet, machine, rack, mask, cores)
-    fleet.free_accelerators += mask.bit_count() - old_mask.bit_count()
-    machine.listed_mask, machine.listed_cores = mask, cores
-
-
-def _relist_blocks(fleet: Fleet, machine: Machine, rack: Rack, mask: int, cores: int) -> None:
-    old_counts, new_counts = block.counts(machine.listed_mask), block.counts(mask)
-    old_formable, new_formable = block.formable(machine.listed_mask), block.formable(mask)
-    for order in ORDERS:
-        was, now = old_counts[order], new_counts[order]
-        if was and (not now or cores != machine.listed_cores):
-            fleet.by_block[order].remove((machine.listed_cores, machine.id))
-        if now and (not was or cores != machine.listed_cores):
-            fleet.by_block[order].add((cores, machine.id))
-        fleet.blocks[order] += now - was
-        was, now = old_formable[order], new_formable[order]
-        if was == now:
-            continue
-        if was:
-            fleet.by_formable[order].remove((was, machine.id))
-        if now:
-            fleet.by_formable[order].add((now, machine.id))
-        fleet.racks_by_formable[order].remove((rack.formable[order], machine.rack))
-        rack.formable[order] += now - was
-        fleet.racks_by_formable[order].add((rack.formable[order], machine.rack))
-        fleet.formable[order] += now - was
-
-
-def _by_cores(fleet: Fleet, mask: int) -> sortedcontainers.SortedList:
-    return fleet.accelerated_by_cores if mask else fleet.idle_by_cores
-
-
-def _list_rack(fleet: Fleet, name: str, *, add: bool) -> None:
-    rack = fleet.racks[name]
-    for order in ORDERS:
-        change = fleet.racks_by_formable[order]
-        (change.add if add else change.remove)((rack.formable[order], name))
-    (fleet.racks_by_cores.add if add else fleet.racks_by_cores.remove)((rack.cores, name))
+    index.relist(fleet, machine)
--- a/packages/core/src/peridothatch_core/place/gang.py
+++ b/packages/core/src/peridothatch_core/place/gang.py
@@ -33,7 +33,7 @@
     the numbers of tasks that each of them can hold add up to it; filling them one after the
     other therefore finds cells whenever there are any.
     """
-    if gang.task.accelerators > 1 << block.MAX_ORDER:
+    if gang.task.accelerators > 1 << block.MAX_ORDER or _exceeds(state, gang):
         return None
     if gang.adjacency is shape.Adjacency.DATA_CENTRE:
         draft = _fill(_all_workers(state, gang.task), gang, _order(gang.task))
@@ -50,6 +50,14 @@
     return _fits(room, task, block.MAX_ORDER)
 
 
+def _exceeds(state: fleet.Fleet, gang: shape.GangShape) -> bool:
+    """Return whether the totals of the data centre already rule the gang out."""
+    order = _order(gang.task)
+    return state.free_cores < gang.tasks * gang.task.cores or (
+        order is not None and state.formable[order] < gang.tasks
+    )
+
+
 def _order(task: shape.TaskShape) -> int | None:
     return block.order_of(task.accelerators) if task.accelerators else None
 
--- a/packages/core/src/peridothatch_core/place/reclaim.py
+++ b/packages/core/src/peridothatch_core/place/reclaim.py
@@ -52,7 +52,11 @@
     return float(urgent), float(kept), -running.started_at
 
 
-def choose(candidates: Sequence[Candidate], probe: Callable[[], Cells | None]) -> Plan | None:
+def choose(
+    candidates: Sequence[Candidate],
+    probe: Callable[[], Cells | None],
+    most_tried: int = MOST_TRIED,
+) -> Plan | None:
     """Return which candidates to stop so that ``probe`` finds cells, or ``None``.
 
     Candidates are released in order of loss until there are cells. Those whose room is not
@@ -61,7 +65,7 @@
     """
     released: list[Candidate] = []
     cells = None
-    for candidate in sorted(candidates, key=lambda c: (c.loss, c.id))[:MOST_TRIED]:
+    for candidate in sorted(candidates, key=lambda c: (c.loss, c.id))[:most_tried]:
         candidate.release()
         released.append(candidate)
         cells = probe()
