--- /dev/null
+++ b/packages/core/tests/admit/test_jobs.py
@@ -0,0 +1,70 @@
+"""Guards against jobs that are accepted and can never run, and refusals without a way out."""
+
+import dataclasses
+
+import pytest
+
+from peridothatch_core.admit import jobs
+from peridothatch_core.model import config, customer, datacentre, shape, verdict, workclass, worker
+
+SNAPSHOT = config.Snapshot(
+    customers={"a": customer.Customer("a", 40)},
+    classes={"batch": workclass.WorkClass("batch", workclass.Within(100))},
+    data_centres={
+        "x": datacentre.DataCentre("x", "r"),
+        "y": datacentre.DataCentre("y", "r", datacentre.Service.LOST),
+    },
+)
+WORKERS = [worker.Worker(f"w{i}", "x", f"r{i // 3}", 8, 64, 256000) for i in range(4)]
+HARDWARE = {
+    "x": jobs.hardware_of(WORKERS),
+    "y": jobs.hardware_of([worker.Worker("v", "y", "r", 16, 64, 256000)]),
+}
+GOOD = jobs.Submission("a", "batch", shape.GangShape(2, shape.TaskShape(8)), ("run",))
+
+
+def admit(hardware=HARDWARE, **changes):
+    submission = dataclasses.replace(GOOD, **changes)
+    return jobs.admit(submission, SNAPSHOT, hardware, "j1", "x", 1000.0)
+
+
+def gang(tasks, accelerators, adjacency=shape.Adjacency.DATA_CENTRE, cores=1):
+    return shape.GangShape(tasks, shape.TaskShape(accelerators, cores), adjacency)
+
+
+def test_a_good_job_is_due_by_its_class():
+    """Guards against a job that is stored without its target."""
+    assert admit().unwrap().due_at == 1100.0
+
+
+@pytest.mark.parametrize(
+    ("changes", "code", "expected"),
+    [
+        ({"work_class": "no"}, "invalid", "one of: batch"),
+        ({"customer": "no"}, "invalid", "a known customer"),
+        ({"command": ()}, "invalid", "at least one word"),
+        ({"expected_seconds": float("nan")}, "invalid", "seconds"),
+        ({"shape": gang(0, 1)}, "invalid", "1 to 1024"),
+        ({"shape": gang(1025, 0)}, "invalid", "1 to 1024"),
+        ({"shape": gang(1, -1)}, "invalid", "0 or more"),
+        ({"shape": gang(1, 0, cores=0)}, "invalid", "1 or more"),
+        ({"shape": gang(6, 8)}, "forbidden", "at most 40 accelerators"),
+        ({"shape": gang(5, 8)}, "never_fits", "at most 4 such tasks in one data centre"),
+        ({"shape": gang(4, 8, shape.Adjacency.RACK)}, "never_fits", "at most 3 such tasks"),
+        ({"shape": gang(3, 3, shape.Adjacency.WORKER)}, "never_fits", "at most 2 such tasks"),
+        ({"shape": gang(1, 16)}, "never_fits", "8 accelerators, 64 cores"),
+        ({"shape": gang(1, 200)}, "forbidden", "at most 40"),
+    ],
+)
+def test_a_refusal_says_what_would_do(changes, code, expected):
+    """Guards against a refusal that names no field or no way out, or claims that work ran."""
+    refusal = admit(**changes).err()
+    assert refusal.code == code
+    assert refusal.verdict is verdict.Verdict.NOT_RUN
+    assert refusal.field
+    assert expected in refusal.expected
+
+
+def test_unknown_hardware_refuses_nothing():
+    """Guards against an entry that has just started and refuses all jobs."""
+    assert admit(hardware={}, shape=gang(1, 16)).is_ok()
