Serve requests from the entry through an agent to a backend server

Cause: the front door has nothing to hand requests to.

CallBackend and WatchBackend join messages.py.

--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/decide/alarm.py
@@ -0,0 +1,46 @@
+"""One timer of a deciding task, which posts ``Tick`` when the next moment is due."""
+
+from __future__ import annotations
+
+import asyncio
+
+from peridothatch_daemon import messages
+from peridothatch_wire import mailbox
+
+
+class Alarm:
+    """The pending timer of a task."""
+
+    __slots__ = ("_at", "_handle", "_inbox")
+
+    def __init__(self, inbox: mailbox.Mailbox) -> None:
+        self._inbox = inbox
+        self._at: float | None = None
+        self._handle: asyncio.TimerHandle | None = None
+
+
+def set_to(alarm: Alarm, at: float | None, now: float) -> None:
+    """Post ``Tick`` at ``at``, in place of the moment that was set before."""
+    if at == alarm._at:
+        return
+    clear(alarm)
+    if at is None:
+        return
+    alarm._at = at
+    loop = asyncio.get_running_loop()
+    alarm._handle = loop.call_later(max(0.0, at - now), _ring, alarm)
+
+
+def clear(alarm: Alarm) -> None:
+    """Drop the pending timer."""
+    if alarm._handle is not None:
+        alarm._handle.cancel()
+    alarm._at = None
+    alarm._handle = None
+
+
+def _ring(alarm: Alarm) -> None:
+    alarm._at = None
+    alarm._handle = None
+    # A full mailbox may drop the tick: each message that fills it runs the due timers as well.
+    mailbox.post(alarm._inbox, messages.Tick())
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/decide/slots.py
@@ -0,0 +1,131 @@
+"""The task that owns the requests which an agent passes to its backend server."""
+
+from __future__ import annotations
+
+import logging
+import time
+import typing
+
+from peridothatch_core.route import slots
+from peridothatch_daemon import messages
+from peridothatch_daemon.decide import alarm, loop
+from peridothatch_wire import mailbox, task
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.message import link
+
+logger = logging.getLogger(__name__)
+
+HEARTBEAT_PERIOD_SECONDS = 2.0
+
+Clock = typing.Callable[[], float]
+
+
+class Slots:
+    """The running task and what it owns."""
+
+    __slots__ = ("_alarm", "_backend", "_beat", "_clock", "_drains", "_inbox", "_links",
+                 "_state", "_task")  # fmt: skip
+
+    def __init__(
+        self, state: slots.State, links: mailbox.Mailbox, backend: mailbox.Mailbox, clock: Clock
+    ) -> None:
+        self._inbox = mailbox.create("slots")
+        self._state = state
+        self._links = links
+        self._backend = backend
+        self._clock = clock
+        self._alarm = alarm.Alarm(self._inbox)
+        self._drains: list[mailbox.Reply] = []
+        self._task: task.Task | None = None
+        self._beat: task.Task | None = None
+
+    @property
+    def inbox(self) -> mailbox.Mailbox:
+        """Mailbox of the task."""
+        return self._inbox
+
+    @property
+    def task(self) -> task.Task | None:
+        """The running task."""
+        return self._task
+
+
+def start(
+    own: link.Hello,
+    links: mailbox.Mailbox,
+    backend: mailbox.Mailbox,
+    clock: Clock = time.monotonic,
+    on_failure: typing.Callable[[], None] | None = None,
+) -> Slots:
+    """Start the task; ``links`` takes ``ToPeer``, ``backend`` takes ``CallBackend``."""
+    owned = Slots(slots.State(own), links, backend, clock)
+    body = loop.run(owned.inbox, lambda message: _handle(owned, message))
+    owned._task = task.start("slots", body, on_failure)
+    beat = task.every(HEARTBEAT_PERIOD_SECONDS, owned.inbox, slots.Heartbeat())
+    owned._beat = task.start("slots heartbeat", beat)
+    mailbox.post(backend, messages.WatchBackend(owned.inbox))
+    return owned
+
+
+async def close(owned: Slots) -> None:
+    """Stop the task."""
+    alarm.clear(owned._alarm)
+    for running in (owned._beat, owned._task):
+        if running is not None:
+            await task.close(running)
+
+
+def _handle(owned: Slots, message: typing.Any) -> None:
+    if isinstance(message, messages.DumpState):
+        mailbox.answer(message.reply, slots.dump(owned._state))
+        return
+    if isinstance(message, messages.Drain):
+        owned._drains.append(message.reply)
+    event = _event(message)
+    if event is None:
+        return
+    now = owned._clock()
+    for effect in slots.step(owned._state, event, now):
+        _apply(owned, effect)
+    alarm.set_to(owned._alarm, slots.next_wake(owned._state), now)
+    if owned._drains and slots.idle(owned._state):
+        for reply in owned._drains:
+            mailbox.answer(reply, True)
+        owned._drains.clear()
+
+
+def _event(message: typing.Any) -> slots.Event | None:
+    match message:
+        case messages.FromPeer():
+            return slots.Received(message.peer, message.message)
+        case messages.PeerOpened():
+            return slots.PeerUp(message.peer)
+        case messages.PeerClosed():
+            return slots.PeerDown(message.peer)
+        case messages.Drain():
+            return slots.Drain()
+        case messages.Tick():
+            return slots.Tick()
+        case slots.Served() | slots.NotServed() | slots.ServerSeen() | slots.Heartbeat():
+            return message
+    return None
+
+
+def _apply(owned: Slots, effect: slots.Effect) -> None:
+    match effect:
+        case slots.Send():
+            _post(owned._links, messages.ToPeer(effect.peer_id, effect.message))
+        case slots.Call():
+            call = messages.CallBackend(effect.request, effect.timeout_seconds, owned.inbox)
+            if not _post(owned._backend, call):
+                detail = "the call was not made: too many calls wait"
+                ended = slots.NotServed(effect.request.id, slots.BUSY_STATUS, detail)
+                mailbox.post(owned.inbox, ended)
+
+
+def _post(target: mailbox.Mailbox, message: typing.Any) -> bool:
+    accepted = mailbox.post(target, message)
+    if not accepted:
+        logger.warning("mailbox %s is full; dropped %s", target.name, type(message).__name__)
+    return accepted
--- a/packages/daemon/src/peridothatch_daemon/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/messages.py
@@ -117,6 +117,22 @@
     reply: mailbox.Reply
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallBackend:
+    """Pass a request to the backend server; ``slots.Served`` or ``slots.NotServed`` follows."""
+
+    request: request.Request
+    timeout_seconds: float
+    reply_to: mailbox.Mailbox
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchBackend:
+    """Send ``slots.ServerSeen`` to ``reply_to`` from now on, at each look at the server."""
+
+    reply_to: mailbox.Mailbox
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SubmitJob:
     """Accept a job; ``result.Result[job.Job, verdict.Refusal]`` is the reply."""
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/outlet/backend.py
@@ -0,0 +1,195 @@
+"""The task that owns the HTTP client session to the local backend server."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import typing
+
+import aiohttp
+import pydantic
+
+from peridothatch_core.model import backend
+from peridothatch_core.route import slots
+from peridothatch_daemon import messages
+from peridothatch_wire import mailbox, task
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.message import link
+    from peridothatch_core.model import request
+
+logger = logging.getLogger(__name__)
+
+CONNECTIONS = 64
+ANSWER_LIMIT_BYTES = 1024 * 1024
+LOOK_PERIOD_SECONDS = 0.5
+LOOK_TIMEOUT_SECONDS = 2.0
+CONNECT_TIMEOUT_SECONDS = 2.0
+
+# Shorter than the 5 s after which uvicorn closes an idle connection: a request written to a
+# connection that the server closes at that moment may or may not have run.
+KEEPALIVE_SECONDS = 3.0
+
+Report = slots.Served | slots.NotServed
+
+
+class ServerBody(pydantic.BaseModel):
+    """Body of ``GET /v1/server``."""
+
+    id: str
+    service: str
+    slots: int = pydantic.Field(ge=1, le=4096)
+    connections: int = pydantic.Field(ge=1)
+    leaving: bool = False
+
+
+class Outlet:
+    """The running task and what it owns."""
+
+    __slots__ = ("_base_url", "_calls", "_inbox", "_own", "_session", "_task", "_watch")
+
+    def __init__(self, base_url: str, own: link.Hello) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._own = own
+        self._inbox = mailbox.create("backend", CONNECTIONS)
+        self._session: aiohttp.ClientSession | None = None
+        self._calls: set[asyncio.Task[None]] = set()
+        self._task: task.Task | None = None
+        self._watch: task.Task | None = None
+
+    @property
+    def inbox(self) -> mailbox.Mailbox:
+        """Mailbox of the task."""
+        return self._inbox
+
+    @property
+    def task(self) -> task.Task | None:
+        """The running task."""
+        return self._task
+
+
+def start(
+    base_url: str, own: link.Hello, on_failure: typing.Callable[[], None] | None = None
+) -> Outlet:
+    """Start the task; it takes ``CallBackend`` and ``WatchBackend``."""
+    owned = Outlet(base_url, own)
+    owned._task = task.start("backend", _run(owned), on_failure)
+    return owned
+
+
+async def close(owned: Outlet) -> None:
+    """Stop the task, the calls in flight and the session."""
+    for running in (owned._watch, owned._task):
+        if running is not None:
+            await task.close(running)
+    for call in list(owned._calls):
+        call.cancel()
+    await asyncio.gather(*owned._calls, return_exceptions=True)
+    if owned._session is not None:
+        await owned._session.close()
+
+
+async def _run(owned: Outlet) -> None:
+    connector = aiohttp.TCPConnector(limit=CONNECTIONS, keepalive_timeout=KEEPALIVE_SECONDS)
+    owned._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+    while True:
+        message = await mailbox.take(owned.inbox)
+        if isinstance(message, messages.CallBackend):
+            call = asyncio.create_task(_call(owned, message))
+            owned._calls.add(call)
+            call.add_done_callback(owned._calls.discard)
+        elif isinstance(message, messages.WatchBackend) and owned._watch is None:
+            owned._watch = task.start("backend watch", _look_often(owned, message.reply_to))
+
+
+async def _call(owned: Outlet, message: messages.CallBackend) -> None:
+    try:
+        report = await _serve(owned, message.request, message.timeout_seconds)
+    except Exception as error:
+        logger.exception("the call for request %s failed", message.request.id)
+        report = slots.NotServed(message.request.id, 0, f"internal error: {error}")
+    await mailbox.put(message.reply_to, report)
+
+
+async def _serve(owned: Outlet, call: request.Request, timeout_seconds: float) -> Report:
+    """Pass the request on once and say what is certain about the outcome."""
+    timeout = aiohttp.ClientTimeout(
+        total=timeout_seconds, sock_connect=min(CONNECT_TIMEOUT_SECONDS, timeout_seconds)
+    )
+    headers = {
+        "X-Request-Id": call.id,
+        "Content-Type": call.content_type,
+        "Accept-Encoding": "identity",
+    }
+    try:
+        # A redirect followed here would pass the request on a second time.
+        async with owned._session.post(
+            f"{owned._base_url}/v1/serve",
+            data=call.body,
+            headers=headers,
+            timeout=timeout,
+            allow_redirects=False,
+        ) as response:
+            return await _read(call, response)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        detail = f"no connection to the backend server: {error}"
+        return slots.NotServed(call.id, slots.UNREACHABLE_STATUS, detail)
+    except TimeoutError:
+        return slots.NotServed(call.id, 0, "no whole answer before the deadline")
+    except aiohttp.ClientError as error:
+        detail = f"no whole answer: {type(error).__name__}: {error}"
+        return slots.NotServed(call.id, 0, detail)
+
+
+async def _read(call: request.Request, response: aiohttp.ClientResponse) -> Report:
+    length = response.content_length
+    if length is None:
+        return slots.NotServed(call.id, 0, "the answer has no Content-Length")
+    if length > ANSWER_LIMIT_BYTES:
+        detail = f"an answer of {length} bytes; expected at most {ANSWER_LIMIT_BYTES}"
+        return slots.NotServed(call.id, 0, detail)
+    body = await response.read()
+    if len(body) != length:
+        return slots.NotServed(call.id, 0, f"{len(body)} of {length} bytes arrived")
+    answered_id = response.headers.get("X-Request-Id", "")
+    if response.status == 503 and answered_id in ("", call.id) and _no_free_slot(body):
+        return slots.NotServed(call.id, slots.BUSY_STATUS, "no free slot")
+    if not answered_id:
+        return slots.NotServed(call.id, 0, "the answer names no request")
+    return slots.Served(call.id, answered_id, response.status, body, response.content_type)
+
+
+def _no_free_slot(body: bytes) -> bool:
+    try:
+        answer = json.loads(body)
+    except ValueError:
+        return False
+    return isinstance(answer, dict) and answer.get("reason") == "no free slot"
+
+
+async def _look_often(owned: Outlet, reply_to: mailbox.Mailbox) -> None:
+    while True:
+        await mailbox.put(reply_to, slots.ServerSeen(await _look(owned)))
+        await asyncio.sleep(LOOK_PERIOD_SECONDS)
+
+
+async def _look(owned: Outlet) -> backend.BackendServer | None:
+    try:
+        async with owned._session.get(
+            f"{owned._base_url}/v1/server",
+            timeout=aiohttp.ClientTimeout(total=LOOK_TIMEOUT_SECONDS),
+        ) as response:
+            body = ServerBody.model_validate_json(await response.read())
+    except (aiohttp.ClientError, TimeoutError, pydantic.ValidationError) as error:
+        logger.warning("the backend server does not describe itself: %s", error)
+        return None
+    return backend.BackendServer(
+        body.id,
+        body.service,
+        owned._own.data_centre,
+        owned._own.region,
+        body.slots,
+        body.connections,
+        body.leaving,
+    )
