--- a/packages/core/src/peridothatch_core/message/link.py
+++ b/packages/core/src/peridothatch_core/message/link.py
@@ -250,10 +250,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Query:
-    """Ask what became of a request; an unknown id is refused from then on."""
+    """Ask what became of a request; an unknown id is refused from then on.
+
+    With an empty ``agent_incarnation`` this is a lookup on behalf of ``customer``: an unknown
+    id is answered ``unknown`` and may still run.
+    """
 
     request_id: str
     agent_incarnation: str
+    customer: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -263,7 +268,8 @@
     Attributes
     ----------
     state : str
-        ``running``, ``not_run`` or ``forgotten`` (the agent restarted since).
+        ``running``, ``not_run``, ``forgotten`` (the agent restarted since) or ``unknown`` (to a
+        lookup).
     """
 
     request_id: str
--- a/packages/core/src/peridothatch_core/route/dispatch.py
+++ b/packages/core/src/peridothatch_core/route/dispatch.py
@@ -10,96 +10,40 @@
 
 from peridothatch_core.message import link
 from peridothatch_core.model import verdict
-from peridothatch_core.route import choice, flight
+from peridothatch_core.route import (
+    choice,
+    claims,
+    ejection,
+    exchange,
+    fair_queue,
+    flight,
+    link_budget,
+    lookup,
+    outcome,
+    retry_budget,
+)
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.model import request
 
-# A request waits this long for a backend server of its service to announce itself.
-NO_SERVER_PATIENCE_SECONDS = 2.0
-
 # Messages can be dropped by a full outbox of a live connection, so an agent is asked again.
 QUERY_PERIOD_SECONDS = 5.0
 
+# A silent connection is closed after 6 s and dialled again; an agent that is away for longer
+# is taken as gone, and its callers need not wait for their deadlines.
+LOST_SECONDS = 10.0
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Submitted:
-    """A caller wants a request served; ``tag`` names the caller in ``Reply``."""
-
-    tag: int
-    request: request.Request
-    idempotency_key: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Find:
-    """A caller asks for the outcome of an earlier request."""
-
-    tag: int
-    request_id: str
-    customer: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerUp:
-    """A peer is connected."""
-
-    peer: link.Hello
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerDown:
-    """A peer is no longer connected."""
-
-    peer: link.Hello
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Received:
-    """A message from a peer."""
-
-    peer: link.Hello
-    message: link.Message
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tick:
-    """A timer of the state is due."""
-
+# The agent gives up a little sooner, so that its word arrives before the caller's deadline.
+RETURN_MARGIN_SECONDS = 0.05
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Drain:
-    """Take no new requests."""
+Effects = list[exchange.Effect]
 
 
-Event = Submitted | Find | PeerUp | PeerDown | Received | Tick | Drain
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Send:
-    """Send a message to a peer."""
-
-    peer_id: str
-    message: link.Message
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
-    """Tell a caller the outcome."""
-
-    tag: int
-    outcome: flight.Outcome
-
-
-Effect = Send | Reply
-
-
-def step(state: flight.State, event: Event, now: float) -> list[Effect]:
+def step(state: flight.State, event: exchange.Event, now: float) -> Effects:
     """Handle one event; ``now`` is monotonic, in seconds."""
-    effects: list[Effect] = []
-    _HANDLERS[type(event)](state, event, now, effects)
-    _run_timers(state, now, effects)
-    _send_queued(state, now, effects)
+    effects = _HANDLERS[type(event)](state, event, now)
+    effects += _run_timers(state, now)
+    effects += _send_queued(state, now)
     return effects
 
 
@@ -109,312 +53,338 @@
 
 
 def idle(state: flight.State) -> bool:
-    """Return whether no caller waits for an outcome."""
-    return all(record.phase is flight.Phase.ENDED for record in state.records.values())
+    """Return whether each request has ended and each claimed row shows the outcome."""
+    return not state.lookups and all(
+        record.phase is flight.Phase.ENDED and record.settling is not flight.Settling.WRITING
+        for record in state.records.values()
+    )
 
 
-def _submitted(state: flight.State, event: Submitted, now: float, effects: list[Effect]) -> None:
+def _submitted(state: flight.State, event: exchange.Submitted, now: float) -> Effects:
     call = event.request
-    refusal = _admission(state, call)
+    refusal = _refusal(state, call)
     if refusal is not None:
-        effects.append(Reply(event.tag, result.Err(refusal)))
-        return
+        flight.count(state, "refused")
+        return [exchange.Reply(event.tag, result.Err(refusal))]
+    retry_budget.deposit(flight.retries(state, call.service))
     deadline = now + call.budget_seconds
-    record = flight.Record(call, now, deadline, event.idempotency_key, [event.tag])
+    record = flight.Record(call, deadline, event.idempotency_key, [event.tag])
     state.records[call.id] = record
     flight.set_timer(state, deadline, "deadline", call.id)
-    _enqueue(state, record, now)
+    if record.key and not call.idempotent:
+        return claims.begin(state, record, 0, now)
+    fair_queue.put(state, record, now, first=False)
+    return []
 
 
-def _admission(state: flight.State, call: request.Request) -> verdict.Refusal | None:
+def _refusal(state: flight.State, call: request.Request) -> verdict.Refusal | None:
     if state.draining:
         return verdict.not_run(verdict.Code.UNAVAILABLE, "this entry is draining")
     if call.id in state.records:
         return verdict.not_run(verdict.Code.CONFLICT, f"request id {call.id} is in use")
-    waiting = state.queues.get(call.service, {}).get(call.customer, ())
-    if len(waiting) >= state.settings.queue_requests:
-        return verdict.not_run(
-            verdict.Code.OVERLOADED,
-            f"{len(waiting)} requests of {call.customer} wait for {call.service}",
-        )
-    if state.queued_bytes + len(call.body) > state.settings.queue_bytes:
-        return verdict.not_run(verdict.Code.OVERLOADED, "the queues of this entry are full")
-    return None
-
-
-def _enqueue(state: flight.State, record: flight.Record, now: float) -> None:
-    call = record.request
-    record.phase = flight.Phase.QUEUED
-    record.queued_at = now
-    state.queues.setdefault(call.service, {}).setdefault(call.customer, []).append(call.id)
-    state.queued_bytes += len(call.body)
-    flight.set_timer(state, now + NO_SERVER_PATIENCE_SECONDS, "patience", call.id)
-
-
-def _dequeue(state: flight.State, record: flight.Record) -> None:
-    call = record.request
-    queues = state.queues[call.service]
-    queues[call.customer].remove(call.id)
-    if not queues[call.customer]:
-        del queues[call.customer]
-    if not queues:
-        del state.queues[call.service]
-    state.queued_bytes -= len(call.body)
-
-
-def _send_queued(state: flight.State, now: float, effects: list[Effect]) -> None:
+    return fair_queue.admission(state, call)
+
+
+def _send_queued(state: flight.State, now: float) -> Effects:
+    effects: Effects = []
     for service in list(state.queues):
         while service in state.queues:
             picked = choice.pick(state, service, now)
             if picked is None:
                 break
             record, server = picked
-            _dequeue(state, record)
-            _dispatch(state, record, server, now, effects)
+            fair_queue.remove(state, record)
+            effects.append(_dispatch(state, record, server, now))
+    return effects
 
 
 def _dispatch(
-    state: flight.State,
-    record: flight.Record,
-    server: flight.Server,
-    now: float,
-    effects: list[Effect],
-) -> None:
-    call = record.request
-    peer_id = server.peer_id
+    state: flight.State, record: flight.Record, server: flight.Server, now: float
+) -> exchange.Effect:
+    call, peer_id = record.request, server.peer_id
     record.phase = flight.Phase.SENT
     record.attempts[peer_id] = flight.Attempt(peer_id, server.incarnation, now)
-    server.outstanding[call.customer] = server.outstanding.get(call.customer, 0) + 1
-    budget = record.deadline - now
-    effects.append(Send(peer_id, link.Dispatch(dataclasses.replace(call, budget_seconds=budget))))
+    server.open[call.id] = call.customer
+    server.held[call.customer] = server.held.get(call.customer, 0) + 1
+    ejection.sent(state.health, peer_id, call.id)
+    away = choice.distance(state.settings, server.backend.data_centre, server.backend.region)
+    if away == choice.ACROSS_THE_LINK:
+        link_budget.spend(state.link, len(call.body))
     flight.set_timer(state, now + QUERY_PERIOD_SECONDS, "query", call.id)
-
-
-def _received(state: flight.State, event: Received, now: float, effects: list[Effect]) -> None:
-    message = event.message
-    if isinstance(message, link.AnnounceBackend):
-        _announced(state, event.peer, message)
-    elif isinstance(message, link.Heartbeat):
-        _heartbeat(state, event.peer, message, effects)
-    elif isinstance(message, link.AnswerReady):
-        _answered(state, event.peer, message.answer, now, effects)
-    elif isinstance(message, link.RequestState):
-        _request_state(state, event.peer, message, now, effects)
-
-
-def _announced(state: flight.State, peer: link.Hello, message: link.AnnounceBackend) -> None:
+    left = record.deadline - now
+    budget = left - min(RETURN_MARGIN_SECONDS, left / 10)
+    return exchange.Send(peer_id, link.Dispatch(dataclasses.replace(call, budget_seconds=budget)))
+
+
+def _received(state: flight.State, event: exchange.Received, now: float) -> Effects:
+    peer, message = event.peer, event.message
+    match message:
+        case link.AnnounceBackend():
+            return _announced(state, peer, message, now)
+        case link.Heartbeat():
+            return _heartbeat(state, peer, message)
+        case link.AnswerReady():
+            return _answered(state, peer, message.answer, now)
+        case link.RequestState():
+            return _request_state(state, peer, message, now)
+        case link.Query():
+            return lookup.asked(state, peer, message)
+    return []
+
+
+def _announced(
+    state: flight.State, peer: link.Hello, message: link.AnnounceBackend, now: float
+) -> Effects:
+    current = state.peers.get(peer.id)
+    if current is not None and current.incarnation != peer.incarnation:
+        # Read from a connection that a restarted agent has replaced since.
+        return []
     server = state.servers.get(peer.id)
     if server is None:
         server = flight.Server(peer.id, peer.incarnation, message.backend)
+        server.connected = peer.id in state.peers
         state.servers[peer.id] = server
     server.backend = message.backend
-    server.foreign = max(0, message.in_flight - server.in_use)
+    server.foreign = max(0, message.in_flight - len(server.open))
+    return _restarted(state, server, peer, now) if server.incarnation != peer.incarnation else []
 
 
-def _heartbeat(
-    state: flight.State, peer: link.Hello, message: link.Heartbeat, effects: list[Effect]
-) -> None:
+def _heartbeat(state: flight.State, peer: link.Hello, message: link.Heartbeat) -> Effects:
     server = state.servers.get(peer.id)
     if server is None:
-        return
-    server.foreign = max(0, message.in_flight - server.in_use)
-    effects.append(Send(peer.id, link.HeartbeatAck(message.t0, False, -1.0, 0, 0)))
+        return []
+    server.foreign = max(0, message.in_flight - len(server.open))
+    # Only a planner proves that the data centre is in service.
+    return [exchange.Send(peer.id, link.HeartbeatAck(message.t0, False, -1.0, 0, 0))]
 
 
 def _answered(
-    state: flight.State,
-    peer: link.Hello,
-    answer: request.Answer,
-    now: float,
-    effects: list[Effect],
-) -> None:
+    state: flight.State, peer: link.Hello, answer: request.Answer, now: float
+) -> Effects:
+    concluded = lookup.answered(state, peer, answer)
+    if concluded is not None:
+        return _conclude(state, concluded, now)
     record = state.records.get(answer.request_id)
     if record is None:
-        effects.append(Send(peer.id, link.AnswerAck(answer.request_id)))
-        return
+        # An answer to another entry's request must stay with the agent.
+        own = lookup.is_own(state, answer.request_id)
+        return [exchange.Send(peer.id, link.AnswerAck(answer.request_id))] if own else []
     attempt = record.attempts.get(peer.id)
     if attempt is None:
         flight.count(state, "answers_not_asked_for")
-        return
-    effects.append(Send(peer.id, link.AnswerAck(answer.request_id)))
-    told = answer.verdict
-    if told is verdict.Verdict.NOT_RUN and attempt.incarnation != peer.incarnation:
+        return []
+    if attempt.incarnation != peer.incarnation and answer.verdict is verdict.Verdict.NOT_RUN:
         # Another incarnation does not know what the one before it did.
-        told = verdict.Verdict.MAY_HAVE_RUN
-    _close_attempt(state, record, attempt, told)
-    if told is verdict.Verdict.RAN:
-        _finish(state, record, result.Ok(answer), now, effects)
-    else:
-        _resolve(state, record, answer.detail, now, effects)
+        answer = dataclasses.replace(answer, verdict=verdict.Verdict.MAY_HAVE_RUN)
+    late = record.phase is flight.Phase.ENDED
+    effects = outcome.answered(state, record, attempt, answer, now)
+    # The agent of a draining entry keeps late answers, so that other entries can find them.
+    if not (late and state.draining):
+        effects.append(exchange.Send(peer.id, link.AnswerAck(answer.request_id)))
+    return effects
 
 
 def _request_state(
-    state: flight.State,
-    peer: link.Hello,
-    message: link.RequestState,
-    now: float,
-    effects: list[Effect],
-) -> None:
+    state: flight.State, peer: link.Hello, message: link.RequestState, now: float
+) -> Effects:
+    concluded = lookup.told_state(state, peer, message)
+    if concluded is not None:
+        return _conclude(state, concluded, now)
     record = state.records.get(message.request_id)
     attempt = record.attempts.get(peer.id) if record is not None else None
-    if record is None or attempt is None or attempt.outcome is not None:
-        return
-    if message.state == "running":
-        return
+    if record is None or attempt is None or message.state == "running":
+        return []
+    if attempt.outcome in (verdict.Verdict.RAN, verdict.Verdict.NOT_RUN):
+        return []
     known = message.state == "not_run" and attempt.incarnation == peer.incarnation
     told = verdict.Verdict.NOT_RUN if known else verdict.Verdict.MAY_HAVE_RUN
-    _close_attempt(state, record, attempt, told)
-    _resolve(state, record, f"the agent answered {message.state}", now, effects)
-
-
-def _close_attempt(
-    state: flight.State, record: flight.Record, attempt: flight.Attempt, told: verdict.Verdict
-) -> None:
-    if attempt.outcome is None:
-        server = state.servers.get(attempt.peer_id)
-        if server is not None and server.incarnation == attempt.incarnation:
-            server.outstanding[record.request.customer] -= 1
-    attempt.outcome = told
-
-
-def _resolve(
-    state: flight.State, record: flight.Record, detail: str, now: float, effects: list[Effect]
-) -> None:
-    """Decide what follows after an attempt ended without an answer."""
-    if flight.open_attempts(record):
-        return
-    refusal = verdict.Refusal(flight.verdict_of(record), verdict.Code.UNAVAILABLE, detail)
-    _finish(state, record, result.Err(refusal), now, effects)
-
-
-def _finish(
-    state: flight.State,
-    record: flight.Record,
-    outcome: flight.Outcome,
-    now: float,
-    effects: list[Effect],
-) -> None:
-    if record.phase is flight.Phase.QUEUED:
-        _dequeue(state, record)
-    if record.phase is not flight.Phase.ENDED:
-        keep_until = max(now, record.deadline) + flight.KEPT_AFTER_DEADLINE_SECONDS
-        flight.set_timer(state, keep_until, "forget", record.request.id)
-        record.request = dataclasses.replace(record.request, body=b"")
-    record.phase = flight.Phase.ENDED
-    if not isinstance(record.outcome, result.Ok):
-        record.outcome = outcome
-    effects.extend(Reply(tag, record.outcome) for tag in record.waiters)
-    record.waiters.clear()
-
-
-def _peer_up(state: flight.State, event: PeerUp, now: float, effects: list[Effect]) -> None:
+    outcome.close_attempt(state, record, attempt, told, now)
+    return outcome.resolve(state, record, f"the agent answered {message.state}", now)
+
+
+def _conclude(state: flight.State, concluded: lookup.Concluded, now: float) -> Effects:
+    found = concluded.found
+    effects: Effects = [exchange.Reply(tag, found) for tag in concluded.lookup.tags]
+    for request_id, version in concluded.lookup.claims:
+        effects += claims.looked_up(state, request_id, found, version, now)
+    return effects
+
+
+def _peer_up(state: flight.State, event: exchange.PeerUp, now: float) -> Effects:
     peer = event.peer
     state.peers[peer.id] = peer
     server = state.servers.get(peer.id)
     if server is None:
-        return
+        return []
     server.connected = True
     if server.incarnation != peer.incarnation:
-        server.incarnation = peer.incarnation
-        server.outstanding.clear()
-    for record in list(state.records.values()):
-        attempt = record.attempts.get(peer.id)
-        if attempt is None or attempt.outcome is not None:
-            continue
-        if attempt.incarnation == peer.incarnation:
-            effects.append(Send(peer.id, link.Query(record.request.id, attempt.incarnation)))
-            continue
-        _close_attempt(state, record, attempt, verdict.Verdict.MAY_HAVE_RUN)
-        _resolve(state, record, "the agent restarted", now, effects)
-
-
-def _peer_down(state: flight.State, event: PeerDown, _now: float, _effects: list[Effect]) -> None:
-    state.peers.pop(event.peer.id, None)
-    server = state.servers.get(event.peer.id)
-    if server is not None:
-        server.connected = False
-
-
-def _find(state: flight.State, event: Find, _now: float, effects: list[Effect]) -> None:
+        return _restarted(state, server, peer, now)
+    # What was on its way over the connection before this one may be lost.
+    return [
+        exchange.Send(peer.id, link.Query(request_id, server.incarnation))
+        for request_id in server.open
+    ]
+
+
+def _restarted(
+    state: flight.State, server: flight.Server, peer: link.Hello, now: float
+) -> Effects:
+    """End the attempts at an agent that has forgotten them."""
+    ended = [state.records[request_id] for request_id in server.open]
+    server.incarnation = peer.incarnation
+    server.open.clear()
+    server.held.clear()
+    ejection.forget(state.health, peer.id)
+    effects: Effects = []
+    for record in ended:
+        attempt = record.attempts[peer.id]
+        outcome.close_attempt(state, record, attempt, verdict.Verdict.MAY_HAVE_RUN, now)
+        effects += outcome.resolve(state, record, "the agent restarted", now)
+    return effects
+
+
+def _peer_down(state: flight.State, event: exchange.PeerDown, now: float) -> Effects:
+    peer_id = event.peer.id
+    state.peers.pop(peer_id, None)
+    effects: Effects = []
+    for concluded in lookup.peer_lost(state, peer_id):
+        effects += _conclude(state, concluded, now)
+    server = state.servers.get(peer_id)
+    if server is None:
+        return effects
+    server.connected = False
+    server.lost_at = now
+    flight.set_timer(state, now + LOST_SECONDS, "lost", peer_id)
+    for request_id in list(server.open):
+        record = state.records[request_id]
+        # An idempotent request need not wait for the agent to return.
+        if record.request.idempotent and outcome.retry(state, record, now):
+            attempt = record.attempts[peer_id]
+            outcome.close_attempt(state, record, attempt, verdict.Verdict.MAY_HAVE_RUN, now)
+    return effects
+
+
+def _unsent(state: flight.State, event: exchange.Unsent, now: float) -> Effects:
     record = state.records.get(event.request_id)
-    if record is None or record.request.customer != event.customer:
-        refusal = verdict.Refusal(
-            verdict.Verdict.MAY_HAVE_RUN, verdict.Code.NOT_FOUND, "no such request is known"
-        )
-        effects.append(Reply(event.tag, result.Err(refusal)))
-    elif record.outcome is not None:
-        effects.append(Reply(event.tag, record.outcome))
-    else:
-        refusal = verdict.Refusal(
-            verdict.Verdict.MAY_HAVE_RUN, verdict.Code.UNAVAILABLE, "the request is in flight"
-        )
-        effects.append(Reply(event.tag, result.Err(refusal)))
-
-
-def _run_timers(state: flight.State, now: float, effects: list[Effect]) -> None:
+    attempt = record.attempts.get(event.peer_id) if record is not None else None
+    if record is None or attempt is None:
+        return []
+    outcome.close_attempt(state, record, attempt, verdict.Verdict.NOT_RUN, now)
+    return outcome.resolve(state, record, "the connections of this entry are full", now)
+
+
+def _configured(state: flight.State, event: exchange.Configured, _now: float) -> Effects:
+    state.customers = event.customers
+    return []
+
+
+def _drain(state: flight.State, _event: exchange.Drain, _now: float) -> Effects:
+    state.draining = True
+    return []
+
+
+def _tick(_state: flight.State, _event: exchange.Tick, _now: float) -> Effects:
+    return []
+
+
+def _run_timers(state: flight.State, now: float) -> Effects:
+    effects: Effects = []
     while state.timers and state.timers[0][0] <= now:
-        _at, _sequence, kind, request_id = heapq.heappop(state.timers)
-        record = state.records.get(request_id)
-        if record is not None:
-            _TIMERS[kind](state, record, now, effects)
+        _at, _sequence, kind, name = heapq.heappop(state.timers)
+        effects += _TIMERS[kind](state, name, now)
+    return effects
 
 
-def _deadline_due(
-    state: flight.State, record: flight.Record, now: float, effects: list[Effect]
-) -> None:
-    if record.phase is flight.Phase.ENDED:
-        return
+def _deadline_due(state: flight.State, request_id: str, now: float) -> Effects:
+    record = state.records.get(request_id)
+    if record is None or record.phase is flight.Phase.ENDED:
+        return []
     refusal = verdict.Refusal(
         flight.verdict_of(record), verdict.Code.DEADLINE, "the deadline has passed"
     )
-    _finish(state, record, result.Err(refusal), now, effects)
-
-
-def _patience_due(
-    state: flight.State, record: flight.Record, now: float, effects: list[Effect]
-) -> None:
-    call = record.request
-    if record.phase is not flight.Phase.QUEUED or choice.usable(state, call.service, now):
-        return
-    detail = f"no backend server of {call.service} is connected"
-    refusal = verdict.Refusal(flight.verdict_of(record), verdict.Code.UNAVAILABLE, detail)
-    _finish(state, record, result.Err(refusal), now, effects)
-
-
-def _query_due(
-    state: flight.State, record: flight.Record, now: float, effects: list[Effect]
-) -> None:
-    attempts = flight.open_attempts(record)
-    for attempt in attempts:
-        if attempt.peer_id in state.peers:
-            query = link.Query(record.request.id, attempt.incarnation)
-            effects.append(Send(attempt.peer_id, query))
+    return outcome.finish(state, record, result.Err(refusal), now)
+
+
+def _patience_due(state: flight.State, request_id: str, now: float) -> Effects:
+    record = state.records.get(request_id)
+    if record is None or record.phase is not flight.Phase.QUEUED:
+        return []
+    service = record.request.service
+    if any(server.peer_id not in record.attempts for server in choice.usable(state, service)):
+        return []
+    refusal = verdict.Refusal(
+        flight.verdict_of(record),
+        verdict.Code.UNAVAILABLE,
+        f"no backend server of {service} is left to send the request to",
+    )
+    return outcome.finish(state, record, result.Err(refusal), now)
+
+
+def _query_due(state: flight.State, request_id: str, now: float) -> Effects:
+    record = state.records.get(request_id)
+    attempts = flight.open_attempts(record) if record is not None else []
     if attempts:
-        flight.set_timer(state, now + QUERY_PERIOD_SECONDS, "query", record.request.id)
+        flight.set_timer(state, now + QUERY_PERIOD_SECONDS, "query", request_id)
+    return [
+        exchange.Send(attempt.peer_id, link.Query(request_id, attempt.incarnation))
+        for attempt in attempts
+        if attempt.peer_id in state.peers
+    ]
+
+
+def _lost_due(state: flight.State, peer_id: str, now: float) -> Effects:
+    server = state.servers.get(peer_id)
+    if server is None or server.connected or now < server.lost_at + LOST_SECONDS:
+        return []
+    effects: Effects = []
+    for request_id in list(server.open):
+        record = state.records[request_id]
+        attempt = record.attempts[peer_id]
+        outcome.close_attempt(state, record, attempt, verdict.Verdict.MAY_HAVE_RUN, now)
+        effects += outcome.resolve(state, record, "the agent is gone", now)
+    if not server.open:
+        del state.servers[peer_id]
+        ejection.forget(state.health, peer_id)
+    return effects
 
 
-def _forget_due(
-    state: flight.State, record: flight.Record, _now: float, _effects: list[Effect]
-) -> None:
-    for attempt in flight.open_attempts(record):
-        _close_attempt(state, record, attempt, verdict.Verdict.MAY_HAVE_RUN)
-    del state.records[record.request.id]
+def _forget_due(state: flight.State, request_id: str, now: float) -> Effects:
+    record = state.records.get(request_id)
+    if record is not None:
+        outcome.drop(state, record, now)
+    return []
 
 
-def _drain(state: flight.State, _event: Drain, _now: float, _effects: list[Effect]) -> None:
-    state.draining = True
+def _lookup_due(state: flight.State, request_id: str, now: float) -> Effects:
+    concluded = lookup.due(state, request_id)
+    return _conclude(state, concluded, now) if concluded is not None else []
 
 
-def _tick(_state: flight.State, _event: Tick, _now: float, _effects: list[Effect]) -> None:
-    """Timers run after each event."""
+def _wake_due(_state: flight.State, _name: str, _now: float) -> Effects:
+    return []
 
 
-_HANDLERS: dict[type, typing.Callable[..., None]] = {
-    Submitted: _submitted, Find: _find, PeerUp: _peer_up, PeerDown: _peer_down,
-    Received: _received, Tick: _tick, Drain: _drain,
-}  # fmt: skip
+_HANDLERS: dict[type, typing.Callable[..., Effects]] = {
+    exchange.Submitted: _submitted,
+    exchange.Find: lookup.find,
+    exchange.PeerUp: _peer_up,
+    exchange.PeerDown: _peer_down,
+    exchange.Received: _received,
+    exchange.Unsent: _unsent,
+    exchange.Claimed: claims.claimed,
+    exchange.Settled: claims.settled,
+    exchange.Configured: _configured,
+    exchange.Tick: _tick,
+    exchange.Drain: _drain,
+}
 
-_TIMERS: dict[str, typing.Callable[..., None]] = {
-    "deadline": _deadline_due, "patience": _patience_due, "query": _query_due,
+_TIMERS: dict[str, typing.Callable[..., Effects]] = {
+    "deadline": _deadline_due,
+    "patience": _patience_due,
+    "query": _query_due,
+    "lost": _lost_due,
     "forget": _forget_due,
-}  # fmt: skip
+    "lookup": _lookup_due,
+    "settle": claims.settle_due,
+    "wake": _wake_due,
+}
--- /dev/null
+++ b/packages/core/src/peridothatch_core/route/fair_queue.py
@@ -0,0 +1,65 @@
+"""Bounded queues of waiting requests, one per service and customer."""
+
+from __future__ import annotations
+
+import typing
+
+from peridothatch_core.model import verdict
+from peridothatch_core.route import choice, flight
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.model import request
+
+# A request waits this long for a backend server of its service to announce itself.
+NO_SERVER_PATIENCE_SECONDS = 2.0
+
+
+def admission(state: flight.State, call: request.Request) -> verdict.Refusal | None:
+    """Return why a new request cannot be served in time, if it cannot."""
+    waiting = state.queues.get(call.service, {}).get(call.customer, ())
+    if len(waiting) >= state.settings.queue_requests:
+        detail = f"{len(waiting)} requests of {call.customer} wait for {call.service}"
+        return verdict.not_run(verdict.Code.OVERLOADED, detail)
+    if state.queued_bytes + len(call.body) > state.settings.queue_bytes:
+        return verdict.not_run(verdict.Code.OVERLOADED, "the queues of this entry are full")
+    wait_seconds = _expected_wait_seconds(state, call, len(waiting))
+    if wait_seconds >= call.budget_seconds:
+        detail = f"about {wait_seconds:.3g} s of work wait; the deadline is sooner"
+        return verdict.not_run(verdict.Code.DEADLINE, detail)
+    return None
+
+
+def put(state: flight.State, record: flight.Record, now: float, *, first: bool) -> None:
+    """Queue a request, behind those of its customer or ahead of them."""
+    call = record.request
+    record.phase = flight.Phase.QUEUED
+    record.queued_at = now
+    queue = state.queues.setdefault(call.service, {}).setdefault(call.customer, [])
+    queue.insert(0 if first else len(queue), call.id)
+    state.queued_bytes += len(call.body)
+    flight.set_timer(state, now + NO_SERVER_PATIENCE_SECONDS, "patience", call.id)
+
+
+def remove(state: flight.State, record: flight.Record) -> None:
+    """Take a request out of its queue."""
+    call = record.request
+    queues = state.queues[call.service]
+    queues[call.customer].remove(call.id)
+    if not queues[call.customer]:
+        del queues[call.customer]
+    if not queues:
+        del state.queues[call.service]
+    state.queued_bytes -= len(call.body)
+
+
+def _expected_wait_seconds(state: flight.State, call: request.Request, ahead: int) -> float:
+    """Return how long ``ahead`` requests take at the customer's share of the slots."""
+    mean = state.service_seconds.get(call.service)
+    servers = choice.usable(state, call.service)
+    slots = sum(server.backend.slots for server in servers)
+    if not ahead or mean is None or not slots:
+        return 0.0
+    active = set(state.queues.get(call.service, ())) | {call.customer}
+    for server in servers:
+        active.update(server.held)
+    return ahead * mean * len(active) / slots
--- a/packages/core/src/peridothatch_core/route/flight.py
+++ b/packages/core/src/peridothatch_core/route/flight.py
@@ -9,6 +9,7 @@
 import typing
 
 from peridothatch_core.model import verdict
+from peridothatch_core.route import ejection, link_budget, retry_budget
 
 if typing.TYPE_CHECKING:
     import result
@@ -18,19 +19,26 @@
 
 Outcome = typing.Union["result.Ok[request.Answer]", "result.Err[verdict.Refusal]"]
 
-# Outcomes stay available for lookups this long after the deadline.
-KEPT_AFTER_DEADLINE_SECONDS = 60.0
-
 
 class Phase(enum.StrEnum):
     """Where a request is on the entry side."""
 
     CLAIMING = "claiming"
+    FOLLOWING = "following"
     QUEUED = "queued"
     SENT = "sent"
     ENDED = "ended"
 
 
+class Settling(enum.StrEnum):
+    """Whether the row of the idempotency key shows the outcome."""
+
+    NONE = "none"
+    CLAIMED = "claimed"
+    WRITING = "writing"
+    DONE = "done"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """What does not change while the entry runs.
@@ -65,10 +73,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Record:
-    """A request that the entry accepted; ``waiters`` are tags of callers that wait."""
+    """A request that the entry accepted.
+
+    Attributes
+    ----------
+    waiters : list of int
+        Tags of callers that wait.
+    followers : list of str
+        Requests with the same idempotency key that get the outcome of this one.
+    """
 
     request: request.Request
-    accepted_at: float
     deadline: float
     key: str
     waiters: list[int]
@@ -76,23 +91,53 @@
     queued_at: float = 0.0
     attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
     outcome: Outcome | None = None
+    digest: str = ""
+    claims: int = 0
+    settling: Settling = Settling.NONE
+    followers: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
 class Server:
-    """A backend server that announced itself; ``foreign`` counts requests of other entries."""
+    """A backend server that announced itself.
+
+    Attributes
+    ----------
+    open : dict of str to str
+        Customer by id of the requests of this entry that the server may hold.
+    foreign : int
+        Slots in use by other entries, as the agent last reported.
+    """
 
     peer_id: str
     incarnation: str
     backend: backend.BackendServer
     connected: bool = True
-    outstanding: dict[str, int] = dataclasses.field(default_factory=dict)
+    lost_at: float = 0.0
+    open: dict[str, str] = dataclasses.field(default_factory=dict)
+    held: dict[str, int] = dataclasses.field(default_factory=dict)
     foreign: int = 0
 
-    @property
-    def in_use(self) -> int:
-        """Slots in use by requests of this entry."""
-        return sum(self.outstanding.values())
+
+@dataclasses.dataclass(slots=True)
+class Lookup:
+    """Callers and claims that wait for the outcome of a request of another entry.
+
+    Attributes
+    ----------
+    owner : str
+        Peer id of the entry that accepted the request; empty when agents are asked instead.
+    peers : set of str
+        Peers that were asked and have not answered.
+    claims : list of tuple of str and int
+        Requests with the same idempotency key, and the version of its row.
+    """
+
+    customer: str
+    owner: str
+    peers: set[str]
+    tags: list[int]
+    claims: list[tuple[str, int]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,33 +145,51 @@
     """Everything that the entry knows about requests."""
 
     settings: Settings
+    link: link_budget.Budget
     records: dict[str, Record] = dataclasses.field(default_factory=dict)
     servers: dict[str, Server] = dataclasses.field(default_factory=dict)
     peers: dict[str, link.Hello] = dataclasses.field(default_factory=dict)
     queues: dict[str, dict[str, list[str]]] = dataclasses.field(default_factory=dict)
     queued_bytes: int = 0
+    kept: dict[str, int] = dataclasses.field(default_factory=dict)
+    kept_bytes: int = 0
+    lookups: dict[str, Lookup] = dataclasses.field(default_factory=dict)
+    health: ejection.State = dataclasses.field(default_factory=ejection.State)
+    retries: dict[str, retry_budget.Budget] = dataclasses.field(default_factory=dict)
+    service_seconds: dict[str, float] = dataclasses.field(default_factory=dict)
     timers: list[tuple[float, int, str, str]] = dataclasses.field(default_factory=list)
     sequence: typing.Iterator[int] = dataclasses.field(default_factory=itertools.count)
+    wake_at: float = 0.0
+    customers: int = 0
     draining: bool = False
     counters: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
+def create(settings: Settings) -> State:
+    """Return the state of an entry that has accepted nothing."""
+    return State(settings, link_budget.create(settings.link_bytes_per_second))
+
+
 def count(state: State, name: str) -> None:
     """Add one to a counter."""
     state.counters[name] = state.counters.get(name, 0) + 1
 
 
-def set_timer(state: State, at: float, kind: str, request_id: str) -> None:
+def set_timer(state: State, at: float, kind: str, request_id: str = "") -> None:
     """Ask for a timer of ``kind`` for a request."""
     heapq.heappush(state.timers, (at, next(state.sequence), kind, request_id))
 
 
-def verdict_of(record: Record) -> verdict.Verdict:
-    """Return ``NOT_RUN`` only when each agent that was sent the request said so."""
-    certain = all(
-        attempt.outcome is verdict.Verdict.NOT_RUN for attempt in record.attempts.values()
-    )
-    return verdict.Verdict.NOT_RUN if certain else verdict.Verdict.MAY_HAVE_RUN
+def wake(state: State, at: float, now: float) -> None:
+    """Ask that waiting requests are looked at again; an earlier moment stands."""
+    if not now < state.wake_at <= at:
+        state.wake_at = at
+        set_timer(state, at, "wake")
+
+
+def retries(state: State, service: str) -> retry_budget.Budget:
+    """Return the retry budget of a service."""
+    return state.retries.setdefault(service, retry_budget.Budget())
 
 
 def open_attempts(record: Record) -> list[Attempt]:
@@ -134,6 +197,14 @@
     return [attempt for attempt in record.attempts.values() if attempt.outcome is None]
 
 
+def verdict_of(record: Record) -> verdict.Verdict:
+    """Return ``NOT_RUN`` only when each agent that was sent the request said so."""
+    certain = record.phase is not Phase.FOLLOWING and all(
+        attempt.outcome is verdict.Verdict.NOT_RUN for attempt in record.attempts.values()
+    )
+    return verdict.Verdict.NOT_RUN if certain else verdict.Verdict.MAY_HAVE_RUN
+
+
 def dump(state: State) -> dict[str, typing.Any]:
     """Return the state as plain JSON types, without bodies."""
     phases = [record.phase for record in state.records.values()]
@@ -145,18 +216,27 @@
             for service, queues in state.queues.items()
         },
         "queued_bytes": state.queued_bytes,
+        "kept_bytes": state.kept_bytes,
+        "lookups": len(state.lookups),
+        "link_bytes_left": int(state.link.tokens),
+        "service_seconds": dict(state.service_seconds),
+        "retries_left": {name: round(item.tokens, 1) for name, item in state.retries.items()},
         "backend_servers": {
-            server.peer_id: {
-                "id": server.backend.id,
-                "service": server.backend.service,
-                "data_centre": server.backend.data_centre,
-                "slots": server.backend.slots,
-                "in_use": server.in_use,
-                "in_use_by_others": server.foreign,
-                "connected": server.connected,
-                "leaving": server.backend.leaving,
-            }
-            for server in state.servers.values()
+            server.peer_id: _dump_server(state, server) for server in state.servers.values()
         },
         "counters": dict(state.counters),
     }
+
+
+def _dump_server(state: State, server: Server) -> dict[str, typing.Any]:
+    return {
+        "id": server.backend.id,
+        "service": server.backend.service,
+        "data_centre": server.backend.data_centre,
+        "slots": server.backend.slots,
+        "in_use": len(server.open),
+        "in_use_by_others": server.foreign,
+        "connected": server.connected,
+        "leaving": server.backend.leaving,
+        "ejected": ejection.is_ejected(state.health, server.peer_id),
+    }
--- /dev/null
+++ b/packages/core/src/peridothatch_core/route/holding.py
@@ -0,0 +1,192 @@
+"""State of the requests that an agent holds for its backend server."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import heapq
+import itertools
+import typing
+
+from peridothatch_core.model import request, verdict
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.message import link
+    from peridothatch_core.model import backend
+
+# An answer stays available this long after the deadline, unless it is acknowledged.
+KEPT_AFTER_DEADLINE_SECONDS = 60.0
+
+# Longer than any deadline (600 s), so that a delayed Dispatch finds the refusal.
+TOMBSTONE_SECONDS = 660.0
+
+
+class Phase(enum.StrEnum):
+    """Where a request is on the agent side."""
+
+    QUEUED = "queued"
+    PASSED = "passed"
+    ENDED = "ended"
+    ACKNOWLEDGED = "acknowledged"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """A request id that was seen; it is never run again while the record is kept.
+
+    Attributes
+    ----------
+    entry_id, entry_incarnation : str
+        The entry that sent the request; empty when only its id is known.
+    keep_until : float
+        When the record is dropped, in seconds on the monotonic clock.
+    answer : request.Answer or None
+        The outcome until it is acknowledged.
+    """
+
+    request: request.Request
+    entry_id: str
+    entry_incarnation: str
+    deadline: float
+    keep_until: float
+    phase: Phase
+    answer: request.Answer | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on what an agent keeps in its 128 MB."""
+
+    records: int = 100_000
+    kept_bytes: int = 24 * 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """Everything that the agent knows about requests to its backend server.
+
+    Attributes
+    ----------
+    calls : set of str
+        Ids of the requests whose HTTP calls are open.
+    passed : set of str
+        Ids of the requests that were passed on and have no outcome.
+    kept : dict of str to int
+        Bytes by id of the answers that are not acknowledged, oldest first.
+    lost_at : dict of str to float
+        When the last connection to an entry ended.
+    """
+
+    own: link.Hello
+    limits: Limits = dataclasses.field(default_factory=Limits)
+    server: backend.BackendServer | None = None
+    reachable: bool = False
+    records: dict[str, Record] = dataclasses.field(default_factory=dict)
+    queue: list[str] = dataclasses.field(default_factory=list)
+    calls: set[str] = dataclasses.field(default_factory=set)
+    passed: set[str] = dataclasses.field(default_factory=set)
+    kept: dict[str, int] = dataclasses.field(default_factory=dict)
+    kept_bytes: int = 0
+    peers: dict[str, link.Hello] = dataclasses.field(default_factory=dict)
+    lost_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    timers: list[tuple[float, int, str]] = dataclasses.field(default_factory=list)
+    sequence: typing.Iterator[int] = dataclasses.field(default_factory=itertools.count)
+    heartbeats: int = 0
+    draining: bool = False
+    counters: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+def count(state: State, name: str) -> None:
+    """Add one to a counter."""
+    state.counters[name] = state.counters.get(name, 0) + 1
+
+
+def slots(state: State) -> int:
+    """Return the number of slots of the backend server."""
+    return state.server.slots if state.server is not None else 0
+
+
+def in_flight(state: State) -> int:
+    """Return the number of requests that use a slot or wait for one."""
+    return len(state.calls) + len(state.queue)
+
+
+def leaving(state: State) -> bool:
+    """Return whether new requests are refused."""
+    server = state.server
+    return state.draining or not state.reachable or server is None or server.leaving
+
+
+def add(state: State, record: Record) -> None:
+    """Remember a request id."""
+    state.records[record.request.id] = record
+    set_timer(state, min(record.deadline, record.keep_until), record.request.id)
+
+
+def set_timer(state: State, at: float, request_id: str) -> None:
+    """Look at the record again at ``at``."""
+    heapq.heappush(state.timers, (at, next(state.sequence), request_id))
+
+
+def end(state: State, record: Record, answer: request.Answer) -> None:
+    """Note the outcome and keep it until it is acknowledged."""
+    request_id = record.request.id
+    if request_id in state.queue:
+        state.queue.remove(request_id)
+    state.passed.discard(request_id)
+    record.phase = Phase.ENDED
+    record.answer = answer
+    record.request = dataclasses.replace(record.request, body=b"")
+    _keep(state, request_id, len(answer.body))
+
+
+def acknowledge(state: State, record: Record) -> None:
+    """Drop the answer; the id stays refused."""
+    record.phase = Phase.ACKNOWLEDGED
+    record.answer = None
+    state.kept_bytes -= state.kept.pop(record.request.id, 0)
+
+
+def drop(state: State, record: Record) -> None:
+    """Forget a request id."""
+    state.kept_bytes -= state.kept.pop(record.request.id, 0)
+    del state.records[record.request.id]
+
+
+def not_run(request_id: str, status: int, detail: str) -> request.Answer:
+    """Return the outcome of a request that was never passed on."""
+    return request.Answer(request_id, verdict.Verdict.NOT_RUN, status, detail=detail)
+
+
+def may_have_run(request_id: str, detail: str) -> request.Answer:
+    """Return the outcome of a request that was passed on and got no answer."""
+    return request.Answer(request_id, verdict.Verdict.MAY_HAVE_RUN, detail=detail)
+
+
+def dump(state: State) -> dict[str, typing.Any]:
+    """Return the state as plain JSON types, without bodies."""
+    phases = [record.phase for record in state.records.values()]
+    return {
+        "backend_server": state.server.id if state.server is not None else "",
+        "leaving": leaving(state),
+        "slots": slots(state),
+        "calls": len(state.calls),
+        "queued": len(state.queue),
+        "requests": {phase.value: phases.count(phase) for phase in Phase},
+        "kept_bytes": state.kept_bytes,
+        "counters": dict(state.counters),
+    }
+
+
+def _keep(state: State, request_id: str, size: int) -> None:
+    """Account for a kept answer; over the limit the oldest become ``MAY_HAVE_RUN``."""
+    state.kept_bytes += size - state.kept.pop(request_id, 0)
+    state.kept[request_id] = size
+    while state.kept_bytes > state.limits.kept_bytes:
+        oldest = next(iter(state.kept))
+        state.kept_bytes -= state.kept.pop(oldest)
+        record = state.records[oldest]
+        if record.answer is not None and record.answer.body:
+            record.answer = may_have_run(oldest, "the answer was dropped to save memory")
+            count(state, "answers_dropped_early")
--- /dev/null
+++ b/packages/core/src/peridothatch_core/route/lookup.py
@@ -0,0 +1,168 @@
+"""Lookups of the outcome of a request that this entry or another one accepted."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import result
+
+from peridothatch_core.message import link
+from peridothatch_core.model import verdict
+from peridothatch_core.route import exchange, flight
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.model import request
+
+LOOKUP_SECONDS = 2.0
+MOST_LOOKUPS = 256
+MOST_AGENTS_ASKED = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Concluded:
+    """A lookup has ended."""
+
+    request_id: str
+    lookup: flight.Lookup
+    found: flight.Outcome
+
+
+def find(state: flight.State, event: exchange.Find, now: float) -> list[exchange.Effect]:
+    """Answer from memory, or ask the entry that accepted the request, or the agents."""
+    record = state.records.get(event.request_id)
+    if record is not None and record.request.customer == event.customer:
+        found = record.outcome or _refused(verdict.Code.UNAVAILABLE, "the request is in flight")
+        return [exchange.Reply(event.tag, found)]
+    if record is not None or is_own(state, event.request_id):
+        return [exchange.Reply(event.tag, unknown())]
+    lookup, effects = _start(state, event.request_id, event.customer, now)
+    if lookup is None:
+        return [exchange.Reply(event.tag, unknown())]
+    lookup.tags.append(event.tag)
+    return effects
+
+
+def start_for_claim(
+    state: flight.State, record: flight.Record, row: exchange.ClaimRow, now: float
+) -> list[exchange.Effect] | None:
+    """Look for the request that holds the key; ``None`` when nobody can know its outcome."""
+    if is_own(state, row.request_id):
+        return None
+    lookup, effects = _start(state, row.request_id, record.request.customer, now)
+    if lookup is None:
+        return None
+    lookup.claims.append((record.request.id, row.version))
+    return effects
+
+
+def is_own(state: flight.State, request_id: str) -> bool:
+    """Return whether this process accepted the request."""
+    return _origin(request_id) == (state.settings.entry_id, state.settings.incarnation)
+
+
+def unknown() -> flight.Outcome:
+    """Return the outcome of a request that nobody remembers."""
+    return _refused(verdict.Code.NOT_FOUND, "no outcome of this request is known")
+
+
+def asked(state: flight.State, peer: link.Hello, query: link.Query) -> list[exchange.Effect]:
+    """Answer another entry that looks for a request of this one."""
+    record = state.records.get(query.request_id)
+    if record is None or record.request.customer != query.customer:
+        told: link.Message = link.RequestState(query.request_id, "unknown")
+    elif record.outcome is None:
+        told = link.RequestState(query.request_id, "running")
+    elif isinstance(record.outcome, result.Ok):
+        told = link.AnswerReady(record.outcome.ok_value)
+    else:
+        nothing_ran = record.outcome.err_value.verdict is verdict.Verdict.NOT_RUN
+        told = link.RequestState(query.request_id, "not_run" if nothing_ran else "unknown")
+    return [exchange.Send(peer.id, told)]
+
+
+def answered(state: flight.State, peer: link.Hello, answer: request.Answer) -> Concluded | None:
+    """Handle an answer that a peer holds."""
+    lookup = state.lookups.get(answer.request_id)
+    if lookup is None or peer.id not in lookup.peers:
+        return None
+    if answer.verdict is verdict.Verdict.RAN:
+        return _conclude(state, answer.request_id, result.Ok(answer))
+    # One agent that did not run it says nothing about the others.
+    return _without(state, answer.request_id, peer.id)
+
+
+def told_state(
+    state: flight.State, peer: link.Hello, message: link.RequestState
+) -> Concluded | None:
+    """Handle the word of a peer that has no answer."""
+    lookup = state.lookups.get(message.request_id)
+    if lookup is None or peer.id not in lookup.peers:
+        return None
+    if message.state == "running":
+        found = _refused(verdict.Code.UNAVAILABLE, "the request is in flight")
+        return _conclude(state, message.request_id, found)
+    if message.state == "not_run" and peer.id == lookup.owner:
+        refusal = verdict.not_run(verdict.Code.UNAVAILABLE, "the request was not run")
+        return _conclude(state, message.request_id, result.Err(refusal))
+    return _without(state, message.request_id, peer.id)
+
+
+def peer_lost(state: flight.State, peer_id: str) -> list[Concluded]:
+    """Stop waiting for a peer that is gone."""
+    waiting = [key for key, lookup in state.lookups.items() if peer_id in lookup.peers]
+    ended = [_without(state, request_id, peer_id) for request_id in waiting]
+    return [concluded for concluded in ended if concluded is not None]
+
+
+def due(state: flight.State, request_id: str) -> Concluded | None:
+    """End a lookup that took too long."""
+    if request_id not in state.lookups:
+        return None
+    return _conclude(state, request_id, unknown())
+
+
+def _start(
+    state: flight.State, request_id: str, customer: str, now: float
+) -> tuple[flight.Lookup | None, list[exchange.Effect]]:
+    known = state.lookups.get(request_id)
+    if known is not None:
+        return (known if known.customer == customer else None), []
+    owner = _owner(state, request_id)
+    agents = [server.peer_id for server in state.servers.values() if server.connected]
+    peers = {owner} if owner else set(agents[:MOST_AGENTS_ASKED])
+    if not peers or len(state.lookups) >= MOST_LOOKUPS:
+        return None, []
+    lookup = flight.Lookup(customer, owner, peers, [], [])
+    state.lookups[request_id] = lookup
+    flight.set_timer(state, now + LOOKUP_SECONDS, "lookup", request_id)
+    query = link.Query(request_id, "", customer)
+    return lookup, [exchange.Send(peer_id, query) for peer_id in sorted(peers)]
+
+
+def _owner(state: flight.State, request_id: str) -> str:
+    """Return the peer id of the entry that accepted the request, if it is still connected."""
+    entry_id, incarnation = _origin(request_id)
+    peer = state.peers.get(entry_id)
+    alive = peer is not None and peer.role == "entry" and peer.incarnation == incarnation
+    return entry_id if alive else ""
+
+
+def _origin(request_id: str) -> tuple[str, str]:
+    """Return the entry id and incarnation of ``ENTRY.INCARNATION.NUMBER``."""
+    parts = request_id.rsplit(".", 2)
+    return (parts[0], parts[1]) if len(parts) == 3 else ("", "")
+
+
+def _without(state: flight.State, request_id: str, peer_id: str) -> Concluded | None:
+    lookup = state.lookups[request_id]
+    lookup.peers.discard(peer_id)
+    return None if lookup.peers else _conclude(state, request_id, unknown())
+
+
+def _conclude(state: flight.State, request_id: str, found: flight.Outcome) -> Concluded:
+    return Concluded(request_id, state.lookups.pop(request_id), found)
+
+
+def _refused(code: verdict.Code, detail: str) -> flight.Outcome:
+    return result.Err(verdict.Refusal(verdict.Verdict.MAY_HAVE_RUN, code, detail))
--- /dev/null
+++ b/packages/core/src/peridothatch_core/route/outcome.py
@@ -0,0 +1,213 @@
+"""What follows from the outcome of an attempt: an answer, a retry or a refusal."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import result
+
+from peridothatch_core.model import verdict
+from peridothatch_core.route import (
+    agent_exchange,
+    choice,
+    ejection,
+    exchange,
+    fair_queue,
+    flight,
+    link_budget,
+    retry_budget,
+)
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.model import request
+
+# Outcomes stay available for lookups this long after the deadline.
+KEPT_AFTER_DEADLINE_SECONDS = 60.0
+
+# Weight of the latest request in the mean time that a service takes.
+MEAN_WEIGHT = 0.1
+
+
+def close_attempt(
+    state: flight.State,
+    record: flight.Record,
+    attempt: flight.Attempt,
+    told: verdict.Verdict,
+    now: float,
+) -> None:
+    """Note the outcome of an attempt; a later and more certain one replaces it."""
+    request_id = record.request.id
+    first = attempt.outcome is None
+    attempt.outcome = told
+    ejection.undecided(state.health, attempt.peer_id, request_id)
+    server = state.servers.get(attempt.peer_id)
+    if not first or server is None or server.incarnation != attempt.incarnation:
+        return
+    if server.open.pop(request_id, None) is not None:
+        customer = record.request.customer
+        server.held[customer] -= 1
+        if not server.held[customer]:
+            del server.held[customer]
+    if told is verdict.Verdict.RAN:
+        _learn(state, record.request.service, now - attempt.sent_at)
+
+
+def judge(
+    state: flight.State,
+    attempt: flight.Attempt,
+    told: verdict.Verdict,
+    status: int,
+    now: float,
+) -> None:
+    """Tell the outlier ejection what an outcome says about the server."""
+    server = state.servers.get(attempt.peer_id)
+    if server is None or server.incarnation != attempt.incarnation:
+        return
+    if told is verdict.Verdict.NOT_RUN and status != agent_exchange.UNREACHABLE_STATUS:
+        return
+    if told is verdict.Verdict.RAN and status < 500:
+        ejection.succeeded(state.health, attempt.peer_id)
+    else:
+        servers = choice.usable(state, server.backend.service)
+        group = [member.peer_id for member in servers]
+        until = ejection.failed(state.health, attempt.peer_id, group, now)
+        if until is not None:
+            flight.set_timer(state, until, "wake")
+
+
+def answered(
+    state: flight.State,
+    record: flight.Record,
+    attempt: flight.Attempt,
+    answer: request.Answer,
+    now: float,
+) -> list[exchange.Effect]:
+    """Handle an answer or a verdict of the agent that was sent the request."""
+    if {attempt.outcome, answer.verdict} == {verdict.Verdict.RAN, verdict.Verdict.NOT_RUN}:
+        flight.count(state, "contradictions")
+    if attempt.outcome is verdict.Verdict.RAN:
+        return []
+    server = state.servers.get(attempt.peer_id)
+    if server is not None and _is_far(state, server):
+        link_budget.spend(state.link, len(answer.body))
+    close_attempt(state, record, attempt, answer.verdict, now)
+    judge(state, attempt, answer.verdict, answer.status, now)
+    if answer.verdict is not verdict.Verdict.RAN:
+        return resolve(state, record, answer.detail, now)
+    if not record.request.idempotent and isinstance(record.outcome, result.Ok):
+        flight.count(state, "second_runs")
+    return finish(state, record, result.Ok(answer), now)
+
+
+def resolve(
+    state: flight.State, record: flight.Record, detail: str, now: float
+) -> list[exchange.Effect]:
+    """Decide what follows after an attempt ended without an answer."""
+    if flight.open_attempts(record) and record.phase is not flight.Phase.ENDED:
+        return []
+    if record.phase is flight.Phase.QUEUED:
+        return []
+    if retry(state, record, now):
+        return []
+    refusal = verdict.Refusal(flight.verdict_of(record), verdict.Code.UNAVAILABLE, detail)
+    return finish(state, record, result.Err(refusal), now)
+
+
+def retry(state: flight.State, record: flight.Record, now: float) -> bool:
+    """Queue the request once more, if it is certain that this does no harm."""
+    call = record.request
+    harmless = call.idempotent or flight.verdict_of(record) is verdict.Verdict.NOT_RUN
+    if record.phase is not flight.Phase.SENT or not harmless or now >= record.deadline:
+        return False
+    servers = choice.usable(state, call.service)
+    if all(server.peer_id in record.attempts for server in servers):
+        return False
+    if not retry_budget.take(flight.retries(state, call.service)):
+        flight.count(state, "retries_refused")
+        return False
+    flight.count(state, "retries")
+    fair_queue.put(state, record, now, first=True)
+    return True
+
+
+def finish(
+    state: flight.State, record: flight.Record, outcome: flight.Outcome, now: float
+) -> list[exchange.Effect]:
+    """Give the outcome to the callers; a later call can only make it more certain."""
+    if record.phase is flight.Phase.QUEUED:
+        fair_queue.remove(state, record)
+    if record.phase is not flight.Phase.ENDED:
+        keep_until = max(now, record.deadline) + KEPT_AFTER_DEADLINE_SECONDS
+        flight.set_timer(state, keep_until, "forget", record.request.id)
+        record.request = dataclasses.replace(record.request, body=b"")
+    record.phase = flight.Phase.ENDED
+    if not isinstance(record.outcome, result.Ok):
+        record.outcome = outcome
+        _keep(state, record, now)
+    effects: list[exchange.Effect] = [
+        exchange.Reply(tag, record.outcome) for tag in record.waiters
+    ]
+    record.waiters.clear()
+    followers, record.followers = record.followers, []
+    for request_id in followers:
+        follower = state.records.get(request_id)
+        if follower is not None and follower.phase is flight.Phase.FOLLOWING:
+            effects += finish(state, follower, renamed(record.outcome, request_id), now)
+    return effects + settle(state, record)
+
+
+def settle(state: flight.State, record: flight.Record) -> list[exchange.Effect]:
+    """Record the outcome of a claimed request, once it is certain."""
+    if record.settling is not flight.Settling.CLAIMED or record.outcome is None:
+        return []
+    call = record.request
+    if isinstance(record.outcome, result.Ok):
+        answer = record.outcome.ok_value
+        row = exchange.ClaimRow(call.id, state.settings.entry_id, record.digest, answer)
+    elif record.outcome.err_value.verdict is verdict.Verdict.NOT_RUN:
+        row = None
+    else:
+        return []
+    record.settling = flight.Settling.WRITING
+    return [exchange.Settle(call.customer, record.key, call.id, row)]
+
+
+def renamed(outcome: flight.Outcome, request_id: str) -> flight.Outcome:
+    """Return the outcome as that of another request with the same idempotency key."""
+    if isinstance(outcome, result.Ok):
+        return result.Ok(dataclasses.replace(outcome.ok_value, request_id=request_id))
+    return outcome
+
+
+def drop(state: flight.State, record: flight.Record, now: float) -> None:
+    """Forget a request that has ended."""
+    for attempt in flight.open_attempts(record):
+        close_attempt(state, record, attempt, verdict.Verdict.MAY_HAVE_RUN, now)
+    if record.settling is flight.Settling.WRITING:
+        flight.count(state, "outcomes_not_recorded")
+    state.kept_bytes -= state.kept.pop(record.request.id, 0)
+    del state.records[record.request.id]
+
+
+def _keep(state: flight.State, record: flight.Record, now: float) -> None:
+    """Account for a kept answer, and drop the oldest ones over the limit."""
+    if not isinstance(record.outcome, result.Ok):
+        return
+    size = len(record.outcome.ok_value.body)
+    state.kept[record.request.id] = size
+    state.kept_bytes += size
+    while state.kept_bytes > state.settings.kept_bytes and len(state.kept) > 1:
+        oldest = next(iter(state.kept))
+        flight.count(state, "answers_dropped_early")
+        drop(state, state.records[oldest], now)
+
+
+def _learn(state: flight.State, service: str, seconds: float) -> None:
+    mean = state.service_seconds.get(service, seconds)
+    state.service_seconds[service] = mean + MEAN_WEIGHT * (seconds - mean)
+
+
+def _is_far(state: flight.State, server: flight.Server) -> bool:
+    away = choice.distance(state.settings, server.backend.data_centre, server.backend.region)
+    return away == choice.ACROSS_THE_LINK
--- a/packages/daemon/src/peridothatch_daemon/decide/slots.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/slots.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 import time
 import typing
 
-from peridothatch_core.route import slots
+from peridothatch_core.route import agent_exchange, holding, slots
 from peridothatch_daemon import messages
 from peridothatch_daemon.decide import alarm, loop
 from peridothatch_wire import mailbox, task
@@ -25,10 +26,10 @@
     """The running task and what it owns."""
 
     __slots__ = ("_alarm", "_backend", "_beat", "_clock", "_drains", "_inbox", "_links",
-                 "_state", "_task")  # fmt: skip
+                 "_own", "_state", "_task")  # fmt: skip
 
     def __init__(
-        self, state: slots.State, links: mailbox.Mailbox, backend: mailbox.Mailbox, clock: Clock
+        self, state: holding.State, links: mailbox.Mailbox, backend: mailbox.Mailbox, clock: Clock
     ) -> None:
         self._inbox = mailbox.create("slots")
         self._state = state
@@ -37,6 +38,7 @@
         self._clock = clock
         self._alarm = alarm.Alarm(self._inbox)
         self._drains: list[mailbox.Reply] = []
+        self._own: collections.deque[typing.Any] = collections.deque()
         self._task: task.Task | None = None
         self._beat: task.Task | None = None
 
@@ -59,10 +61,10 @@
     on_failure: typing.Callable[[], None] | None = None,
 ) -> Slots:
     """Start the task; ``links`` takes ``ToPeer``, ``backend`` takes ``CallBackend``."""
-    owned = Slots(slots.State(own), links, backend, clock)
+    owned = Slots(holding.State(own), links, backend, clock)
     body = loop.run(owned.inbox, lambda message: _handle(owned, message))
     owned._task = task.start("slots", body, on_failure)
-    beat = task.every(HEARTBEAT_PERIOD_SECONDS, owned.inbox, slots.Heartbeat())
+    beat = task.every(HEARTBEAT_PERIOD_SECONDS, owned.inbox, agent_exchange.HeartbeatDue())
     owned._beat = task.start("slots heartbeat", beat)
     mailbox.post(backend, messages.WatchBackend(owned.inbox))
     return owned
@@ -78,50 +80,59 @@
 
 def _handle(owned: Slots, message: typing.Any) -> None:
     if isinstance(message, messages.DumpState):
-        mailbox.answer(message.reply, slots.dump(owned._state))
+        mailbox.answer(message.reply, holding.dump(owned._state))
         return
     if isinstance(message, messages.Drain):
         owned._drains.append(message.reply)
-    event = _event(message)
-    if event is None:
-        return
     now = owned._clock()
-    for effect in slots.step(owned._state, event, now):
-        _apply(owned, effect)
+    owned._own.append(message)
+    while owned._own:
+        event = _event(owned._own.popleft())
+        if event is not None:
+            for effect in slots.step(owned._state, event, now):
+                _apply(owned, effect)
     alarm.set_to(owned._alarm, slots.next_wake(owned._state), now)
-    if owned._drains and slots.idle(owned._state):
+    if owned._drains and slots.idle(owned._state, now):
         for reply in owned._drains:
             mailbox.answer(reply, True)
         owned._drains.clear()
 
 
-def _event(message: typing.Any) -> slots.Event | None:
+def _event(message: typing.Any) -> agent_exchange.Event | None:
     match message:
         case messages.FromPeer():
-            return slots.Received(message.peer, message.message)
+            return agent_exchange.Received(message.peer, message.message)
         case messages.PeerOpened():
-            return slots.PeerUp(message.peer)
+            return agent_exchange.PeerUp(message.peer)
         case messages.PeerClosed():
-            return slots.PeerDown(message.peer)
+            return agent_exchange.PeerDown(message.peer)
         case messages.Drain():
-            return slots.Drain()
+            return agent_exchange.Drain()
         case messages.Tick():
-            return slots.Tick()
-        case slots.Served() | slots.NotServed() | slots.ServerSeen() | slots.Heartbeat():
+            return agent_exchange.Tick()
+        case (
+            agent_exchange.Served()
+            | agent_exchange.NotServed()
+            | agent_exchange.ServerSeen()
+            | agent_exchange.HeartbeatDue()
+        ):
             return message
     return None
 
 
-def _apply(owned: Slots, effect: slots.Effect) -> None:
+def _apply(owned: Slots, effect: agent_exchange.Effect) -> None:
     match effect:
-        case slots.Send():
+        case agent_exchange.Send():
             _post(owned._links, messages.ToPeer(effect.peer_id, effect.message))
-        case slots.Call():
+        case agent_exchange.Call():
             call = messages.CallBackend(effect.request, effect.timeout_seconds, owned.inbox)
             if not _post(owned._backend, call):
                 detail = "the call was not made: too many calls wait"
-                ended = slots.NotServed(effect.request.id, slots.BUSY_STATUS, detail)
-                mailbox.post(owned.inbox, ended)
+                ended = agent_exchange.NotServed(
+                    effect.request.id, agent_exchange.BUSY_STATUS, detail
+                )
+                # Not through the mailbox, which may be full: the slot must become free again.
+                owned._own.append(ended)
 
 
 def _post(target: mailbox.Mailbox, message: typing.Any) -> bool:
--- a/packages/daemon/src/peridothatch_daemon/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/messages.py
@@ -119,7 +119,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallBackend:
-    """Pass a request to the backend server; ``slots.Served`` or ``slots.NotServed`` follows."""
+    """Pass a request to the backend server.
+
+    ``Served`` or ``NotServed`` of ``route.agent_exchange`` goes to ``reply_to``.
+    """
 
     request: request.Request
     timeout_seconds: float
@@ -128,7 +131,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchBackend:
-    """Send ``slots.ServerSeen`` to ``reply_to`` from now on, at each look at the server."""
+    """Send ``agent_exchange.ServerSeen`` to ``reply_to`` at each look at the server."""
 
     reply_to: mailbox.Mailbox
 
--- a/packages/daemon/src/peridothatch_daemon/outlet/backend.py
+++ b/packages/daemon/src/peridothatch_daemon/outlet/backend.py
@@ -11,7 +11,7 @@
 import pydantic
 
 from peridothatch_core.model import backend
-from peridothatch_core.route import slots
+from peridothatch_core.route import agent_exchange
 from peridothatch_daemon import messages
 from peridothatch_wire import mailbox, task
 
@@ -27,11 +27,14 @@
 LOOK_TIMEOUT_SECONDS = 2.0
 CONNECT_TIMEOUT_SECONDS = 2.0
 
+# A busy backend server may describe itself late; a refused connection counts at once.
+LOOKS_BEFORE_ABSENT = 3
+
 # Shorter than the 5 s after which uvicorn closes an idle connection: a request written to a
 # connection that the server closes at that moment may or may not have run.
 KEEPALIVE_SECONDS = 3.0
 
-Report = slots.Served | slots.NotServed
+Report = agent_exchange.Served | agent_exchange.NotServed
 
 
 class ServerBody(pydantic.BaseModel):
@@ -108,7 +111,7 @@
         report = await _serve(owned, message.request, message.timeout_seconds)
     except Exception as error:
         logger.exception("the call for request %s failed", message.request.id)
-        report = slots.NotServed(message.request.id, 0, f"internal error: {error}")
+        report = agent_exchange.NotServed(message.request.id, 0, f"internal error: {error}")
     await mailbox.put(message.reply_to, report)
 
 
@@ -134,30 +137,32 @@
             return await _read(call, response)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         detail = f"no connection to the backend server: {error}"
-        return slots.NotServed(call.id, slots.UNREACHABLE_STATUS, detail)
+        return agent_exchange.NotServed(call.id, agent_exchange.UNREACHABLE_STATUS, detail)
     except TimeoutError:
-        return slots.NotServed(call.id, 0, "no whole answer before the deadline")
+        return agent_exchange.NotServed(call.id, 0, "no whole answer before the deadline")
     except aiohttp.ClientError as error:
         detail = f"no whole answer: {type(error).__name__}: {error}"
-        return slots.NotServed(call.id, 0, detail)
+        return agent_exchange.NotServed(call.id, 0, detail)
 
 
 async def _read(call: request.Request, response: aiohttp.ClientResponse) -> Report:
     length = response.content_length
     if length is None:
-        return slots.NotServed(call.id, 0, "the answer has no Content-Length")
+        return agent_exchange.NotServed(call.id, 0, "the answer has no Content-Length")
     if length > ANSWER_LIMIT_BYTES:
         detail = f"an answer of {length} bytes; expected at most {ANSWER_LIMIT_BYTES}"
-        return slots.NotServed(call.id, 0, detail)
+        return agent_exchange.NotServed(call.id, 0, detail)
     body = await response.read()
     if len(body) != length:
-        return slots.NotServed(call.id, 0, f"{len(body)} of {length} bytes arrived")
+        return agent_exchange.NotServed(call.id, 0, f"{len(body)} of {length} bytes arrived")
     answered_id = response.headers.get("X-Request-Id", "")
     if response.status == 503 and answered_id in ("", call.id) and _no_free_slot(body):
-        return slots.NotServed(call.id, slots.BUSY_STATUS, "no free slot")
+        return agent_exchange.NotServed(call.id, agent_exchange.BUSY_STATUS, "no free slot")
     if not answered_id:
-        return slots.NotServed(call.id, 0, "the answer names no request")
-    return slots.Served(call.id, answered_id, response.status, body, response.content_type)
+        return agent_exchange.NotServed(call.id, 0, "the answer names no request")
+    return agent_exchange.Served(
+        call.id, answered_id, response.status, body, response.content_type
+    )
 
 
 def _no_free_slot(body: bytes) -> bool:
@@ -169,21 +174,26 @@
 
 
 async def _look_often(owned: Outlet, reply_to: mailbox.Mailbox) -> None:
+    failures = 0
     while True:
-        await mailbox.put(reply_to, slots.ServerSeen(await _look(owned)))
+        try:
+            seen = await _look(owned)
+            failures = 0
+        except aiohttp.ClientConnectorError:
+            seen, failures = None, LOOKS_BEFORE_ABSENT
+        except (aiohttp.ClientError, TimeoutError, pydantic.ValidationError) as error:
+            logger.warning("the backend server does not describe itself: %s", error)
+            seen, failures = None, failures + 1
+        if seen is not None or failures >= LOOKS_BEFORE_ABSENT:
+            await mailbox.put(reply_to, agent_exchange.ServerSeen(seen))
         await asyncio.sleep(LOOK_PERIOD_SECONDS)
 
 
-async def _look(owned: Outlet) -> backend.BackendServer | None:
-    try:
-        async with owned._session.get(
-            f"{owned._base_url}/v1/server",
-            timeout=aiohttp.ClientTimeout(total=LOOK_TIMEOUT_SECONDS),
-        ) as response:
-            body = ServerBody.model_validate_json(await response.read())
-    except (aiohttp.ClientError, TimeoutError, pydantic.ValidationError) as error:
-        logger.warning("the backend server does not describe itself: %s", error)
-        return None
+async def _look(owned: Outlet) -> backend.BackendServer:
+    async with owned._session.get(
+        f"{owned._base_url}/v1/server", timeout=aiohttp.ClientTimeout(total=LOOK_TIMEOUT_SECONDS)
+    ) as response:
+        body = ServerBody.model_validate_json(await response.read())
     return backend.BackendServer(
         body.id,
         body.service,
--- a/packages/wire/src/peridothatch_wire/peridothatch.thrift
+++ b/packages/wire/src/peridothatch_wire/peridothatch.thrift
@@ -29,7 +29,7 @@
 struct Dispatch { 1: Request request }
 struct AnswerReady { 1: Answer answer }
 struct AnswerAck { 1: string request_id }
-struct Query { 1: string request_id, 2: string agent_incarnation }
+struct Query { 1: string request_id, 2: string agent_incarnation, 3: string customer }
 struct RequestState { 1: string request_id, 2: string state }
 struct Cancel { 1: string request_id }
 struct CapacityDigest { 1: string data_centre, 2: i64 epoch, 3: i32 free_accelerators, 4: list<i32> free_blocks, 5: i32 waiting_jobs, 6: bool in_service }
