--- a/packages/core/src/peridothatch_core/route/dispatch.py
+++ b/packages/core/src/peridothatch_core/route/dispatch.py
@@ -120,7 +120,7 @@
     peer, message = event.peer, event.message
     match message:
         case link.AnnounceBackend():
-            return _announced(state, peer, message, now)
+            return _announced(state, peer, message)
         case link.Heartbeat():
             return _heartbeat(state, peer, message)
         case link.AnswerReady():
@@ -133,20 +133,19 @@
 
 
 def _announced(
-    state: flight.State, peer: link.Hello, message: link.AnnounceBackend, now: float
+    state: flight.State, peer: link.Hello, message: link.AnnounceBackend
 ) -> Effects:
     current = state.peers.get(peer.id)
-    if current is not None and current.incarnation != peer.incarnation:
-        # Read from a connection that a restarted agent has replaced since.
+    if current is None or current.incarnation != peer.incarnation:
+        # Read from a connection that has ended or that a restarted agent has replaced.
         return []
     server = state.servers.get(peer.id)
     if server is None:
         server = flight.Server(peer.id, peer.incarnation, message.backend)
-        server.connected = peer.id in state.peers
         state.servers[peer.id] = server
     server.backend = message.backend
     server.foreign = max(0, message.in_flight - len(server.open))
-    return _restarted(state, server, peer, now) if server.incarnation != peer.incarnation else []
+    return []
 
 
 def _heartbeat(state: flight.State, peer: link.Hello, message: link.Heartbeat) -> Effects:
--- a/packages/core/src/peridothatch_core/route/holding.py
+++ b/packages/core/src/peridothatch_core/route/holding.py
@@ -20,6 +20,10 @@
 # Longer than any deadline (600 s), so that a delayed Dispatch finds the refusal.
 TOMBSTONE_SECONDS = 660.0
 
+# Ids outlive their records by one to two of these periods: an id that was dropped with its
+# record could be run by a delayed Dispatch, or be called "not run" after it had run.
+SEEN_PERIOD_SECONDS = 660.0
+
 
 class Phase(enum.StrEnum):
     """Where a request is on the agent side."""
@@ -58,7 +62,8 @@
 class Limits:
     """Bounds on what an agent keeps in its 128 MB."""
 
-    records: int = 100_000
+    records: int = 50_000
+    seen_ids: int = 150_000
     kept_bytes: int = 24 * 1024 * 1024
 
 
@@ -74,6 +79,8 @@
         Ids of the requests that were passed on and have no outcome.
     kept : dict of str to int
         Bytes by id of the answers that are not acknowledged, oldest first.
+    seen, seen_before : set of str
+        Ids of dropped records, from this period and the one before it.
     lost_at : dict of str to float
         When the last connection to an entry ended.
     """
@@ -83,6 +90,9 @@
     server: backend.BackendServer | None = None
     reachable: bool = False
     records: dict[str, Record] = dataclasses.field(default_factory=dict)
+    seen: set[str] = dataclasses.field(default_factory=set)
+    seen_before: set[str] = dataclasses.field(default_factory=set)
+    seen_since: float = 0.0
     queue: list[str] = dataclasses.field(default_factory=list)
     calls: set[str] = dataclasses.field(default_factory=set)
     passed: set[str] = dataclasses.field(default_factory=set)
@@ -148,10 +158,21 @@
     state.kept_bytes -= state.kept.pop(record.request.id, 0)
 
 
-def drop(state: State, record: Record) -> None:
-    """Forget a request id."""
+def drop(state: State, record: Record, now: float) -> None:
+    """Drop all but the id of a request."""
     state.kept_bytes -= state.kept.pop(record.request.id, 0)
     del state.records[record.request.id]
+    full = len(state.seen) >= state.limits.seen_ids
+    if full:
+        count(state, "ids_dropped_early")
+    if full or now >= state.seen_since + SEEN_PERIOD_SECONDS:
+        state.seen_before, state.seen, state.seen_since = state.seen, set(), now
+    state.seen.add(record.request.id)
+
+
+def was_seen(state: State, request_id: str) -> bool:
+    """Return whether the record of the request was dropped."""
+    return request_id in state.seen or request_id in state.seen_before
 
 
 def not_run(request_id: str, status: int, detail: str) -> request.Answer:
--- a/packages/core/src/peridothatch_core/route/outcome.py
+++ b/packages/core/src/peridothatch_core/route/outcome.py
@@ -88,6 +88,8 @@
         flight.count(state, "contradictions")
     if attempt.outcome is verdict.Verdict.RAN:
         return []
+    if attempt.outcome is verdict.Verdict.NOT_RUN and answer.verdict is not verdict.Verdict.RAN:
+        return []
     server = state.servers.get(attempt.peer_id)
     if server is not None and _is_far(state, server):
         link_budget.spend(state.link, len(answer.body))
--- a/packages/core/src/peridothatch_core/route/slots.py
+++ b/packages/core/src/peridothatch_core/route/slots.py
@@ -68,6 +68,9 @@
         holding.count(state, "second_runs_prevented")
         answer = known.answer
         return [agent_exchange.Send(peer.id, link.AnswerReady(answer))] if answer else []
+    if holding.was_seen(state, call.id):
+        holding.count(state, "second_runs_prevented")
+        return []
     if len(state.records) >= state.limits.records:
         # Without a record a duplicate of this message could run later, so nothing is certain.
         answer = holding.may_have_run(call.id, "the agent remembers too many requests")
@@ -109,7 +112,7 @@
 
 def _refuse_for_good(state: holding.State, request_id: str, now: float) -> str:
     """Leave a tombstone, so that a delayed ``Dispatch`` of this id does not run."""
-    if len(state.records) >= state.limits.records:
+    if holding.was_seen(state, request_id) or len(state.records) >= state.limits.records:
         return "forgotten"
     until = now + holding.TOMBSTONE_SECONDS
     blank = request.Request(request_id, "", "", False, 0.0)
@@ -217,7 +220,7 @@
         if now < record.keep_until:
             holding.set_timer(state, record.keep_until, request_id)
         elif record.phase is not holding.Phase.PASSED:
-            holding.drop(state, record)
+            holding.drop(state, record, now)
         else:
             # The call ends by its timeout; until then the id must stay known.
             record.keep_until = now + holding.KEPT_AFTER_DEADLINE_SECONDS
