--- /dev/null
+++ b/packages/core/src/peridothatch_core/route/flight.py
@@ -0,0 +1,242 @@
+"""State of the requests that an entry has accepted, and of the backend servers it knows."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import heapq
+import itertools
+import typing
+
+from peridothatch_core.model import verdict
+from peridothatch_core.route import ejection, link_budget, retry_budget
+
+if typing.TYPE_CHECKING:
+    import result
+
+    from peridothatch_core.message import link
+    from peridothatch_core.model import backend, request
+
+Outcome = typing.Union["result.Ok[request.Answer]", "result.Err[verdict.Refusal]"]
+
+
+class Phase(enum.StrEnum):
+    """Where a request is on the entry side."""
+
+    CLAIMING = "claiming"
+    FOLLOWING = "following"
+    QUEUED = "queued"
+    SENT = "sent"
+    ENDED = "ended"
+
+
+class Settling(enum.StrEnum):
+    """Whether the row of the idempotency key shows the outcome."""
+
+    NONE = "none"
+    CLAIMED = "claimed"
+    WRITING = "writing"
+    DONE = "done"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """What does not change while the entry runs.
+
+    Attributes
+    ----------
+    link_bytes_per_second : float
+        Share of the cross-region link for requests; the link carries about 1.9 MB/s in all.
+    queue_requests, queue_bytes, kept_bytes : int
+        Bounds of one queue of a customer, of all queues together and of kept answers.
+    """
+
+    entry_id: str
+    incarnation: str
+    data_centre: str
+    region: str
+    link_bytes_per_second: float = 400_000.0
+    queue_requests: int = 256
+    queue_bytes: int = 32 * 1024 * 1024
+    kept_bytes: int = 32 * 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """A request sent to one agent; ``outcome`` is ``None`` until the agent has told it."""
+
+    peer_id: str
+    incarnation: str
+    sent_at: float
+    outcome: verdict.Verdict | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """A request that the entry accepted.
+
+    Attributes
+    ----------
+    waiters : list of int
+        Tags of callers that wait.
+    followers : list of str
+        Requests with the same idempotency key that get the outcome of this one.
+    """
+
+    request: request.Request
+    deadline: float
+    key: str
+    waiters: list[int]
+    phase: Phase = Phase.QUEUED
+    queued_at: float = 0.0
+    attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
+    outcome: Outcome | None = None
+    digest: str = ""
+    claims: int = 0
+    settling: Settling = Settling.NONE
+    followers: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class Server:
+    """A backend server that announced itself.
+
+    Attributes
+    ----------
+    open : dict of str to str
+        Customer by id of the requests of this entry that the server may hold.
+    foreign : int
+        Slots in use by other entries, as the agent last reported.
+    """
+
+    peer_id: str
+    incarnation: str
+    backend: backend.BackendServer
+    connected: bool = True
+    lost_at: float = 0.0
+    open: dict[str, str] = dataclasses.field(default_factory=dict)
+    held: dict[str, int] = dataclasses.field(default_factory=dict)
+    foreign: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Lookup:
+    """Callers and claims that wait for the outcome of a request of another entry.
+
+    Attributes
+    ----------
+    owner : str
+        Peer id of the entry that accepted the request; empty when agents are asked instead.
+    peers : set of str
+        Peers that were asked and have not answered.
+    claims : list of tuple of str and int
+        Requests with the same idempotency key, and the version of its row.
+    """
+
+    customer: str
+    owner: str
+    peers: set[str]
+    tags: list[int]
+    claims: list[tuple[str, int]]
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """Everything that the entry knows about requests."""
+
+    settings: Settings
+    link: link_budget.Budget
+    records: dict[str, Record] = dataclasses.field(default_factory=dict)
+    servers: dict[str, Server] = dataclasses.field(default_factory=dict)
+    peers: dict[str, link.Hello] = dataclasses.field(default_factory=dict)
+    queues: dict[str, dict[str, list[str]]] = dataclasses.field(default_factory=dict)
+    queued_bytes: int = 0
+    kept: dict[str, int] = dataclasses.field(default_factory=dict)
+    kept_bytes: int = 0
+    lookups: dict[str, Lookup] = dataclasses.field(default_factory=dict)
+    health: ejection.State = dataclasses.field(default_factory=ejection.State)
+    retries: dict[str, retry_budget.Budget] = dataclasses.field(default_factory=dict)
+    service_seconds: dict[str, float] = dataclasses.field(default_factory=dict)
+    timers: list[tuple[float, int, str, str]] = dataclasses.field(default_factory=list)
+    sequence: typing.Iterator[int] = dataclasses.field(default_factory=itertools.count)
+    wake_at: float = 0.0
+    customers: int = 0
+    draining: bool = False
+    counters: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+def create(settings: Settings) -> State:
+    """Return the state of an entry that has accepted nothing."""
+    return State(settings, link_budget.create(settings.link_bytes_per_second))
+
+
+def count(state: State, name: str) -> None:
+    """Add one to a counter."""
+    state.counters[name] = state.counters.get(name, 0) + 1
+
+
+def set_timer(state: State, at: float, kind: str, request_id: str = "") -> None:
+    """Ask for a timer of ``kind`` for a request."""
+    heapq.heappush(state.timers, (at, next(state.sequence), kind, request_id))
+
+
+def wake(state: State, at: float, now: float) -> None:
+    """Ask that waiting requests are looked at again; an earlier moment stands."""
+    if not now < state.wake_at <= at:
+        state.wake_at = at
+        set_timer(state, at, "wake")
+
+
+def retries(state: State, service: str) -> retry_budget.Budget:
+    """Return the retry budget of a service."""
+    return state.retries.setdefault(service, retry_budget.Budget())
+
+
+def open_attempts(record: Record) -> list[Attempt]:
+    """Return the attempts whose outcome is not known."""
+    return [attempt for attempt in record.attempts.values() if attempt.outcome is None]
+
+
+def verdict_of(record: Record) -> verdict.Verdict:
+    """Return ``NOT_RUN`` only when each agent that was sent the request said so."""
+    certain = record.phase is not Phase.FOLLOWING and all(
+        attempt.outcome is verdict.Verdict.NOT_RUN for attempt in record.attempts.values()
+    )
+    return verdict.Verdict.NOT_RUN if certain else verdict.Verdict.MAY_HAVE_RUN
+
+
+def dump(state: State) -> dict[str, typing.Any]:
+    """Return the state as plain JSON types, without bodies."""
+    phases = [record.phase for record in state.records.values()]
+    return {
+        "draining": state.draining,
+        "requests": {phase.value: phases.count(phase) for phase in Phase},
+        "queues": {
+            service: {customer: len(waiting) for customer, waiting in queues.items()}
+            for service, queues in state.queues.items()
+        },
+        "queued_bytes": state.queued_bytes,
+        "kept_bytes": state.kept_bytes,
+        "lookups": len(state.lookups),
+        "link_bytes_left": int(state.link.tokens),
+        "service_seconds": dict(state.service_seconds),
+        "retries_left": {name: round(item.tokens, 1) for name, item in state.retries.items()},
+        "backend_servers": {
+            server.peer_id: _dump_server(state, server) for server in state.servers.values()
+        },
+        "counters": dict(state.counters),
+    }
+
+
+def _dump_server(state: State, server: Server) -> dict[str, typing.Any]:
+    return {
+        "id": server.backend.id,
+        "service": server.backend.service,
+        "data_centre": server.backend.data_centre,
+        "slots": server.backend.slots,
+        "in_use": len(server.open),
+        "in_use_by_others": server.foreign,
+        "connected": server.connected,
+        "leaving": server.backend.leaving,
+        "ejected": ejection.is_ejected(state.health, server.peer_id),
+    }
--- a/packages/daemon/src/peridothatch_daemon/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/messages.py
@@ -117,6 +117,25 @@
     reply: mailbox.Reply
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallBackend:
+    """Pass a request to the backend server.
+
+    ``Served`` or ``NotServed`` of ``route.agent_exchange`` goes to ``reply_to``.
+    """
+
+    request: request.Request
+    timeout_seconds: float
+    reply_to: mailbox.Mailbox
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchBackend:
+    """Send ``agent_exchange.ServerSeen`` to ``reply_to`` at each look at the server."""
+
+    reply_to: mailbox.Mailbox
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SubmitJob:
     """Accept a job; ``result.Result[job.Job, verdict.Refusal]`` is the reply."""
