Run a waiting job from its row to its result

Cause: the state machines of planner and agent had no test that joins them. Change: a test of the planner and members tasks with a fake table service and worker, in which a waiting job is reserved, committed, started and recorded, also when commit answers are lost.

--- a/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
@@ -89,9 +89,7 @@
 ) -> State:
     """Return the state of an entry that has not read the lease."""
     lease = planner_lease.create(settings.entry_id, settings.incarnation, settings.locality)
-    return State(
-        settings, inbox, links, row_outlet, create_policy, tell_local, clock, wall, lease
-    )
+    return State(settings, inbox, links, row_outlet, create_policy, tell_local, clock, wall, lease)
 
 
 def to_peer(state: State, peer_id: str, message: link.Message) -> None:
--- a/packages/daemon/src/peridothatch_daemon/decide/planner_store.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_store.py
@@ -25,9 +25,7 @@
 LEASE_TIMEOUT_SECONDS = 4.0
 
 
-def lease_event(
-    state: planner_state.State, event: planner_lease.Event, now: float
-) -> None:
+def lease_event(state: planner_state.State, event: planner_lease.Event, now: float) -> None:
     """Run one event through the lease and carry its effects out."""
     key = rows.planner_key(state.settings.data_centre)
     for effect in planner_lease.step(state.lease, event, now):
--- a/packages/daemon/src/peridothatch_daemon/outlet/worker.py
+++ b/packages/daemon/src/peridothatch_daemon/outlet/worker.py
@@ -166,9 +166,7 @@
         logger.warning("worker call %s failed: %s", type(effect).__name__, error)
 
 
-async def _post(
-    session: aiohttp.ClientSession, path: str, body: dict[str, typing.Any]
-) -> None:
+async def _post(session: aiohttp.ClientSession, path: str, body: dict[str, typing.Any]) -> None:
     async with session.post(path, json=body) as response:
         if response.status >= 400 and response.status != 404:
             logger.warning("worker answered %d to %s", response.status, path)
--- /dev/null
+++ b/packages/daemon/tests/decide/test_planner.py
@@ -0,0 +1,202 @@
+"""Guards against a planner task that does not take a job from its row to its result."""
+
+import asyncio
+import json
+
+import pytest
+
+from peridothatch_core.message import link, store
+from peridothatch_core.model import job, shape, worker
+from peridothatch_core.place import decide as placing
+from peridothatch_core.start import member_state
+from peridothatch_daemon import messages
+from peridothatch_daemon.decide import members, planner, planner_state, policy
+from peridothatch_daemon.outlet import rows
+from peridothatch_wire import mailbox, task
+
+ENTRY = link.Hello(1, "entry", "e1", "i1", "dc", "r")
+AGENT = link.Hello(1, "agent", "a1", "j1", "dc", "r")
+WORKER = worker.Worker("w1", "dc", "k", 8, 32, 1024, "v1")
+
+
+def first_fit(_data_centre):
+    """Return a policy that places each waiting job on the first accelerators of one worker."""
+    waiting, workers, ignore = {}, set(), lambda *_: None
+
+    def decide(_now):
+        held = sorted(waiting)
+        placed = [placing.Place(name, cells(waiting.pop(name)), False) for name in held if workers]
+        return placed
+
+    def cells(found):
+        name = min(workers)
+        return tuple(job.Cell(index, name, (index,)) for index in range(found.shape.tasks))
+
+    return policy.Policy(
+        decide,
+        ignore,
+        lambda found, _now: waiting.update({found.id: found}),
+        ignore,
+        ignore,
+        lambda *_: True,
+        lambda found, _now: workers.add(found.id),
+        lambda name, _now: workers.discard(name),
+        ignore,
+        policy.Capacity,
+    )
+
+
+def waiting_job(name, **fields):
+    gang = shape.GangShape(2, shape.TaskShape(1))
+    return job.Job(name, "c", "k", gang, ("primes", "9"), "dc", 0.0, 9.0, **fields)
+
+
+class Table:
+    """Rows of a fake table service, and outcomes that it is to report in place of the truth."""
+
+    def __init__(self):
+        self.rows, self.versions, self.done, self.lies = {}, {}, {}, []
+        self.inbox = mailbox.create("table")
+
+    def put(self, key, value):
+        self.versions[key] = self.versions.get(key, 0) + 1
+        self.rows.pop(key, None)
+        if value is not None:
+            self.rows[key] = store.Row(json.loads(json.dumps(value)), self.versions[key])
+
+    def holds(self, condition):
+        row = self.rows.get(condition.key)
+        if isinstance(condition, store.VersionIs):
+            return (row.version if row else 0) == condition.version
+        return row is not None and row.value.get(condition.field) == condition.equals
+
+    def commit(self, transaction):
+        if transaction.id in self.done:
+            return self.done[transaction.id]
+        failed = {c.key: self.rows.get(c.key) for c in transaction.conditions if not self.holds(c)}
+        if failed:
+            return store.Committed(transaction, store.Outcome.CONFLICT, failed=failed)
+        for write in transaction.writes:
+            self.put(write.key, write.value)
+        versions = {write.key: self.versions[write.key] for write in transaction.writes}
+        done = store.Committed(transaction, store.Outcome.APPLIED, versions)
+        self.done[transaction.id] = done
+        return done
+
+    def read(self, wanted):
+        found = {
+            key: row
+            for key, row in self.rows.items()
+            if key in wanted.keys or any(key.startswith(prefix) for prefix in wanted.prefixes)
+        }
+        return store.Rows(wanted.tag, True, found, asyncio.get_running_loop().time())
+
+    async def run(self):
+        while True:
+            message = await mailbox.take(self.inbox)
+            if isinstance(message, messages.Read):
+                mailbox.post(message.reply_to, self.read(message))
+                continue
+            answer = self.commit(message.transaction)
+            if message.transaction.writes[0].key.startswith("job/") and self.lies:
+                answer = store.Committed(message.transaction, self.lies.pop(0))
+            mailbox.post(message.reply_to, answer)
+
+
+async def fake_worker(inbox, target):
+    """Run each task that is started to its end at once."""
+    tasks, clock = {}, asyncio.get_running_loop().time
+    mailbox.post(target, member_state.WorkerListed(WORKER, (), clock()))
+    while True:
+        effect = await mailbox.take(inbox)
+        if not isinstance(effect, member_state.StartTask):
+            continue
+        key = (effect.job, effect.run, effect.cell.task)
+        for word in ("running", "succeeded"):
+            tasks[key] = member_state.TaskStatus(*key, word, 20.0, result=f"r{key[2]}")
+            listed = member_state.WorkerListed(WORKER, tuple(tasks.values()), clock())
+            mailbox.post(target, listed)
+
+
+async def forward(links, sender, receiver):
+    while True:
+        message = await mailbox.take(links)
+        mailbox.post(receiver, messages.FromPeer(sender, message.message))
+
+
+class System:
+    """A planner, an agent and a table service, joined by mailboxes."""
+
+    async def open(self):
+        self.table = Table()
+        self.to_agent, self.to_entry = mailbox.create("to agent"), mailbox.create("to entry")
+        self.to_worker = mailbox.create("to worker")
+        settings = planner_state.Settings("e1", "i1", "dc", "data_centre")
+        self.planner = planner.start(settings, self.to_agent, self.table.inbox, first_fit)
+        self.members = members.start("w1", self.to_entry, self.to_worker)
+        self.tasks = [
+            task.start("table", self.table.run()),
+            task.start("worker", fake_worker(self.to_worker, self.members.mailbox)),
+            task.start("down", forward(self.to_agent, ENTRY, self.members.mailbox)),
+            task.start("up", forward(self.to_entry, AGENT, self.planner.mailbox)),
+            task.start("fresh", self.confirm()),
+        ]
+        mailbox.post(self.planner.mailbox, messages.PeerOpened(AGENT))
+        mailbox.post(self.members.mailbox, messages.PeerOpened(ENTRY))
+        return self
+
+    async def confirm(self):
+        clock = asyncio.get_running_loop().time
+        while True:
+            mailbox.post(self.planner.mailbox, messages.ConfigFresh(0, clock()))
+            await asyncio.sleep(0.2)
+
+    def submit(self, submitted):
+        self.table.put(rows.job_key(submitted.id), rows.job_value(submitted))
+        self.table.put(rows.active_key("dc", submitted.id), {})
+        mailbox.post(self.planner.mailbox, link.JobChanged(submitted.id, "dc"))
+
+    async def ended(self, name):
+        async with asyncio.timeout(30):
+            while True:
+                found = rows.read_job(self.table.rows[rows.job_key(name)].value)
+                if found.state in job.FINAL_STATES:
+                    return found
+                await asyncio.sleep(0.02)
+
+    async def close(self):
+        await planner.close(self.planner)
+        await members.close(self.members)
+        for item in self.tasks:
+            await task.close(item)
+
+
+@pytest.fixture
+async def system():
+    opened = await System().open()
+    yield opened
+    await opened.close()
+
+
+async def test_a_waiting_job_runs_and_its_result_is_recorded(system):
+    """Guards against a break anywhere between the waiting row and the final one."""
+    system.submit(waiting_job("j"))
+    found = await system.ended("j")
+    assert (found.state, found.run, found.results) == (job.State.SUCCEEDED, 1, ("r0", "r1"))
+    assert rows.active_key("dc", "j") not in system.table.rows
+
+
+async def test_lost_commit_answers_change_nothing(system):
+    """Guards against a second run, or none, after the store's answers were lost."""
+    unknown = store.Outcome.UNKNOWN
+    system.table.lies = [unknown, unknown, unknown]
+    system.submit(waiting_job("j"))
+    found = await system.ended("j")
+    assert (found.state, found.run) == (job.State.SUCCEEDED, 1)
+
+
+async def test_a_cancelled_waiting_job_does_not_run(system):
+    """Guards against a run of a job whose row asks for cancellation."""
+    system.submit(waiting_job("j", cancel_requested=True))
+    found = await system.ended("j")
+    assert (found.state, found.run) == (job.State.CANCELLED, 0)
