--- a/packages/daemon/tests/decide/test_planner.py
+++ b/packages/daemon/tests/decide/test_planner.py
@@ -1,7 +1,6 @@
 """Guards against a planner task that does not take a job from its row to its result."""
 
 import asyncio
-import json
 
 import pytest
 
@@ -25,8 +24,7 @@
 
     def decide(_now):
         held = sorted(waiting)
-        placed = [placing.Place(name, cells(waiting.pop(name)), False) for name in held if workers]
-        return placed
+        return [placing.Place(name, cells(waiting.pop(name)), False) for name in held if workers]
 
     def cells(found):
         name = min(workers)
@@ -51,58 +49,6 @@
     return job.Job(name, "c", "k", gang, ("primes", "9"), "dc", 0.0, 9.0, **fields)
 
 
-class Table:
-    """Rows of a fake table service, and outcomes that it is to report in place of the truth."""
-
-    def __init__(self):
-        self.rows, self.versions, self.done, self.lies = {}, {}, {}, []
-        self.inbox = mailbox.create("table")
-
-    def put(self, key, value):
-        self.versions[key] = self.versions.get(key, 0) + 1
-        self.rows.pop(key, None)
-        if value is not None:
-            self.rows[key] = store.Row(json.loads(json.dumps(value)), self.versions[key])
-
-    def holds(self, condition):
-        row = self.rows.get(condition.key)
-        if isinstance(condition, store.VersionIs):
-            return (row.version if row else 0) == condition.version
-        return row is not None and row.value.get(condition.field) == condition.equals
-
-    def commit(self, transaction):
-        if transaction.id in self.done:
-            return self.done[transaction.id]
-        failed = {c.key: self.rows.get(c.key) for c in transaction.conditions if not self.holds(c)}
-        if failed:
-            return store.Committed(transaction, store.Outcome.CONFLICT, failed=failed)
-        for write in transaction.writes:
-            self.put(write.key, write.value)
-        versions = {write.key: self.versions[write.key] for write in transaction.writes}
-        done = store.Committed(transaction, store.Outcome.APPLIED, versions)
-        self.done[transaction.id] = done
-        return done
-
-    def read(self, wanted):
-        found = {
-            key: row
-            for key, row in self.rows.items()
-            if key in wanted.keys or any(key.startswith(prefix) for prefix in wanted.prefixes)
-        }
-        return store.Rows(wanted.tag, True, found, asyncio.get_running_loop().time())
-
-    async def run(self):
-        while True:
-            message = await mailbox.take(self.inbox)
-            if isinstance(message, messages.Read):
-                mailbox.post(message.reply_to, self.read(message))
-                continue
-            answer = self.commit(message.transaction)
-            if message.transaction.writes[0].key.startswith("job/") and self.lies:
-                answer = store.Committed(message.transaction, self.lies.pop(0))
-            mailbox.post(message.reply_to, answer)
-
-
 async def fake_worker(inbox, target):
     """Run each task that is started to its end at once."""
     tasks, clock = {}, asyncio.get_running_loop().time
@@ -127,8 +73,8 @@
 class System:
     """A planner, an agent and a table service, joined by mailboxes."""
 
-    async def open(self):
-        self.table = Table()
+    async def open(self, table):
+        self.table = table
         self.to_agent, self.to_entry = mailbox.create("to agent"), mailbox.create("to entry")
         self.to_worker = mailbox.create("to worker")
         settings = planner_state.Settings("e1", "i1", "dc", "data_centre")
@@ -172,8 +118,8 @@
 
 
 @pytest.fixture
-async def system():
-    opened = await System().open()
+async def system(create_table):
+    opened = await System().open(create_table())
     yield opened
     await opened.close()
 
