Add the stand-ins of the platform

Cause: the daemon needs a table service, an object store, workers and backend servers to run against, and no third-party server may be used. Change: four programs on starlette and uvicorn. In each, one task owns the state and HTTP handlers reach it by messages; decisions are plain functions (rows, tasks, commands, serving). The HTTP protocol exposes the transport, so that a fault can cut a connection or an answer.

--- /dev/null
+++ b/packages/standins/src/peridothatch_standins/commands.py
@@ -0,0 +1,104 @@
+"""The computations that a worker runs, in small steps that can be saved and resumed."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import math
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """How far a command has come.
+
+    Attributes
+    ----------
+    done, total : float
+        Steps done and steps in all; seconds for ``sleep``.
+    partial : str
+        Intermediate result, from which the command can go on.
+    """
+
+    done: float
+    total: float
+    partial: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """The command ended without a result."""
+
+    detail: str
+
+
+Advance = typing.Callable[[tuple[str, ...], Work, int, float], Work]
+
+
+def begin(command: tuple[str, ...]) -> Work | Failed:
+    """Return the start of a command, or why it cannot run."""
+    try:
+        return _begin(command)
+    except (ValueError, IndexError):
+        return Failed(f"bad command: {' '.join(command)[:200]}")
+
+
+def advance(command: tuple[str, ...], work: Work, steps: int, seconds: float) -> Work:
+    """Do up to ``steps`` steps; ``sleep`` goes on by ``seconds`` instead."""
+    return _ADVANCE[command[0]](command, work, steps, seconds)
+
+
+def finished(work: Work) -> bool:
+    """Return whether all steps are done."""
+    return work.done >= work.total
+
+
+def result(work: Work) -> str:
+    """Return the result of a finished command."""
+    return work.partial
+
+
+def _begin(command: tuple[str, ...]) -> Work | Failed:
+    name = command[0]
+    if name == "fail":
+        return Failed("the command fails on purpose")
+    if name == "primes":
+        return Work(0, float(int(command[1])), "0")
+    if name == "sleep":
+        seconds = float(command[1])
+        return Work(0, seconds, "slept") if math.isfinite(seconds) else Failed("endless sleep")
+    if name == "lot-certificate":
+        start = hashlib.sha256(command[1].encode()).hexdigest()
+        return Work(0, float(int(command[2])), start)
+    return Failed(f"unknown command {name[:50]!r}")
+
+
+def _primes(_command: tuple[str, ...], work: Work, steps: int, _seconds: float) -> Work:
+    end = min(work.done + steps, work.total)
+    found = sum(_is_prime(number) for number in range(int(work.done), int(end)))
+    return Work(end, work.total, str(int(work.partial) + found))
+
+
+def _is_prime(number: int) -> bool:
+    if number < 4:
+        return number >= 2
+    return number % 2 == 1 and all(number % i for i in range(3, math.isqrt(number) + 1, 2))
+
+
+def _lot_certificate(command: tuple[str, ...], work: Work, steps: int, _seconds: float) -> Work:
+    end = min(work.done + steps, work.total)
+    digest = work.partial
+    for part in range(int(work.done), int(end)):
+        digest = hashlib.sha256(f"{digest}:{command[1]}:{part}".encode()).hexdigest()
+    return Work(end, work.total, digest)
+
+
+def _sleep(_command: tuple[str, ...], work: Work, _steps: int, seconds: float) -> Work:
+    return dataclasses.replace(work, done=min(work.done + seconds, work.total))
+
+
+_ADVANCE: dict[str, Advance] = {
+    "primes": _primes,
+    "sleep": _sleep,
+    "lot-certificate": _lot_certificate,
+}
--- /dev/null
+++ b/packages/standins/tests/test_programs.py
@@ -0,0 +1,84 @@
+"""Guards against stand-ins that do not start, announce their address or stop cleanly."""
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+import urllib.request
+
+import aiohttp
+import pytest
+
+from peridothatch_standins import backend_server, server, serving
+
+WORKER = ["worker", "--id", "w", "--object-store", "http://127.0.0.1:9", "--accelerators", "8"]
+PROGRAMS = [
+    (["table_service"], "/switches", "mode"),
+    (["object_store"], "/v1/objects", "keys"),
+    ([*WORKER, "--cores", "64", "--memory-mb", "262144"], "/v1/worker", "incarnation"),
+    (["backend_server", "--id", "b", "--service", "notices"], "/v1/server", "slots"),
+]
+
+
+@pytest.mark.parametrize(("arguments", "path", "field"), PROGRAMS, ids=lambda item: item[0])
+def test_a_program_serves_and_stops_on_sigterm(arguments, path, field):
+    module, *options = arguments
+    command = [sys.executable, "-m", f"peridothatch_standins.{module}", *options]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        word, url = process.stdout.readline().split()
+        with urllib.request.urlopen(url + path, timeout=10) as response:
+            assert field in json.load(response)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=20) == 0
+    assert word == "ready"
+
+
+@pytest.fixture
+async def session():
+    running = await backend_server.start(serving.Server("b", "notices", 2, 64))
+    async with aiohttp.ClientSession(running.url) as opened:
+        yield opened
+    await server.close(running)
+
+
+async def call(session, request_id, **fields):
+    headers = {"X-Request-Id": request_id}
+    async with session.post("/v1/serve", json=fields, headers=headers) as response:
+        return response.status, response.headers["X-Request-Id"], await response.json()
+
+
+async def test_faults_of_the_backend_server_leave_true_deliveries(session):
+    """Guards against faults that hide whether the notice was delivered."""
+    notice = {"operation": "notice", "notice": "n", "compound": "c"}
+    assert (await call(session, "1", **notice))[:2] == (200, "1")
+    for mode in ("truncated", "failing"):
+        await (await session.post("/switches", json={"mode": mode})).read()
+        if mode == "truncated":
+            with pytest.raises(aiohttp.ClientError):
+                await call(session, "2", **notice)
+        else:
+            assert (await call(session, "3", **notice))[0] == 500
+    async with session.get("/v1/deliveries") as response:
+        listed = await response.json()
+    assert listed == {"deliveries": [{"notice": "n", "compound": "c", "count": 2}]}
+
+
+async def test_crossed_answers_keep_their_ids(session):
+    """Guards against a switch that swaps bodies without their ids, which no caller could see."""
+    await (await session.post("/switches", json={"mode": "crossed"})).read()
+    first = session.post(
+        "/v1/serve", json={"operation": "echo", "text": "x"}, headers={"X-Request-Id": "1"}
+    )
+    second = call(session, "2", operation="echo", text="y")
+    (one, two) = await asyncio.gather(first, second)
+    assert one.headers["X-Request-Id"] == "2"
+    assert (await one.json())["text"] == "y"
+    assert (two[1], two[2]["text"]) == ("1", "x")
+
+
+async def test_a_full_backend_server_refuses_without_running(session):
+    """Guards against work beyond the slots."""
+    calls = [call(session, str(n), operation="slow", delay_ms=300) for n in range(3)]
+    statuses = sorted(status for status, _, _ in await asyncio.gather(*calls))
+    assert statuses == [200, 200, 503]
