--- a/packages/core/src/peridothatch_core/message/store.py
+++ b/packages/core/src/peridothatch_core/message/store.py
@@ -54,10 +54,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
-    """A row as it was read."""
+    """A row as it was read; ``transaction`` is the id of the transaction that wrote it."""
 
     value: Value
     version: int
+    transaction: str = ""
 
 
 class Outcome(enum.StrEnum):
--- /dev/null
+++ b/packages/daemon/tests/test_store.py
@@ -0,0 +1,188 @@
+"""Guards against store outcomes that are not true, with the stand-in down, slow or forgetful.
+
+The stand-in runs in this process; the daemon package itself does not import it.
+"""
+
+import asyncio
+import itertools
+
+import aiohttp
+import pytest
+
+from peridothatch_core.message import store as model
+from peridothatch_daemon import messages
+from peridothatch_daemon.outlet import store, store_queue
+from peridothatch_standins import server, table_service
+from peridothatch_wire import mailbox
+
+APPLIED, CONFLICT = model.Outcome.APPLIED, model.Outcome.CONFLICT
+NOT_SENT, UNKNOWN = model.Outcome.NOT_SENT, model.Outcome.UNKNOWN
+
+
+@pytest.fixture
+async def table():
+    running = await table_service.start()
+    yield running
+    await server.close(running)
+
+
+@pytest.fixture
+async def handle(table):
+    started = store.start(table.url, jitter=lambda: 0.5)
+    yield started
+    await store.close(started)
+
+
+async def switch(table, **fields):
+    async with aiohttp.ClientSession() as session:
+        async with session.post(f"{table.url}/switches", json=fields) as response:
+            return await response.json()
+
+
+def transaction(key, name, version=0):
+    write = model.Write(key, {"by": name})
+    return model.Transaction(name, (model.VersionIs(key, version),), (write,))
+
+
+async def commit(handle, wanted, timeout_seconds=20.0):
+    inbox = mailbox.create("test")
+    mailbox.post(handle.inbox, messages.Commit(wanted, inbox, timeout_seconds))
+    return await mailbox.take(inbox)
+
+
+async def read(handle, *keys, timeout_seconds=20.0):
+    inbox = mailbox.create("test")
+    mailbox.post(handle.inbox, messages.Read("t", keys, (), inbox, timeout_seconds))
+    return await mailbox.take(inbox)
+
+
+async def test_outcomes_of_a_store_that_is_up(handle):
+    """Guards against a conflict that is reported without the row that caused it."""
+    applied = await commit(handle, transaction("k", "a"))
+    assert (applied.outcome, applied.versions) == (APPLIED, {"k": 1})
+    conflict = await commit(handle, transaction("k", "b"))
+    assert conflict.outcome is CONFLICT
+    assert conflict.failed == {"k": model.Row({"by": "a"}, 1, "a")}
+    rows = await read(handle, "k", "absent")
+    assert rows.ok
+    assert rows.rows == {"k": model.Row({"by": "a"}, 1, "a")}
+
+
+async def test_a_lost_answer_is_found_out_by_sending_again(handle, table):
+    """Guards against a conflict with one's own earlier attempt, and against double writes."""
+    await switch(table, mode="lose_answers", probability=0.5, seed=3)
+    for number in range(12):
+        committed = await commit(handle, transaction(f"k{number}", f"t{number}"))
+        assert (committed.outcome, committed.versions) == (APPLIED, {f"k{number}": 1})
+
+
+async def test_a_write_without_any_answer_is_unknown(handle, table):
+    """Guards against "not sent" for a write that took effect."""
+    await switch(table, mode="lose_answers", probability=1.0)
+    committed = await commit(handle, transaction("k", "a"), timeout_seconds=0.5)
+    assert committed.outcome is UNKNOWN
+    await switch(table, mode="up")
+    assert (await read(handle, "k")).rows["k"].transaction == "a"
+
+
+async def test_a_slow_store_gives_unknown_or_applied_but_never_not_sent(handle, table):
+    """Guards against a timed-out attempt that counts as not sent."""
+    await switch(table, mode="slow", delay_ms=30_000)
+    committed = await commit(handle, transaction("k", "a"), timeout_seconds=0.3)
+    assert committed.outcome is UNKNOWN
+    assert not (await read(handle, "k", timeout_seconds=0.3)).ok
+
+
+async def test_a_store_that_refuses_connections_gives_not_sent(handle, table):
+    """Guards against "may have run" for calls that never left the process."""
+    await server.close(table)
+    committed = await commit(handle, transaction("k", "a"), timeout_seconds=0.5)
+    assert committed.outcome is NOT_SENT
+
+
+async def test_writes_wait_unsent_through_an_outage_and_then_apply(handle, table):
+    """Guards against writes that are lost, or that are sent as probes and become unknown."""
+    await switch(table, mode="down")
+    while (await dump(handle))["state"] != "outage":
+        await read(handle, "k", timeout_seconds=0.3)
+    assert (await commit(handle, transaction("k", "a"), 0.2)).outcome is NOT_SENT
+    waiting = [
+        asyncio.create_task(commit(handle, transaction(f"w{n}", f"w{n}"))) for n in range(9)
+    ]
+    await switch(table, mode="up")
+    outcomes = [(await item).outcome for item in waiting]
+    assert outcomes == [APPLIED] * 9
+    assert (await dump(handle))["unresolved"] == 0
+
+
+async def dump(handle):
+    reply = mailbox.Reply()
+    mailbox.post(handle.inbox, messages.DumpState(reply))
+    return await mailbox.wait(reply, 20)
+
+
+async def test_closing_answers_every_sender(table):
+    """Guards against a sender that waits for ever, or hears "not sent" of a sent write."""
+    await switch(table, mode="slow", delay_ms=30_000)
+    handle, inbox = store.start(table.url), mailbox.create("test")
+    mailbox.post(handle.inbox, messages.Commit(transaction("k", "a"), inbox, 60))
+    while not (await dump(handle))["writes_in_flight"]:
+        pass
+    mailbox.post(handle.inbox, messages.Commit(transaction("k", "b"), inbox, 60))
+    await store.close(handle)
+    outcomes = {item.transaction.id: item.outcome for item in mailbox.take_all(inbox, 9)}
+    assert outcomes == {"a": UNKNOWN, "b": NOT_SENT}
+
+
+def queued(count, urgent=False, start=0):
+    inbox = None
+    for number in range(start, start + count):
+        name = f"t{number}"
+        yield messages.Commit(model.Transaction(name, (), (), urgent), inbox, 60)
+
+
+def sent(effects):
+    return [item for item in effects if isinstance(item, store_queue.Attempt)]
+
+
+def test_urgent_writes_go_first_and_the_rate_is_bounded():
+    """Guards against urgent work behind a backlog, and against a burst on the store."""
+    state = store_queue.State(lambda: 0.5)
+    attempts = []
+    for message in itertools.chain(queued(500), queued(5, urgent=True, start=500)):
+        attempts += sent(store_queue.accept(state, message, 1.0))
+    burst = len(attempts)
+    assert burst <= store_queue.WRITES_PER_SECOND * store_queue.BURST_SECONDS
+    assert state.writes.in_flight == burst
+    later = sent(store_queue.advance(state, 1.02))
+    assert [item.message.transaction.urgent for item in later[:5]] == [True] * 5
+
+
+def test_after_an_outage_the_rate_rises_slowly():
+    """Guards against a backlog that falls on a store that has just come back."""
+    state = store_queue.State(lambda: 0.5)
+    failed = store_queue.Failed(True, "cut")
+    (first,) = sent(store_queue.accept(state, next(queued(1)), 1.0))
+    store_queue.attempted(state, first.number, failed, 0.1, 1.0)
+    state.failures = store_queue.OUTAGE_FAILURES - 1
+    (again,) = sent(store_queue.advance(state, 2.0))
+    store_queue.attempted(state, again.number, failed, 0.1, 2.0)
+    for message in queued(2000, start=1):
+        assert sent(store_queue.accept(state, message, 2.0)) == []
+    (probe,) = store_queue.advance(state, 3.0)
+    assert probe.number == store_queue.PROBE
+    started, now = 0, 3.0
+    effects = store_queue.attempted(state, probe.number, store_queue.Answered(), 0.1, now)
+    flying = sent(effects)
+    while now < 4.0:
+        now += 0.01
+        answered = flying
+        flying = []
+        for attempt in answered:
+            started += 1
+            done = model.Committed(attempt.message.transaction, APPLIED)
+            result = store_queue.Answered(done)
+            flying += sent(store_queue.attempted(state, attempt.number, result, 0.01, now))
+        flying += sent(store_queue.advance(state, now))
+    share = store_queue.RAMP_START_SHARE + 1.0 / store_queue.RAMP_SECONDS
+    assert 10 < started <= store_queue.WRITES_PER_SECOND * share * 1.1 + 1
