--- a/packages/daemon/src/peridothatch_daemon/intake/dialer.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/dialer.py
@@ -20,7 +20,6 @@
 logger = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.25
-HEARTBEAT_SECONDS = 2.0
 INBOX_MESSAGES = 16_384
 
 
@@ -28,7 +27,7 @@
     """Connections of an agent by entry id, and what it knows of entries."""
 
     __slots__ = (
-        "_connections", "_dials", "_heartbeat_at", "_inbox", "_main", "_own",
+        "_connections", "_dials", "_inbox", "_main", "_own",
         "_ssl", "_state", "_target", "_timer",
     )  # fmt: skip
 
@@ -47,7 +46,6 @@
         self._state = entries.Dialing(own.data_centre, own.region, seeds)
         self._connections: dict[str, connection.Connection] = {}
         self._dials: dict[tuple[str, int], task.Task] = {}
-        self._heartbeat_at = 0.0
         self._main: task.Task | None = None
         self._timer: task.Task | None = None
 
@@ -151,9 +149,6 @@
     for address in entries.to_dial(dialer._state, now):
         dialer._state.active.add(address)
         dialer._dials[address] = task.start(f"dial {address}", _dial(dialer, address))
-    if now - dialer._heartbeat_at >= HEARTBEAT_SECONDS:
-        dialer._heartbeat_at = now
-        mailbox.post(dialer._target, messages.HeartbeatDue(tuple(dialer._connections)))
 
 
 def _give_up(dialer: Dialer, address: tuple[str, int]) -> None:
--- a/packages/daemon/src/peridothatch_daemon/settings.py
+++ b/packages/daemon/src/peridothatch_daemon/settings.py
@@ -110,6 +110,7 @@
 class Worker(Model):
     """The worker beside an agent."""
 
+    id: Name
     url: pydantic.HttpUrl
     rack: Name
 
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -26,7 +26,7 @@
     "region": "gh-south",
     "entries": [{"host": "127.0.0.1", "port": 9}],
     "debug": {"host": "127.0.0.1", "port": 0},
-    "worker": {"url": "http://127.0.0.1:1", "rack": "rack-1"},
+    "worker": {"id": "worker-1", "url": "http://127.0.0.1:1", "rack": "rack-1"},
 }
 
 
--- a/packages/standins/src/peridothatch_standins/installation.py
+++ b/packages/standins/src/peridothatch_standins/installation.py
@@ -204,7 +204,8 @@
         commands[name] = _daemon(installation, name, _entry(installation, name, data_centre))
     for name, data_centre in worker_names(plan).items():
         commands[name] = _worker(installation, name)
-        beside = {"worker": {"url": url(installation, name), "rack": f"rack-{data_centre}"}}
+        rack = f"rack-{data_centre}"
+        beside = {"worker": {"id": name, "url": url(installation, name), "rack": rack}}
         _add_agent(installation, commands, name, data_centre, beside)
     for name, service, data_centre in plan.backend_servers:
         commands[name] = [
