--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/intake/bodies.py
@@ -0,0 +1,74 @@
+"""JSON bodies: decoding without ambiguity, and validation that names the field."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import pydantic
+import result
+
+from peridothatch_core.model import verdict
+
+
+class _AmbiguousError(ValueError):
+    """A JSON text that two readers could understand differently."""
+
+    def __init__(self, field: str, value: str, expected: str) -> None:
+        super().__init__(field)
+        self.refusal = verdict.invalid(field, value, expected)
+
+
+def decode(body: bytes) -> result.Result[typing.Any, verdict.Refusal]:
+    """Return the JSON value of ``body``; repeated keys and non-numbers are refused."""
+    try:
+        value = json.loads(
+            body.decode("utf-8"), object_pairs_hook=_object, parse_constant=_constant
+        )
+    except _AmbiguousError as error:
+        return result.Err(error.refusal)
+    except UnicodeDecodeError as error:
+        return result.Err(verdict.invalid("body", f"byte {error.start}", "UTF-8 text"))
+    except json.JSONDecodeError as error:
+        place = f"line {error.lineno} column {error.colno}: {error.msg}"
+        return result.Err(verdict.invalid("body", place, "one JSON object"))
+    except (ValueError, RecursionError):
+        expected = "numbers of at most 4300 digits and shallow nesting"
+        return result.Err(verdict.invalid("body", "JSON text", expected))
+    return result.Ok(value)
+
+
+def validate(
+    model: type[pydantic.BaseModel], body: bytes
+) -> result.Result[pydantic.BaseModel, verdict.Refusal]:
+    """Return the checked document, or a refusal for the first field that is wrong."""
+    decoded = decode(body)
+    if isinstance(decoded, result.Err):
+        return decoded
+    try:
+        return result.Ok(model.model_validate(decoded.ok_value))
+    except pydantic.ValidationError as error:
+        return result.Err(_refusal(error))
+
+
+def _refusal(error: pydantic.ValidationError) -> verdict.Refusal:
+    first = error.errors(include_url=False, include_context=False)[0]
+    field = ".".join(str(part) for part in first["loc"]) or "body"
+    if first["type"] == "missing":
+        return verdict.invalid(field, "missing", "a value")
+    if first["type"] == "extra_forbidden":
+        return verdict.invalid(field, first["input"], "no such field")
+    return verdict.invalid(field, first["input"], first["msg"])
+
+
+def _object(pairs: list[tuple[str, typing.Any]]) -> dict[str, typing.Any]:
+    names: dict[str, typing.Any] = {}
+    for name, value in pairs:
+        if name in names:
+            raise _AmbiguousError(name, "given twice", "each field once")
+        names[name] = value
+    return names
+
+
+def _constant(text: str) -> typing.Any:
+    raise _AmbiguousError("body", text, "a finite number")
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/intake/http.py
@@ -0,0 +1,119 @@
+"""The task that owns the HTTP server."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import logging
+import socket
+import typing
+
+import uvicorn
+
+from peridothatch_daemon import messages
+from peridothatch_daemon.intake import call, routes
+from peridothatch_wire import mailbox, task
+
+logger = logging.getLogger(__name__)
+
+BACKLOG = 512
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Where the server listens, and the ids of this process.
+
+    Attributes
+    ----------
+    port : int
+        0 lets the system choose; ``Intake.port`` has the choice.
+    """
+
+    host: str
+    port: int
+    entry_id: str
+    incarnation: str
+    limits: call.Limits = dataclasses.field(default_factory=call.Limits)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Intake:
+    """The running server.
+
+    Attributes
+    ----------
+    inbox : Mailbox
+        Takes ``ConfigChanged`` and ``Drain``.
+    """
+
+    inbox: mailbox.Mailbox
+    port: int
+    server: uvicorn.Server
+    serving: task.Task
+    deciding: task.Task
+
+
+async def start(
+    settings: Settings,
+    ports: call.Ports,
+    on_failure: typing.Callable[[], None] | None = None,
+) -> Intake:
+    """Listen and serve.
+
+    Raises
+    ------
+    OSError
+        The address cannot be bound.
+    """
+    state = call.State(f"{settings.entry_id}.{settings.incarnation}", settings.limits, ports)
+    listener = socket.create_server(
+        (settings.host, settings.port), backlog=BACKLOG, reuse_port=False
+    )
+    server = uvicorn.Server(_server_config(state))
+    # The process has its own signal handlers.
+    server.capture_signals = contextlib.nullcontext  # type: ignore[method-assign]
+    inbox = mailbox.create("http")
+    return Intake(
+        inbox,
+        listener.getsockname()[1],
+        server,
+        task.start("http server", server.serve(sockets=[listener]), on_failure),
+        task.start("http", _run(inbox, state), on_failure),
+    )
+
+
+async def close(intake: Intake) -> None:
+    """Finish the requests in flight, then stop listening."""
+    reply = mailbox.Reply()
+    if mailbox.post(intake.inbox, messages.Drain(reply)):
+        with contextlib.suppress(TimeoutError):
+            await mailbox.wait(reply, call.Limits().drain_seconds)
+    intake.server.should_exit = True
+    await task.join(intake.serving)
+    await task.close(intake.deciding)
+
+
+async def _run(inbox: mailbox.Mailbox, state: call.State) -> None:
+    while True:
+        message = await mailbox.take(inbox)
+        match message:
+            case messages.ConfigChanged(snapshot):
+                state.snapshot = snapshot
+            case messages.Drain(reply):
+                state.draining = True
+                mailbox.answer(reply, True)
+            case _:
+                logger.error("http got an unexpected %s", type(message).__name__)
+
+
+def _server_config(state: call.State) -> uvicorn.Config:
+    return uvicorn.Config(
+        routes.application(state),
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        ws="none",
+        server_header=False,
+        proxy_headers=False,
+        timeout_graceful_shutdown=int(state.limits.drain_seconds),
+    )
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/intake/problem.py
@@ -0,0 +1,67 @@
+"""Refusals as problem documents, and data classes as JSON."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import typing
+
+from peridothatch_core.model import verdict
+from peridothatch_daemon.intake import call
+
+PROBLEM = "application/problem+json"
+RETRY_AFTER_SECONDS = "1"
+STATUS = {
+    verdict.Code.INVALID: 400,
+    verdict.Code.UNAUTHORIZED: 401,
+    verdict.Code.FORBIDDEN: 403,
+    verdict.Code.NOT_FOUND: 404,
+    verdict.Code.CONFLICT: 409,
+    verdict.Code.TOO_LARGE: 413,
+    verdict.Code.OVERLOADED: 429,
+    verdict.Code.DEADLINE: 504,
+    verdict.Code.UNAVAILABLE: 503,
+    verdict.Code.STORE_UNAVAILABLE: 503,
+    verdict.Code.NEVER_FITS: 422,
+    verdict.Code.BACKEND_FAILED: 502,
+    verdict.Code.INTERNAL: 500,
+}
+
+
+def from_refusal(refusal: verdict.Refusal, status: int = 0) -> call.Answer:
+    """Return the problem document of a refusal; ``status`` overrides the code's own."""
+    number = status or STATUS[refusal.code]
+    document: dict[str, typing.Any] = {
+        "title": refusal.code.value,
+        "status": number,
+        "detail": refusal.detail,
+        "verdict": refusal.verdict.value,
+    }
+    if refusal.field:
+        document["field"] = refusal.field
+        document["value"] = refusal.value
+        document["expected"] = refusal.expected
+    headers = {}
+    if number in (429, 503):
+        headers["Retry-After"] = RETRY_AFTER_SECONDS
+    if number == 401:
+        headers["WWW-Authenticate"] = "Bearer"
+    return call.Answer(number, encode(document), PROBLEM, refusal.verdict, headers)
+
+
+def answer(document: typing.Any, status: int = 200) -> call.Answer:
+    """Return an answer that holds ``document`` as JSON."""
+    return call.Answer(status, encode(document))
+
+
+def encode(document: typing.Any) -> bytes:
+    """Return ``document`` as JSON, with data classes as objects."""
+    return json.dumps(document, default=_plain, separators=(",", ":"), allow_nan=False).encode()
+
+
+def _plain(value: typing.Any) -> typing.Any:
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return {item.name: getattr(value, item.name) for item in dataclasses.fields(value)}
+    if isinstance(value, set | frozenset):
+        return sorted(value)
+    return str(value)
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/intake/requests.py
@@ -0,0 +1,156 @@
+"""Endpoints for requests to backend servers."""
+
+from __future__ import annotations
+
+import typing
+
+import result
+
+from peridothatch_core.model import request, verdict
+from peridothatch_daemon import messages
+from peridothatch_daemon.intake import ask, authentication, call, problem
+
+# The deciding task answers at the deadline; the rest is time for its mailbox.
+GRACE_SECONDS = 1.0
+MAX_KEY_LENGTH = 200
+CUSTOMER_HEADER = "Peridothatch-Customer"
+DEADLINE_HEADER = "Peridothatch-Deadline-Ms"
+IDEMPOTENT_HEADER = "Peridothatch-Idempotent"
+KEY_HEADER = "Idempotency-Key"
+
+
+async def submit(
+    state: call.State, received: call.Call
+) -> result.Result[call.Answer, verdict.Refusal]:
+    """Pass a request to a backend server of the service and return its answer."""
+    built = _request(state, received)
+    if isinstance(built, result.Err):
+        return built
+    key = idempotency_key(received)
+    if isinstance(key, result.Err):
+        return key
+    asked = built.ok_value
+    outcome = await ask.ask(
+        state.ports.requests,
+        lambda reply: messages.SubmitRequest(asked, key.ok_value, reply),
+        asked.budget_seconds + GRACE_SECONDS,
+        verdict.Verdict.MAY_HAVE_RUN,
+    )
+    headers = {"Peridothatch-Request-Id": asked.id}
+    if isinstance(outcome, result.Err):
+        refused = problem.from_refusal(outcome.err_value)
+        return result.Ok(with_headers(refused, headers))
+    return result.Ok(with_headers(from_answer(outcome.ok_value), headers))
+
+
+async def find(
+    state: call.State, received: call.Call
+) -> result.Result[call.Answer, verdict.Refusal]:
+    """Return the late answer of an earlier request."""
+    customer = "" if received.caller.operator else received.caller.name
+    outcome = await ask.ask(
+        state.ports.requests,
+        lambda reply: messages.FindRequest(received.path["id"], customer, reply),
+        state.limits.reply_seconds,
+        verdict.Verdict.MAY_HAVE_RUN,
+    )
+    return outcome.map(from_answer)
+
+
+def from_answer(answer: request.Answer) -> call.Answer:
+    """Return the backend server's answer, or a problem document when it gave none."""
+    if answer.verdict is verdict.Verdict.RAN and answer.status:
+        return call.Answer(
+            answer.status,
+            answer.body,
+            answer.content_type,
+            headers={"Peridothatch-Request-Id": answer.request_id},
+        )
+    code = verdict.Code.UNAVAILABLE
+    if answer.verdict is not verdict.Verdict.NOT_RUN:
+        code = verdict.Code.BACKEND_FAILED
+    detail = answer.detail or "no whole answer of a backend server"
+    refused = problem.from_refusal(verdict.Refusal(answer.verdict, code, detail))
+    return with_headers(refused, {"Peridothatch-Request-Id": answer.request_id})
+
+
+def with_headers(answer: call.Answer, headers: dict[str, str]) -> call.Answer:
+    """Return the answer with further headers."""
+    return call.Answer(
+        answer.status,
+        answer.body,
+        answer.content_type,
+        answer.verdict,
+        {**answer.headers, **headers},
+    )
+
+
+def idempotency_key(received: call.Call) -> result.Result[str, verdict.Refusal]:
+    """Return the caller's idempotency key, empty when there is none."""
+    key = received.headers.get(KEY_HEADER.lower(), "")
+    if key and not (len(key) <= MAX_KEY_LENGTH and key.isascii() and key.isprintable()):
+        expected = f"at most {MAX_KEY_LENGTH} printable ASCII characters"
+        return result.Err(verdict.invalid(KEY_HEADER, key, expected))
+    return result.Ok(key)
+
+
+def _request(
+    state: call.State, received: call.Call
+) -> result.Result[request.Request, verdict.Refusal]:
+    customer = authentication.owner(
+        received.caller,
+        received.headers.get(CUSTOMER_HEADER.lower(), ""),
+        CUSTOMER_HEADER,
+        state.snapshot,
+    )
+    if isinstance(customer, result.Err):
+        return customer
+    budget = _budget_seconds(received, state.limits)
+    if isinstance(budget, result.Err):
+        return budget
+    idempotent = received.headers.get(IDEMPOTENT_HEADER.lower(), "false")
+    if idempotent not in ("true", "false"):
+        return result.Err(verdict.invalid(IDEMPOTENT_HEADER, idempotent, "true or false"))
+    state.last_number += 1
+    return result.Ok(
+        request.Request(
+            id=f"{state.id_prefix}.{state.last_number}",
+            customer=customer.ok_value,
+            service=received.path["name"],
+            idempotent=idempotent == "true",
+            budget_seconds=budget.ok_value,
+            body=received.body,
+            content_type=received.headers.get("content-type", call.JSON),
+        )
+    )
+
+
+def _budget_seconds(
+    received: call.Call, limits: call.Limits
+) -> result.Result[float, verdict.Refusal]:
+    text = received.headers.get(DEADLINE_HEADER.lower())
+    if text is None:
+        return result.Ok(limits.default_deadline_seconds)
+    longest = int(limits.longest_deadline_seconds * 1000)
+    if not (text.isascii() and text.isdecimal() and len(text) < 12 and 0 < int(text) <= longest):
+        expected = f"a whole number of milliseconds from 1 to {longest}"
+        return result.Err(verdict.invalid(DEADLINE_HEADER, text, expected))
+    return result.Ok(int(text) / 1000)
+
+
+_HEADERS: typing.Final = (
+    call.Parameter(KEY_HEADER, "header", "Makes sending a non-idempotent request again safe."),
+    call.Parameter(DEADLINE_HEADER, "header", "Time left for the answer, in milliseconds."),
+    call.Parameter(IDEMPOTENT_HEADER, "header", "true when running it twice does no harm."),
+    call.Parameter(CUSTOMER_HEADER, "header", "The customer; needed from operators only."),
+)
+ENDPOINTS: typing.Final = (
+    call.Endpoint(
+        "POST",
+        "/v1/services/{name}/requests",
+        "Send a request to a backend server of the service",
+        submit,
+        parameters=_HEADERS,
+    ),
+    call.Endpoint("GET", "/v1/requests/{id}", "Fetch the answer of an earlier request", find),
+)
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/intake/routes.py
@@ -0,0 +1,40 @@
+"""The starlette application, built from the tables of endpoints."""
+
+from __future__ import annotations
+
+import typing
+
+import starlette.applications
+import starlette.exceptions
+import starlette.requests
+import starlette.responses
+import starlette.routing
+
+from peridothatch_core.model import verdict
+from peridothatch_daemon.intake import call, jobs, pipeline, problem, requests, status
+
+ENDPOINTS: typing.Final = (*requests.ENDPOINTS, *jobs.ENDPOINTS, *status.ENDPOINTS)
+
+
+def application(state: call.State) -> starlette.applications.Starlette:
+    """Return the application that serves every endpoint."""
+    routes = [
+        starlette.routing.Route(
+            endpoint.path, pipeline.serve(state, endpoint), methods=[endpoint.method]
+        )
+        for endpoint in ENDPOINTS
+    ]
+    return starlette.applications.Starlette(
+        routes=routes, exception_handlers={starlette.exceptions.HTTPException: _no_such_route}
+    )
+
+
+async def _no_such_route(
+    request: starlette.requests.Request, error: Exception
+) -> starlette.responses.Response:
+    """Answer for a path or method that the interface does not have."""
+    status_code = typing.cast("starlette.exceptions.HTTPException", error).status_code
+    refusal = verdict.not_run(
+        verdict.Code.NOT_FOUND, f"there is no {request.method} {request.url.path[:200]}"
+    )
+    return pipeline.encode(problem.from_refusal(refusal, status_code))
