--- a/packages/daemon/src/peridothatch_daemon/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/agent.py
@@ -39,9 +39,7 @@
 
 async def start(own_settings: settings.Agent) -> Agent:
     """Start the tasks of an agent."""
-    own = identity.create(
-        own_settings.id, "agent", own_settings.data_centre, own_settings.region
-    )
+    own = identity.create(own_settings.id, "agent", own_settings.data_centre, own_settings.region)
     links = mailbox.create("dialer", dialer.INBOX_MESSAGES)
     if own_settings.worker is not None:
         deciding, closers = _start_worker_side(own_settings, own_settings.worker, links)
--- a/packages/standins/src/peridothatch_standins/installation.py
+++ b/packages/standins/src/peridothatch_standins/installation.py
@@ -275,9 +275,7 @@
     }
 
 
-def _daemon(
-    installation: Installation, name: str, settings: dict[str, typing.Any]
-) -> list[str]:
+def _daemon(installation: Installation, name: str, settings: dict[str, typing.Any]) -> list[str]:
     path = installation.folder / f"{name}.yaml"
     path.write_text(yaml.safe_dump(settings))
     role = settings["role"]
--- a/specs/gang_start.py
+++ b/specs/gang_start.py
@@ -80,9 +80,7 @@
     )
 
 
-def _transitions(
-    state: State, removed: frozenset[str]
-) -> typing.Iterator[tuple[str, State]]:
+def _transitions(state: State, removed: frozenset[str]) -> typing.Iterator[tuple[str, State]]:
     if state.broken:
         return
     yield "tick", _tick(state, removed)
@@ -106,6 +104,10 @@
     return state._replace(members=tuple(members))
 
 
+def _whole(planner: Planner) -> bool:
+    return len(planner.reserved) == GANG_SIZE
+
+
 def _tick(state: State, removed: frozenset[str]) -> State:
     members = []
     for member in state.members:
@@ -124,7 +126,9 @@
     # The new planner cannot know when the old one last renewed, so it counts from now and first
     # makes the agents refuse the old epoch; a committed run is treated as running.
     phase = "stopping" if state.run else "idle"
-    return _with_planner(state._replace(epoch=2), 2, phase=phase, run=state.run, wait=0, reserved=state.placed)
+    return _with_planner(
+        state._replace(epoch=2), 2, phase=phase, run=state.run, wait=0, reserved=state.placed
+    )
 
 
 def _planner(
@@ -134,8 +138,11 @@
     if epoch > state.epoch:
         return
     if planner.phase == "idle" and planner.run < MAX_RUN:
-        yield f"planner {epoch} reserves", _with_planner(
-            state, epoch, phase="reserving", run=planner.run + 1, reserved=frozenset()
+        yield (
+            f"planner {epoch} reserves",
+            _with_planner(
+                state, epoch, phase="reserving", run=planner.run + 1, reserved=frozenset()
+            ),
         )
     if planner.phase == "reserving":
         yield from _reserve(state, epoch, planner, removed)
@@ -165,23 +172,24 @@
             state, number, run=planner.run, status="reserved", lease=LEASE_TICKS,
             epoch=max(epoch, member.epoch),
         )  # fmt: skip
-        yield f"agent {number} reserves for planner {epoch}", _with_planner(
-            reserved, epoch, reserved=planner.reserved | {number}
+        yield (
+            f"agent {number} reserves for planner {epoch}",
+            _with_planner(reserved, epoch, reserved=planner.reserved | {number}),
         )
 
 
 def _commit(
     state: State, epoch: int, planner: Planner, removed: frozenset[str]
 ) -> typing.Iterator[tuple[str, State]]:
-    whole = len(planner.reserved) == GANG_SIZE
-    if not whole and "start only when all have reserved" not in removed:
+    if not _whole(planner) and "start only when all have reserved" not in removed:
         return
     if "start only after the commit" in removed:
         yield f"planner {epoch} does not commit", _with_planner(state, epoch, phase="committed")
     refused = epoch != state.epoch or state.run >= planner.run
     if refused and "commit is conditional on epoch and version" not in removed:
-        yield f"commit of planner {epoch} is refused", _with_planner(
-            state, epoch, phase="fenced", reserved=frozenset()
+        yield (
+            f"commit of planner {epoch} is refused",
+            _with_planner(state, epoch, phase="fenced", reserved=frozenset()),
         )
         return
     applied = state._replace(run=planner.run, placed=planner.reserved)
@@ -200,9 +208,7 @@
             if member.paused:
                 continue
             renewed = _with_member(state, number, lease=LEASE_TICKS)
-            yield f"planner {epoch} renews agent {number}", _with_planner(
-                renewed, epoch, wait=0
-            )
+            yield f"planner {epoch} renews agent {number}", _with_planner(renewed, epoch, wait=0)
 
 
 def _run_again(
@@ -213,9 +219,7 @@
         if not member.paused and member.epoch < epoch:
             # Contact with the new planner: the agent refuses the old one from here on.
             contact = _with_member(state, number, epoch=epoch)
-            yield f"agent {number} hears of epoch {epoch}", _with_planner(
-                contact, epoch, wait=0
-            )
+            yield f"agent {number} hears of epoch {epoch}", _with_planner(contact, epoch, wait=0)
         if not member.paused and member.status != "none" and member.run <= planner.run:
             stopped = _with_member(state, number, run=0, status="none", epoch=epoch)
             yield f"agent {number} stops for planner {epoch}", stopped
@@ -242,12 +246,13 @@
         reserved = member.status == "reserved" and member.run == run
         accepted = epoch >= member.epoch or "agents refuse lower epochs" in removed
         if reserved and accepted:
-            yield f"agent {number} starts run {run} of planner {epoch}", _started(
-                state, number, run, removed
+            yield (
+                f"agent {number} starts run {run} of planner {epoch}",
+                _started(state, number, run),
             )
 
 
-def _started(state: State, number: int, run: int, removed: frozenset[str]) -> State:
+def _started(state: State, number: int, run: int) -> State:
     started = _with_member(state, number, status="running", lease=LEASE_TICKS)
     broken = set()
     others = [item for index, item in enumerate(state.members) if index != number]
@@ -256,7 +261,9 @@
         broken.add("one_run_at_a_time")
     if state.run < run:
         broken.add("start_is_committed")
-    if not any(planner.run >= run and len(planner.reserved) == GANG_SIZE for planner in state.planners):
+    if not any(
+        planner.run >= run and len(planner.reserved) == GANG_SIZE for planner in state.planners
+    ):
         broken.add("whole_when_started")
     return started._replace(broken=" ".join(sorted(broken)))
 
@@ -267,8 +274,9 @@
     member = state.members[number]
     lapsed = member.lease == 0 and "resumed process checks its lease first" not in removed
     if lapsed and "member stops when its lease lapses" not in removed:
-        yield f"agent {number} resumes and stops", _with_member(
-            state, number, run=0, status="none", paused=0
+        yield (
+            f"agent {number} resumes and stops",
+            _with_member(state, number, run=0, status="none", paused=0),
         )
         return
     resumed = _with_member(state, number, paused=0)
--- a/specs/request.py
+++ b/specs/request.py
@@ -69,12 +69,10 @@
     )
 
 
-def _transitions(
-    state: State, removed: frozenset[str]
-) -> typing.Iterator[tuple[str, State]]:
+def _transitions(state: State, removed: frozenset[str]) -> typing.Iterator[tuple[str, State]]:
     for number in ENTRIES:
         yield from _claim(state, number, removed)
-        yield from _send(state, number, removed)
+        yield from _send(state, number)
         yield from _hear(state, number, removed)
     for number in AGENTS:
         yield from _agent(state, number, removed)
@@ -113,9 +111,7 @@
         yield f"claim of {number} conflicts", _with_entry(state, number, phase="may_have_run")
 
 
-def _send(
-    state: State, number: int, removed: frozenset[str]
-) -> typing.Iterator[tuple[str, State]]:
+def _send(state: State, number: int) -> typing.Iterator[tuple[str, State]]:
     entry = state.entries[number]
     if entry.phase != "claimed" or entry.tries >= len(AGENTS):
         return
@@ -186,8 +182,9 @@
             _with_agent(state, number, memory="running")._replace(runs=state.runs + 1),
         )
     if agent.memory == "running":
-        yield f"backend server of agent {number} answers", _with_agent(
-            state, number, memory="done"
+        yield (
+            f"backend server of agent {number} answers",
+            _with_agent(state, number, memory="done"),
         )
     if agent.incarnation == 0:
         lost = frozenset(item for item in state.flight if item[1] != number)
--- a/specs/service_out.py
+++ b/specs/service_out.py
@@ -62,9 +62,7 @@
     )
 
 
-def _transitions(
-    state: State, removed: frozenset[str]
-) -> typing.Iterator[tuple[str, State]]:
+def _transitions(state: State, removed: frozenset[str]) -> typing.Iterator[tuple[str, State]]:
     yield "tick", _tick(state)
     if state.in_service:
         yield "operator takes the data centre out", state._replace(in_service=0, since_out=0)
@@ -90,9 +88,7 @@
     )
 
 
-def _planner(
-    state: State, removed: frozenset[str]
-) -> typing.Iterator[tuple[str, State]]:
+def _planner(state: State, removed: frozenset[str]) -> typing.Iterator[tuple[str, State]]:
     if state.read[0] == NONE:
         yield "planner sends a read", state._replace(read=(0, -1))
     elif state.read[1] < 0:
@@ -128,10 +124,13 @@
         # The message stays in flight: it may arrive again.
         return
     held = total if in_service else NONE
-    yield "agent gets the answer", state._replace(
-        held=min(held, state.held) if in_service else NONE,
-        agent_revision=revision,
-        reverted=max(state.reverted, int(revision < state.agent_revision)),
+    yield (
+        "agent gets the answer",
+        state._replace(
+            held=min(held, state.held) if in_service else NONE,
+            agent_revision=revision,
+            reverted=max(state.reverted, int(revision < state.agent_revision)),
+        ),
     )
 
 
@@ -139,6 +138,7 @@
     if state.handed < NONE or "worker checks not_after" in removed:
         late = not state.in_service and state.since_out > PROOF_TICKS
         if state.handed < NONE or state.held < NONE or late:
-            yield "worker starts the task", state._replace(
-                handed=NONE, late_start=max(state.late_start, int(late))
+            yield (
+                "worker starts the task",
+                state._replace(handed=NONE, late_start=max(state.late_start, int(late))),
             )
