--- /dev/null
+++ b/packages/core/src/peridothatch_core/admit/changes.py
@@ -0,0 +1,254 @@
+"""Validation of operators' changes against the configuration that they apply to."""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+import typing
+import zoneinfo
+
+import result
+
+from peridothatch_core.configure import revisions
+from peridothatch_core.model import config, customer, datacentre, shape, verdict, workclass
+
+MAX_ACCELERATORS = 1_000_000
+MAX_TASK_ACCELERATORS = 64
+MAX_TASK_CORES = 1024
+MAX_TASK_MEMORY_MB = 16 * 1024 * 1024
+MAX_GUARANTEE_COUNT = 10_000
+MAX_TARGET_SECONDS = 366 * 86_400.0
+
+NAME = re.compile(r"[a-z0-9](?:[a-z0-9._-]{0,61}[a-z0-9])?")
+NAME_EXPECTED = "1 to 63 of a-z, 0-9, '.', '_' and '-', with a letter or digit at both ends"
+DIGEST = re.compile(r"[0-9a-f]{64}")
+DIGEST_EXPECTED = "a SHA-256 digest of 64 hex digits in lower case"
+
+VALUE_TYPES: dict[str, type] = {
+    "customer": customer.Customer,
+    "guarantee": customer.Guarantee,
+    "class": workclass.WorkClass,
+    "data_centre": datacentre.DataCentre,
+    "operator": str,
+}
+
+# Returns what hardware would be needed, or an empty text when the guarantee fits.
+Fits = typing.Callable[[config.Snapshot, customer.Guarantee], str]
+Refused = verdict.Refusal | None
+
+
+def validate(
+    snapshot: config.Snapshot, kind: str, name: str, value: typing.Any, fits: Fits
+) -> result.Result[None, verdict.Refusal]:
+    """Accept or refuse a change of one object; ``value`` None deletes it."""
+    refusal = _check_head(kind, name, value)
+    if refusal is None and value is None:
+        refusal = _check_deletion(snapshot, kind, name)
+    elif refusal is None:
+        refusal = _CHECKS[kind](snapshot, name, value)
+    if refusal is None and isinstance(value, customer.Guarantee):
+        needed = fits(snapshot, value)
+        refusal = verdict.invalid("shape", _shape_text(value), needed) if needed else None
+    return result.Ok(None) if refusal is None else result.Err(refusal)
+
+
+def complete(
+    snapshot: config.Snapshot, kind: str, name: str, value: typing.Any, by: str, at: float
+) -> typing.Any:
+    """Return the value with what the caller need not know.
+
+    A promise gets its maker and its time, unless it stays as it was. A data centre without a
+    region keeps the one that it has.
+    """
+    current = revisions.find(snapshot, kind, name) if kind in revisions.COLLECTIONS else None
+    if isinstance(value, customer.Guarantee | workclass.WorkClass):
+        if isinstance(current, type(value)):
+            kept = dataclasses.replace(
+                value, promised_by=current.promised_by, promised_at=current.promised_at
+            )
+            if kept == current:
+                return current
+        return dataclasses.replace(value, promised_by=by, promised_at=at)
+    if isinstance(value, datacentre.DataCentre) and not value.region:
+        region = current.region if isinstance(current, datacentre.DataCentre) else ""
+        return dataclasses.replace(value, region=region)
+    return value
+
+
+def _check_head(kind: str, name: str, value: typing.Any) -> Refused:
+    if kind not in VALUE_TYPES:
+        return verdict.invalid("kind", kind, f"one of {', '.join(VALUE_TYPES)}")
+    if not NAME.fullmatch(name):
+        return verdict.invalid("name", name, NAME_EXPECTED)
+    if value is None:
+        return None
+    if not isinstance(value, VALUE_TYPES[kind]):
+        return verdict.invalid("value", type(value).__name__, VALUE_TYPES[kind].__name__)
+    if kind != "operator" and value.name != name:
+        return verdict.invalid("name", value.name, f"{name}, the name of the changed object")
+    return None
+
+
+def _check_deletion(snapshot: config.Snapshot, kind: str, name: str) -> Refused:
+    current = revisions.find(snapshot, kind, name)
+    if current is None:
+        return verdict.not_run(verdict.Code.NOT_FOUND, f"there is no {kind} {name!r}")
+    if kind == "customer":
+        return _check_unused(snapshot, "customer", name, "a customer without guarantees")
+    if kind == "data_centre":
+        if current.service is datacentre.Service.IN:
+            return verdict.invalid("service", current.service, "out or lost before deletion")
+        return _check_unused(snapshot, "data_centre", name, "a data centre without guarantees")
+    if kind == "operator" and len(snapshot.operator_tokens) == 1:
+        return verdict.invalid("name", name, "not the last operator")
+    return None
+
+
+def _check_unused(snapshot: config.Snapshot, field: str, name: str, expected: str) -> Refused:
+    using = sorted(
+        item.name for item in snapshot.guarantees.values() if getattr(item, field) == name
+    )
+    if not using:
+        return None
+    return verdict.invalid("name", name, f"{expected}; it has {', '.join(using[:5])}")
+
+
+def _check_customer(snapshot: config.Snapshot, name: str, value: customer.Customer) -> Refused:
+    promised = _promised(snapshot, name, without="")
+    return (
+        _check_range("quota_accelerators", value.quota_accelerators, 0, MAX_ACCELERATORS)
+        or _check_at_least_promised(value.quota_accelerators, promised)
+        or (_check_token(snapshot, "customer", name, value.token_sha256, "token_sha256")
+            if value.token_sha256 else None)
+    )  # fmt: skip
+
+
+def _check_at_least_promised(quota: int, promised: int) -> Refused:
+    if quota >= promised:
+        return None
+    return verdict.invalid("quota_accelerators", quota, f"at least the {promised} guaranteed")
+
+
+def _check_operator(snapshot: config.Snapshot, name: str, value: str) -> Refused:
+    return _check_token(snapshot, "operator", name, value, "token_sha256")
+
+
+def _check_token(
+    snapshot: config.Snapshot, kind: str, name: str, digest: str, field: str
+) -> Refused:
+    """Check a digest without repeating it in the refusal."""
+    if not DIGEST.fullmatch(digest):
+        return verdict.invalid(field, f"{len(digest)} characters", DIGEST_EXPECTED)
+    holders = {("operator", snapshot.operator_tokens.get(digest))}
+    holders |= {
+        ("customer", item.name)
+        for item in snapshot.customers.values()
+        if item.token_sha256 == digest
+    }
+    if {holder for holder in holders if holder[1] is not None} - {(kind, name)}:
+        return verdict.invalid(field, "a token in use", "a token of nobody else")
+    return None
+
+
+def _check_class(_snapshot: config.Snapshot, _name: str, value: workclass.WorkClass) -> Refused:
+    target = value.target
+    if isinstance(target, workclass.Within):
+        if 0 < target.seconds <= MAX_TARGET_SECONDS:
+            return None
+        expected = f"more than 0 and at most {MAX_TARGET_SECONDS:.0f} seconds"
+        return verdict.invalid("target", target.seconds, expected)
+    return (
+        _check_range("target.hour", target.hour, 0, 23)
+        or _check_range("target.minute", target.minute, 0, 59)
+        or _check_zone(target.zone)
+    )
+
+
+def _check_zone(zone: str) -> Refused:
+    try:
+        zoneinfo.ZoneInfo(zone)
+    # A bad name may be absent, name a directory or leave the data base.
+    except (KeyError, ValueError, OSError):
+        return verdict.invalid("target.zone", zone, "an IANA time zone such as Africa/Accra")
+    return None
+
+
+def _check_guarantee(snapshot: config.Snapshot, name: str, value: customer.Guarantee) -> Refused:
+    return (
+        _check_range("count", value.count, 1, MAX_GUARANTEE_COUNT)
+        or _check_shape(value.shape)
+        or _check_known("customer", value.customer, snapshot.customers)
+        or (_check_known("data_centre", value.data_centre, snapshot.data_centres)
+            if value.data_centre else None)
+        or _check_within_quota(snapshot, name, value)
+    )  # fmt: skip
+
+
+def _check_shape(gang: shape.GangShape) -> Refused:
+    task = gang.task
+    return (
+        _check_range("shape.tasks", gang.tasks, 1, shape.MAX_GANG_TASKS)
+        or _check_range("shape.accelerators", task.accelerators, 0, MAX_TASK_ACCELERATORS)
+        or _check_range("shape.cores", task.cores, 1, MAX_TASK_CORES)
+        or _check_range("shape.memory_mb", task.memory_mb, 1, MAX_TASK_MEMORY_MB)
+    )
+
+
+def _check_known(field: str, name: str, known: typing.Mapping[str, typing.Any]) -> Refused:
+    if name in known:
+        return None
+    names = ", ".join(sorted(known)[:5]) or "none exists"
+    return verdict.invalid(field, name, f"a known {field} ({names})")
+
+
+def _check_within_quota(
+    snapshot: config.Snapshot, name: str, value: customer.Guarantee
+) -> Refused:
+    quota = snapshot.customers[value.customer].quota_accelerators
+    others = _promised(snapshot, value.customer, without=name)
+    wanted = value.count * shape.accelerators(value.shape)
+    if wanted + others <= quota:
+        return None
+    expected = f"at most {quota - others} accelerators, the rest of the quota of {quota}"
+    return verdict.invalid("count", value.count, expected)
+
+
+def _check_data_centre(
+    _snapshot: config.Snapshot, name: str, value: datacentre.DataCentre
+) -> Refused:
+    if not value.region:
+        detail = f"there is no data centre {name!r}; a new one needs a region"
+        return verdict.not_run(verdict.Code.NOT_FOUND, detail)
+    if not NAME.fullmatch(value.region):
+        return verdict.invalid("region", value.region, NAME_EXPECTED)
+    return None
+
+
+def _check_range(field: str, value: int, low: int, high: int) -> Refused:
+    if low <= value <= high:
+        return None
+    return verdict.invalid(field, value, f"{low} to {high}")
+
+
+def _promised(snapshot: config.Snapshot, name: str, without: str) -> int:
+    """Return the accelerators guaranteed to a customer, leaving one guarantee out."""
+    return sum(
+        item.count * shape.accelerators(item.shape)
+        for item in snapshot.guarantees.values()
+        if item.customer == name and item.name != without
+    )
+
+
+def _shape_text(value: customer.Guarantee) -> str:
+    task, gang = value.shape.task, value.shape
+    place = value.data_centre or "any data centre"
+    return f"{value.count} x {gang.tasks} tasks of {task.accelerators} accelerators in {place}"
+
+
+_CHECKS: dict[str, typing.Callable[[config.Snapshot, str, typing.Any], Refused]] = {
+    "customer": _check_customer,
+    "guarantee": _check_guarantee,
+    "class": _check_class,
+    "data_centre": _check_data_centre,
+    "operator": _check_operator,
+}
--- /dev/null
+++ b/packages/core/tests/test_changes.py
@@ -0,0 +1,116 @@
+"""Guards against changes that would leave the configuration inconsistent."""
+
+import dataclasses
+
+import pytest
+
+from peridothatch_core.admit import changes
+from peridothatch_core.model import config, customer, datacentre, shape, verdict, workclass
+
+DIGEST = "a" * 64
+GANG = shape.GangShape(2, shape.TaskShape(4))
+NEGATIVE = shape.GangShape(1, shape.TaskShape(-1))
+GUARANTEE = customer.Guarantee("g", "ges", GANG, 2, "accra-a")
+OUT = datacentre.Service.OUT
+SNAPSHOT = config.Snapshot(
+    revision=4,
+    customers={"ges": customer.Customer("ges", 24, DIGEST), "idle": customer.Customer("idle", 0)},
+    guarantees={"g": GUARANTEE},
+    classes={"day": workclass.WorkClass("day", workclass.Within(60), False, "kofi", 5.0)},
+    data_centres={
+        "accra-a": datacentre.DataCentre("accra-a", "gh-south", OUT),
+        "tema-b": datacentre.DataCentre("tema-b", "gh-south"),
+    },
+    operator_tokens={"b" * 64: "ama"},
+)
+
+
+def check(kind, name, value, fits=lambda _snapshot, _guarantee: ""):
+    return changes.validate(SNAPSHOT, kind, name, value, fits)
+
+
+def guarantee(**fields):
+    return dataclasses.replace(GUARANTEE, **fields)
+
+
+def by_time(hour=6, minute=0, zone="Africa/Accra"):
+    return workclass.WorkClass("c", workclass.ByTime(hour, minute, zone))
+
+
+ACCEPTED = [
+    ("customer", "new", customer.Customer("new", 8, "c" * 64)),
+    ("customer", "ges", customer.Customer("ges", 16, DIGEST)),
+    ("customer", "idle", None),
+    ("guarantee", "g", guarantee(count=3)),
+    ("guarantee", "h", guarantee(name="h", count=1, data_centre="")),
+    ("class", "c", by_time()),
+    ("class", "day", None),
+    ("data_centre", "tema-b", datacentre.DataCentre("tema-b", "gh-south", OUT)),
+    ("operator", "kofi", "d" * 64),
+]
+REFUSED = [
+    ("team", "x", None, "kind"),
+    ("customer", "Bad Name", customer.Customer("Bad Name", 1), "name"),
+    ("customer", "a/b", customer.Customer("a/b", 1), "name"),
+    ("customer", "x", customer.Customer("y", 1), "name"),
+    ("customer", "x", GUARANTEE, "value"),
+    ("customer", "x", customer.Customer("x", -1), "quota_accelerators"),
+    ("customer", "ges", customer.Customer("ges", 15), "quota_accelerators"),
+    ("customer", "x", customer.Customer("x", 1, "short"), "token_sha256"),
+    ("customer", "x", customer.Customer("x", 1, DIGEST), "token_sha256"),
+    ("customer", "ges", None, "name"),
+    ("customer", "absent", None, ""),
+    ("guarantee", "g", guarantee(customer="nobody"), "customer"),
+    ("guarantee", "g", guarantee(data_centre="nowhere"), "data_centre"),
+    ("guarantee", "g", guarantee(count=0), "count"),
+    ("guarantee", "g", guarantee(count=4), "count"),
+    ("guarantee", "h", guarantee(name="h", count=2), "count"),
+    ("guarantee", "g", guarantee(shape=shape.GangShape(1025, GANG.task)), "shape.tasks"),
+    ("guarantee", "g", guarantee(shape=NEGATIVE), "shape.accelerators"),
+    ("class", "c", workclass.WorkClass("c", workclass.Within(0)), "target"),
+    ("class", "c", workclass.WorkClass("c", workclass.Within(float("nan"))), "target"),
+    ("class", "c", by_time(hour=24), "target.hour"),
+    ("class", "c", by_time(minute=60), "target.minute"),
+    ("class", "c", by_time(zone="Africa/Nowhere"), "target.zone"),
+    ("class", "c", by_time(zone="../etc/passwd"), "target.zone"),
+    ("data_centre", "x", datacentre.DataCentre("x", "", OUT), ""),
+    ("data_centre", "tema-b", None, "service"),
+    ("data_centre", "accra-a", None, "name"),
+    ("operator", "ama", None, "name"),
+    ("operator", "kofi", DIGEST, "token_sha256"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("kind", "name", "value"), ACCEPTED)
+def test_valid_changes_are_accepted(kind, name, value):
+    assert check(kind, name, value).is_ok()
+
+
+@pytest.mark.parametrize(("kind", "name", "value", "field"), REFUSED)
+def test_invalid_changes_are_refused_with_field_value_and_expected(kind, name, value, field):
+    refusal = check(kind, name, value).unwrap_err()
+    assert refusal.verdict is verdict.Verdict.NOT_RUN
+    assert refusal.field == field
+    assert bool(refusal.expected) == (refusal.code is verdict.Code.INVALID)
+    assert DIGEST not in refusal.detail
+
+
+def test_a_guarantee_that_does_not_fit_the_hardware_is_refused():
+    refusal = check("guarantee", "g", GUARANTEE, lambda *_: "at most 1 rack").unwrap_err()
+    assert (refusal.field, refusal.expected) == ("shape", "at most 1 rack")
+
+
+def test_a_promise_keeps_its_maker_until_it_changes():
+    """Guards against a repeated call that hides who made a promise and when."""
+    same = workclass.WorkClass("day", workclass.Within(60))
+    assert changes.complete(SNAPSHOT, "class", "day", same, "ama", 9.0).promised_by == "kofi"
+    other = workclass.WorkClass("day", workclass.Within(61))
+    changed = changes.complete(SNAPSHOT, "class", "day", other, "ama", 9.0)
+    assert (changed.promised_by, changed.promised_at) == ("ama", 9.0)
+
+
+def test_a_data_centre_taken_out_keeps_its_region():
+    """Guards against a take-out that loses the region."""
+    value = datacentre.DataCentre("tema-b", "", OUT)
+    completed = changes.complete(SNAPSHOT, "data_centre", "tema-b", value, "ama", 9.0)
+    assert completed == datacentre.DataCentre("tema-b", "gh-south", OUT)
