--- a/packages/core/src/peridothatch_core/configure/revisions.py
+++ b/packages/core/src/peridothatch_core/configure/revisions.py
@@ -188,8 +188,7 @@
 
 def _receive(state: Replica, changes: tuple[config.Change, ...]) -> list[Effect]:
     for change in changes:
-        if change.revision > state.snapshot.revision:
-            state.held.setdefault(change.revision, change)
+        state.held.setdefault(change.revision, change)
     applied = []
     while (following := state.held.pop(state.snapshot.revision + 1, None)) is not None:
         state.snapshot = apply_change(state.snapshot, following)
--- a/packages/core/tests/test_revisions.py
+++ b/packages/core/tests/test_revisions.py
@@ -61,10 +61,12 @@
 def test_remembered_changes_have_no_gap(loaded_at, wanted_after):
     """Guards against an answer to another entry that leaves out a change."""
     state = revisions.Replica()
+    revisions.step(state, revisions.Loaded(config.Snapshot()), 0.0)
+    revisions.step(state, revisions.Received(tuple(CHANGES[: loaded_at // 2])), 0.0)
     revisions.step(state, revisions.Loaded(snapshot_at(loaded_at)), 0.0)
     revisions.step(state, revisions.Received(tuple(CHANGES)), 0.0)
     found = revisions.changes_after(state, wanted_after)
-    if wanted_after >= loaded_at:
+    if loaded_at == 0 or wanted_after >= loaded_at:
         assert found == tuple(CHANGES[wanted_after:])
     else:
         assert found is None
