Add the whole HTTP interface with bounds, long polls and drain

Change: the endpoints are tables of filters; targets are parsed in core/configure/targets.py; headers, bodies and silent connections are bounded in intake/protocol.py and intake/limits.py; Drain is answered once no request is in progress; FindJob carries a long poll, and ListPromises, JobView, JobList and GuaranteesShort are new messages. report/explain.py, report/promises.py and place/choose_data_centre.py are pure functions.

--- /dev/null
+++ b/packages/core/src/peridothatch_core/report/promises.py
@@ -0,0 +1,178 @@
+"""What each customer was promised, by whom, since when, and how it is being kept."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from peridothatch_core.configure import targets
+from peridothatch_core.model import customer, job
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from peridothatch_core.model import config, shape
+
+WHOLE = "whole"
+SHORT = "short"
+UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClassPromise:
+    """The target of a class and how it is kept for one customer.
+
+    Attributes
+    ----------
+    target : str
+        As operators write it; empty when the class was deleted.
+    kept, missed : int
+        Jobs that succeeded by their target, and jobs that failed, ended late or are overdue.
+        Cancelled jobs count as neither.
+    overdue : int
+        Jobs among ``missed`` that have not ended.
+    open : int
+        Jobs that wait or run and are not overdue.
+    kept_share : float or None
+        ``kept / (kept + missed)``; ``None`` without such jobs.
+    """
+
+    customer: str
+    work_class: str
+    target: str
+    urgent: bool
+    promised_by: str
+    promised_at: float
+    kept: int
+    missed: int
+    overdue: int
+    open: int
+    kept_share: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GuaranteePromise:
+    """A guarantee and whether the hardware for it is there.
+
+    Attributes
+    ----------
+    state : str
+        ``whole``, ``short``, or ``unknown`` while a planner has not reported.
+    """
+
+    customer: str
+    name: str
+    shape: shape.GangShape
+    count: int
+    data_centre: str
+    promised_by: str
+    promised_at: float
+    state: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """All promises to one customer, or to every customer."""
+
+    classes: tuple[ClassPromise, ...]
+    guarantees: tuple[GuaranteePromise, ...]
+
+
+def report(
+    snapshot: config.Snapshot,
+    jobs: Iterable[job.Job],
+    short: Mapping[str, frozenset[str]],
+    now: float,
+    customer_name: str = "",
+) -> Report:
+    """Return the promises and how they are kept.
+
+    Parameters
+    ----------
+    short : mapping of str to frozenset of str
+        For each data centre whose planner has reported, its guarantees that are short.
+    now : float
+        Seconds since 1970-01-01 UTC.
+    customer_name : str
+        The customer to report on; empty for all.
+    """
+    names = [name for name in sorted(snapshot.customers) if customer_name in ("", name)]
+    counts = {(name, kind): _Count() for name in names for kind in snapshot.classes}
+    for item in jobs:
+        if customer_name in ("", item.customer):
+            key = (item.customer, item.work_class)
+            _count(counts.setdefault(key, _Count()), item, now)
+    return Report(
+        tuple(_class_promise(snapshot, *key, counts[key]) for key in sorted(counts)),
+        tuple(
+            _guarantee_promise(item, guarantee_state(item, snapshot, short))
+            for _, item in sorted(snapshot.guarantees.items())
+            if customer_name in ("", item.customer)
+        ),
+    )
+
+
+def guarantee_state(
+    item: customer.Guarantee, snapshot: config.Snapshot, short: Mapping[str, frozenset[str]]
+) -> str:
+    """Return whether a guarantee is whole, by the reports of the planners concerned."""
+    places = [item.data_centre] if item.data_centre else list(snapshot.data_centres)
+    if any(item.name in short.get(place, ()) for place in places):
+        return SHORT
+    return WHOLE if places and all(place in short for place in places) else UNKNOWN
+
+
+@dataclasses.dataclass(slots=True)
+class _Count:
+    kept: int = 0
+    missed: int = 0
+    overdue: int = 0
+    open: int = 0
+
+
+def _count(count: _Count, item: job.Job, now: float) -> None:
+    if item.state is job.State.CANCELLED:
+        return
+    if item.state in job.FINAL_STATES:
+        if item.state is job.State.SUCCEEDED and item.ended_at <= item.due_at:
+            count.kept += 1
+        else:
+            count.missed += 1
+    elif now > item.due_at:
+        count.missed += 1
+        count.overdue += 1
+    else:
+        count.open += 1
+
+
+def _class_promise(
+    snapshot: config.Snapshot, customer_name: str, class_name: str, count: _Count
+) -> ClassPromise:
+    known = snapshot.classes.get(class_name)
+    counted = count.kept + count.missed
+    return ClassPromise(
+        customer=customer_name,
+        work_class=class_name,
+        target=targets.text(known.target) if known else "",
+        urgent=known.urgent if known else False,
+        promised_by=known.promised_by if known else "",
+        promised_at=known.promised_at if known else 0.0,
+        kept=count.kept,
+        missed=count.missed,
+        overdue=count.overdue,
+        open=count.open,
+        kept_share=count.kept / counted if counted else None,
+    )
+
+
+def _guarantee_promise(item: customer.Guarantee, state: str) -> GuaranteePromise:
+    return GuaranteePromise(
+        item.customer,
+        item.name,
+        item.shape,
+        item.count,
+        item.data_centre,
+        item.promised_by,
+        item.promised_at,
+        state,
+    )
--- a/packages/daemon/src/peridothatch_daemon/intake/authentication.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/authentication.py
@@ -65,6 +65,15 @@
     return result.Ok(named)
 
 
+def selection(caller: call.Caller, named: str) -> result.Result[str, verdict.Refusal]:
+    """Return the customer to whom a listing is limited; empty shows an operator all."""
+    if caller.operator or named in ("", caller.name):
+        return result.Ok(named if caller.operator else caller.name)
+    return result.Err(
+        verdict.not_run(verdict.Code.FORBIDDEN, "a customer can see only its own data")
+    )
+
+
 def _match(digest: str, snapshot: config.Snapshot) -> call.Caller | None:
     """Compare with every digest, so that the time taken does not depend on the match."""
     found = None
--- a/packages/daemon/src/peridothatch_daemon/intake/bodies.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/bodies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import typing
 
 import pydantic
@@ -10,6 +11,11 @@
 
 from peridothatch_core.model import verdict
 
+if typing.TYPE_CHECKING:
+    from peridothatch_daemon.intake import call
+
+_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?")
+
 
 class _AmbiguousError(ValueError):
     """A JSON text that two readers could understand differently."""
@@ -51,6 +57,34 @@
         return result.Err(_refusal(error))
 
 
+def query(
+    items: list[tuple[str, str]], parameters: tuple[call.Parameter, ...]
+) -> result.Result[dict[str, str], verdict.Refusal]:
+    """Return the query parameters; unknown and repeated ones are refused."""
+    known = {item.name for item in parameters if item.place == "query"}
+    found: dict[str, str] = {}
+    for name, value in items:
+        if name not in known:
+            expected = f"one of {', '.join(sorted(known))}" if known else "no query parameters"
+            return result.Err(verdict.invalid(name, value, expected))
+        if name in found:
+            return result.Err(verdict.invalid(name, value, "each parameter once"))
+        found[name] = value
+    return result.Ok(found)
+
+
+def number(
+    values: typing.Mapping[str, str], name: str, default: float, highest: float
+) -> result.Result[float, verdict.Refusal]:
+    """Return a query parameter as a number from 0 to ``highest``."""
+    text = values.get(name)
+    if text is None:
+        return result.Ok(default)
+    if not _NUMBER.fullmatch(text) or float(text) > highest:
+        return result.Err(verdict.invalid(name, text, f"a number from 0 to {highest:g}"))
+    return result.Ok(float(text))
+
+
 def _refusal(error: pydantic.ValidationError) -> verdict.Refusal:
     first = error.errors(include_url=False, include_context=False)[0]
     field = ".".join(str(part) for part in first["loc"]) or "body"
@@ -58,7 +92,7 @@
         return verdict.invalid(field, "missing", "a value")
     if first["type"] == "extra_forbidden":
         return verdict.invalid(field, first["input"], "no such field")
-    return verdict.invalid(field, first["input"], first["msg"])
+    return verdict.invalid(field, first["input"], first["msg"].removeprefix("Input should be "))
 
 
 def _object(pairs: list[tuple[str, typing.Any]]) -> dict[str, typing.Any]:
--- a/packages/daemon/src/peridothatch_daemon/intake/call.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/call.py
@@ -19,8 +19,9 @@
 
 
 class Role(enum.StrEnum):
-    """Who may call an endpoint."""
+    """Who may call an endpoint; ``PUBLIC`` needs no token."""
 
+    PUBLIC = "public"
     ANYONE = "anyone"
     OPERATOR = "operator"
 
@@ -31,6 +32,8 @@
 
     Attributes
     ----------
+    drain_seconds : float
+        A planned stop cuts no request, so this exceeds the longest deadline.
     linger_seconds : float
         How long the rest of a refused body is read and thrown away, so that the caller can
         read the refusal before the connection closes.
@@ -46,7 +49,7 @@
     longest_wait_seconds: float = 60.0
     longest_deadline_seconds: float = 600.0
     default_deadline_seconds: float = 30.0
-    drain_seconds: float = 30.0
+    drain_seconds: float = 660.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +93,8 @@
     ----------
     id_prefix : str
         ``ENTRY.INCARNATION`` of this process, with which request ids start.
+    drained : list of Reply
+        Replies to ``Drain``, given once no request is in progress.
     """
 
     id_prefix: str
@@ -101,6 +106,7 @@
     accepted: int = 0
     refused: int = 0
     last_number: int = 0
+    drained: list[mailbox.Reply] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,7 +148,6 @@
     name: str
     place: str
     description: str
-    required: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,5 +166,4 @@
     serve: Serve
     role: Role = Role.ANYONE
     document: type[pydantic.BaseModel] | None = None
-    answer: type[pydantic.BaseModel] | None = None
     parameters: tuple[Parameter, ...] = ()
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/intake/changes.py
@@ -0,0 +1,235 @@
+"""Endpoints that make changes and list them."""
+
+from __future__ import annotations
+
+import time
+import typing
+
+import result
+
+from peridothatch_core.configure import targets
+from peridothatch_core.model import config, customer, datacentre, verdict, workclass
+from peridothatch_daemon import messages
+from peridothatch_daemon.intake import ask, bodies, call, objects, problem, schema
+
+# A customer's view is a selection of the newest changes.
+MOST_CHANGES = 1000
+DEFAULT_CHANGES = 100
+
+Outcome = result.Result[call.Answer, verdict.Refusal]
+
+
+async def put_class(state: call.State, received: call.Call) -> Outcome:
+    """Create a class or change its target."""
+    document = typing.cast("schema.ClassDocument", received.document)
+    parsed = targets.parse(document.target)
+    if isinstance(parsed, result.Err):
+        return parsed
+    name = received.path["name"]
+    known = state.snapshot.classes.get(name)
+    promised = (received.caller.name, time.time())
+    if known is not None and (known.target, known.urgent) == (parsed.ok_value, document.urgent):
+        promised = (known.promised_by, known.promised_at)
+    value = workclass.WorkClass(name, parsed.ok_value, document.urgent, *promised)
+    return await _change(state, received, "class", value)
+
+
+async def put_customer(state: call.State, received: call.Call) -> Outcome:
+    """Create a customer, or change its quota or token."""
+    document = typing.cast("schema.CustomerDocument", received.document)
+    name = received.path["name"]
+    known = state.snapshot.customers.get(name)
+    token = document.token_sha256 or (known.token_sha256 if known else "")
+    if _token_taken(state.snapshot, name, token):
+        return result.Err(
+            verdict.invalid("token_sha256", "a token in use", "a token of this customer alone")
+        )
+    value = customer.Customer(name, document.quota_accelerators, token)
+    return await _change(state, received, "customer", value)
+
+
+async def put_guarantee(state: call.State, received: call.Call) -> Outcome:
+    """Promise a shape to a customer, or change the promise."""
+    document = typing.cast("schema.GuaranteeDocument", received.document)
+    name = received.path["name"]
+    terms = (
+        document.customer,
+        schema.gang_shape(document.shape),
+        document.count,
+        document.data_centre,
+    )
+    known = state.snapshot.guarantees.get(name)
+    promised = (received.caller.name, time.time())
+    if known is not None and terms == (
+        known.customer,
+        known.shape,
+        known.count,
+        known.data_centre,
+    ):
+        promised = (known.promised_by, known.promised_at)
+    value = customer.Guarantee(name, *terms, *promised)
+    return await _change(state, received, "guarantee", value)
+
+
+def delete(kind: str) -> call.Serve:
+    """Return the handler that deletes objects of ``kind``."""
+
+    async def serve(state: call.State, received: call.Call) -> Outcome:
+        return await _change(state, received, kind, None)
+
+    return serve
+
+
+def set_service(service: datacentre.Service) -> call.Serve:
+    """Return the handler that takes a data centre out, puts it back or declares it lost."""
+
+    async def serve(state: call.State, received: call.Call) -> Outcome:
+        name = received.path["name"]
+        known = state.snapshot.data_centres.get(name)
+        if known is None:
+            return result.Err(objects.unknown("data centre", name))
+        value = datacentre.DataCentre(name, known.region, service)
+        return await _change(state, received, "data_centre", value)
+
+    return serve
+
+
+async def list_changes(state: call.State, received: call.Call) -> Outcome:
+    """List the newest accepted changes that concern the caller."""
+    limit = bodies.number(received.query, "limit", DEFAULT_CHANGES, MOST_CHANGES)
+    if isinstance(limit, result.Err):
+        return limit
+    wanted = int(limit.ok_value)
+    outcome = await ask.ask(
+        state.ports.config,
+        lambda reply: messages.ListChanges(
+            wanted if received.caller.operator else MOST_CHANGES, reply
+        ),
+        state.limits.reply_seconds,
+        verdict.Verdict.NOT_RUN,
+    )
+    if isinstance(outcome, result.Err):
+        return outcome
+    shown = [
+        change_document(change)
+        for change in outcome.ok_value
+        if received.caller.operator or concerns(change, received.caller.name)
+    ]
+    return result.Ok(problem.answer({"changes": shown[:wanted]}))
+
+
+def concerns(change: config.Change, customer_name: str) -> bool:
+    """Return whether a customer may see a change.
+
+    A deleted guarantee no longer names its customer, so only operators see the deletion.
+    """
+    match change.kind:
+        case "customer":
+            return change.name == customer_name
+        case "guarantee":
+            return isinstance(change.value, customer.Guarantee) and (
+                change.value.customer == customer_name
+            )
+        case "class" | "data_centre":
+            return True
+        case _:
+            return False
+
+
+def change_document(change: config.Change) -> dict[str, typing.Any]:
+    """Return a change as plain JSON types, without token digests."""
+    return {
+        "revision": change.revision,
+        "kind": change.kind,
+        "name": change.name,
+        "deleted": change.value is None,
+        "value": objects.document(change.value),
+        "changed_by": change.changed_by,
+        "changed_at": change.changed_at,
+    }
+
+
+async def _change(state: call.State, received: call.Call, kind: str, value: typing.Any) -> Outcome:
+    name = received.path["name"]
+    if schema.NAME.fullmatch(name) is None:
+        return result.Err(verdict.invalid("name", name, schema.NAME_EXPECTED))
+    outcome = await ask.ask(
+        state.ports.config,
+        lambda reply: messages.ChangeConfig(kind, name, value, received.caller.name, reply),
+        state.limits.reply_seconds,
+        verdict.Verdict.MAY_HAVE_RUN,
+    )
+    return outcome.map(lambda change: problem.answer(change_document(change)))
+
+
+def _token_taken(snapshot: config.Snapshot, name: str, token: str) -> bool:
+    """Return whether another caller already has this token, which would mix up the two."""
+    if not token:
+        return False
+    others = {item.token_sha256 for item in snapshot.customers.values() if item.name != name}
+    return token in others or token in snapshot.operator_tokens
+
+
+_LIMIT = (call.Parameter("limit", "query", f"Most changes to list; {DEFAULT_CHANGES} if absent."),)
+_OPERATOR = call.Role.OPERATOR
+ENDPOINTS: typing.Final = (
+    call.Endpoint(
+        "PUT",
+        "/v1/classes/{name}",
+        "Set a class",
+        put_class,
+        _OPERATOR,
+        document=schema.ClassDocument,
+    ),
+    call.Endpoint(
+        "PUT",
+        "/v1/customers/{name}",
+        "Set a customer",
+        put_customer,
+        _OPERATOR,
+        document=schema.CustomerDocument,
+    ),
+    call.Endpoint(
+        "PUT",
+        "/v1/guarantees/{name}",
+        "Set a guarantee",
+        put_guarantee,
+        _OPERATOR,
+        document=schema.GuaranteeDocument,
+    ),
+    call.Endpoint("DELETE", "/v1/classes/{name}", "Delete a class", delete("class"), _OPERATOR),
+    call.Endpoint(
+        "DELETE", "/v1/customers/{name}", "Delete a customer", delete("customer"), _OPERATOR
+    ),
+    call.Endpoint(
+        "DELETE", "/v1/guarantees/{name}", "Delete a guarantee", delete("guarantee"), _OPERATOR
+    ),
+    call.Endpoint(
+        "POST",
+        "/v1/data-centres/{name}/out",
+        "Take a data centre out of service",
+        set_service(datacentre.Service.OUT),
+        _OPERATOR,
+    ),
+    call.Endpoint(
+        "POST",
+        "/v1/data-centres/{name}/in",
+        "Put a data centre back into service",
+        set_service(datacentre.Service.IN),
+        _OPERATOR,
+    ),
+    call.Endpoint(
+        "POST",
+        "/v1/data-centres/{name}/lost",
+        "Vouch that nothing runs in a data centre any more",
+        set_service(datacentre.Service.LOST),
+        _OPERATOR,
+    ),
+    call.Endpoint(
+        "GET",
+        "/v1/changes",
+        "List accepted changes, newest first",
+        list_changes,
+        parameters=_LIMIT,
+    ),
+)
--- a/packages/daemon/src/peridothatch_daemon/intake/http.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/http.py
@@ -11,7 +11,7 @@
 import uvicorn
 
 from peridothatch_daemon import messages
-from peridothatch_daemon.intake import call, routes
+from peridothatch_daemon.intake import call, limits, protocol, routes
 from peridothatch_wire import mailbox, task
 
 logger = logging.getLogger(__name__)
@@ -48,6 +48,7 @@
 
     inbox: mailbox.Mailbox
     port: int
+    drain_seconds: float
     server: uvicorn.Server
     serving: task.Task
     deciding: task.Task
@@ -76,6 +77,7 @@
     return Intake(
         inbox,
         listener.getsockname()[1],
+        settings.limits.drain_seconds,
         server,
         task.start("http server", server.serve(sockets=[listener]), on_failure),
         task.start("http", _run(inbox, state), on_failure),
@@ -83,11 +85,13 @@
 
 
 async def close(intake: Intake) -> None:
-    """Finish the requests in flight, then stop listening."""
+    """Finish the requests in flight, then stop listening; a second call changes nothing."""
+    if not intake.deciding.running:
+        return
     reply = mailbox.Reply()
     if mailbox.post(intake.inbox, messages.Drain(reply)):
         with contextlib.suppress(TimeoutError):
-            await mailbox.wait(reply, call.Limits().drain_seconds)
+            await mailbox.wait(reply, intake.drain_seconds)
     intake.server.should_exit = True
     await task.join(intake.serving)
     await task.close(intake.deciding)
@@ -101,7 +105,8 @@
                 state.snapshot = snapshot
             case messages.Drain(reply):
                 state.draining = True
-                mailbox.answer(reply, True)
+                state.drained.append(reply)
+                limits.finish_drain(state)
             case _:
                 logger.error("http got an unexpected %s", type(message).__name__)
 
@@ -109,6 +114,7 @@
 def _server_config(state: call.State) -> uvicorn.Config:
     return uvicorn.Config(
         routes.application(state),
+        http=protocol.bounded(state.limits),
         log_config=None,
         access_log=False,
         lifespan="off",
--- a/packages/daemon/src/peridothatch_daemon/intake/jobs.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/jobs.py
@@ -10,7 +10,11 @@
 
 from peridothatch_core.model import job, verdict
 from peridothatch_daemon import messages
-from peridothatch_daemon.intake import ask, authentication, call, problem, requests, schema
+from peridothatch_daemon.intake import ask, authentication, bodies, call, problem, requests, schema
+
+MOST_JOBS = 1000
+DEFAULT_JOBS = 100
+STATES = ("open", *(item.value for item in job.State))
 
 
 async def submit(
@@ -37,16 +41,118 @@
 async def find(
     state: call.State, received: call.Call
 ) -> result.Result[call.Answer, verdict.Refusal]:
-    """Return a job."""
+    """Return a job, at once or when its state has changed."""
+    wait = bodies.number(received.query, "wait_seconds", 0.0, state.limits.longest_wait_seconds)
+    if isinstance(wait, result.Err):
+        return wait
+    known = _state(received, "known_state")
+    if isinstance(known, result.Err):
+        return known
     outcome = await ask.ask(
         state.ports.jobs,
         lambda reply: messages.FindJob(
+            received.path["id"],
+            customer_filter(received.caller),
+            reply,
+            wait.ok_value,
+            known.ok_value,
+        ),
+        wait.ok_value + state.limits.reply_seconds,
+        verdict.Verdict.NOT_RUN,
+    )
+    return outcome.map(
+        lambda view: problem.answer(
+            {**job_document(view.job), "age_seconds": round(view.age_seconds, 3)}
+        )
+    )
+
+
+async def list_all(
+    state: call.State, received: call.Call
+) -> result.Result[call.Answer, verdict.Refusal]:
+    """List the caller's jobs; an operator sees all, or those of ``customer``."""
+    wanted = _state(received, "state")
+    if isinstance(wanted, result.Err):
+        return wanted
+    customer = authentication.selection(received.caller, received.query.get("customer", ""))
+    if isinstance(customer, result.Err):
+        return customer
+    limit = bodies.number(received.query, "limit", DEFAULT_JOBS, MOST_JOBS)
+    if isinstance(limit, result.Err):
+        return limit
+    outcome = await ask.ask(
+        state.ports.jobs,
+        lambda reply: messages.ListJobs(
+            customer.ok_value, wanted.ok_value, reply, int(limit.ok_value)
+        ),
+        state.limits.reply_seconds,
+        verdict.Verdict.NOT_RUN,
+    )
+    return outcome.map(
+        lambda found: problem.answer(
+            {
+                "jobs": [job_document(item) for item in found.jobs],
+                "truncated": found.truncated,
+                "age_seconds": round(found.age_seconds, 3),
+            }
+        )
+    )
+
+
+async def cancel(
+    state: call.State, received: call.Call
+) -> result.Result[call.Answer, verdict.Refusal]:
+    """Ask for a job to be cancelled; its planner carries this out."""
+    outcome = await ask.ask(
+        state.ports.jobs,
+        lambda reply: messages.CancelJob(
             received.path["id"], customer_filter(received.caller), reply
         ),
         state.limits.reply_seconds,
+        verdict.Verdict.MAY_HAVE_RUN,
+    )
+    return outcome.map(lambda cancelled: problem.answer(job_document(cancelled), 202))
+
+
+async def explain(
+    state: call.State, received: call.Call
+) -> result.Result[call.Answer, verdict.Refusal]:
+    """Say why a job waits, where it runs and what was promised."""
+    outcome = await ask.ask(
+        state.ports.jobs,
+        lambda reply: messages.ExplainJob(
+            received.path["id"], customer_filter(received.caller), reply
+        ),
+        state.limits.reply_seconds,
+        verdict.Verdict.NOT_RUN,
+    )
+    return outcome.map(
+        lambda sentences: problem.answer({"job": received.path["id"], "sentences": sentences})
+    )
+
+
+async def promises(
+    state: call.State, received: call.Call
+) -> result.Result[call.Answer, verdict.Refusal]:
+    """Report what was promised, by whom, since when, and how it is being kept."""
+    customer = authentication.selection(received.caller, received.query.get("customer", ""))
+    if isinstance(customer, result.Err):
+        return customer
+    outcome = await ask.ask(
+        state.ports.jobs,
+        lambda reply: messages.ListPromises(customer.ok_value, reply),
+        state.limits.reply_seconds,
         verdict.Verdict.NOT_RUN,
     )
-    return outcome.map(lambda found: problem.answer(job_document(found)))
+    return outcome.map(
+        lambda view: problem.answer(
+            {
+                "classes": view.report.classes,
+                "guarantees": view.report.guarantees,
+                "age_seconds": round(view.age_seconds, 3),
+            }
+        )
+    )
 
 
 def customer_filter(caller: call.Caller) -> str:
@@ -94,6 +200,15 @@
     )
 
 
+def _state(received: call.Call, name: str) -> result.Result[str, verdict.Refusal]:
+    text = received.query.get(name, "")
+    if text and text not in STATES:
+        return result.Err(verdict.invalid(name, text, f"one of {', '.join(STATES)}"))
+    return result.Ok(text)
+
+
+_KEY = (call.Parameter(requests.KEY_HEADER, "header", "Returns the first job when repeated."),)
+_CUSTOMER = call.Parameter("customer", "query", "Only this customer; for operators.")
 ENDPOINTS: typing.Final = (
     call.Endpoint(
         "POST",
@@ -101,9 +216,30 @@
         "Submit a job",
         submit,
         document=schema.JobSubmission,
+        parameters=_KEY,
+    ),
+    call.Endpoint(
+        "GET",
+        "/v1/jobs",
+        "List jobs, newest first",
+        list_all,
+        parameters=(
+            call.Parameter("state", "query", f"One of {', '.join(STATES)}."),
+            call.Parameter("limit", "query", f"Most jobs to list; {DEFAULT_JOBS} if absent."),
+            _CUSTOMER,
+        ),
+    ),
+    call.Endpoint(
+        "GET",
+        "/v1/jobs/{id}",
+        "Show a job",
+        find,
         parameters=(
-            call.Parameter(requests.KEY_HEADER, "header", "Returns the first job when repeated."),
+            call.Parameter("wait_seconds", "query", "Waits until the job is final."),
+            call.Parameter("known_state", "query", "Waits only until another state."),
         ),
     ),
-    call.Endpoint("GET", "/v1/jobs/{id}", "Show a job", find),
+    call.Endpoint("DELETE", "/v1/jobs/{id}", "Cancel a job", cancel),
+    call.Endpoint("GET", "/v1/jobs/{id}/explain", "Explain a job", explain),
+    call.Endpoint("GET", "/v1/promises", "Report on promises", promises, parameters=(_CUSTOMER,)),
 )
--- a/packages/daemon/src/peridothatch_daemon/intake/limits.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/limits.py
@@ -8,6 +8,7 @@
 import result
 
 from peridothatch_core.model import verdict
+from peridothatch_wire import mailbox
 
 if typing.TYPE_CHECKING:
     import starlette.requests
@@ -38,6 +39,35 @@
 def release(state: call.State) -> None:
     """Count a request as no longer in progress."""
     state.in_progress -= 1
+    finish_drain(state)
+
+
+def finish_drain(state: call.State) -> None:
+    """Answer the pending ``Drain`` messages once no request is in progress."""
+    if state.in_progress == 0:
+        for reply in state.drained:
+            mailbox.answer(reply, True)
+        state.drained.clear()
+
+
+def check_headers(
+    request: starlette.requests.Request, limits: call.Limits
+) -> result.Result[None, verdict.Refusal]:
+    """Refuse headers that are too long as a whole."""
+    size = sum(len(name) + len(value) for name, value in request.headers.raw)
+    size += len(request.url.path) + len(request.url.query)
+    if size <= limits.header_bytes:
+        return result.Ok(None)
+    return result.Err(
+        verdict.Refusal(
+            verdict.Verdict.NOT_RUN,
+            verdict.Code.TOO_LARGE,
+            f"the headers have {size} bytes; at most {limits.header_bytes} are accepted",
+            "headers",
+            f"{size} bytes",
+            f"at most {limits.header_bytes} bytes",
+        )
+    )
 
 
 async def receive(
--- a/packages/daemon/src/peridothatch_daemon/intake/pipeline.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/pipeline.py
@@ -16,12 +16,15 @@
 logger = logging.getLogger(__name__)
 
 VERDICT_HEADER = "Peridothatch-Verdict"
-METHODS_WITHOUT_BODY = frozenset({"GET", "DELETE"})
+METHODS_WITH_BODY = frozenset({"POST", "PUT"})
+PUBLIC_CALLER = call.Caller("", operator=False)
 
+Handle = typing.Callable[
+    [starlette.requests.Request], typing.Awaitable[starlette.responses.Response]
+]
 
-def serve(
-    state: call.State, endpoint: call.Endpoint
-) -> typing.Callable[[starlette.requests.Request], typing.Awaitable[starlette.responses.Response]]:
+
+def serve(state: call.State, endpoint: call.Endpoint) -> Handle:
     """Return the starlette handler that runs the stages for ``endpoint``."""
 
     async def handle(request: starlette.requests.Request) -> starlette.responses.Response:
@@ -29,19 +32,15 @@
         if isinstance(admitted, result.Err):
             return encode(problem.from_refusal(admitted.err_value))
         try:
-            answered = await _answer(state, endpoint, request)
+            return encode(await _answer(state, endpoint, request))
         except starlette.requests.ClientDisconnect:
-            answered = result.Err(
-                verdict.not_run(verdict.Code.INVALID, "the caller closed the connection")
-            )
+            gone = verdict.not_run(verdict.Code.INVALID, "the caller closed the connection")
+            return encode(problem.from_refusal(gone))
         except Exception:
             logger.exception("%s %s failed", endpoint.method, endpoint.path)
-            answered = result.Err(_internal())
+            return encode(problem.from_refusal(_internal()))
         finally:
             limits.release(state)
-        if isinstance(answered, result.Err):
-            return encode(problem.from_refusal(answered.err_value))
-        return encode(answered.ok_value)
 
     return handle
 
@@ -55,30 +54,62 @@
 
 async def _answer(
     state: call.State, endpoint: call.Endpoint, request: starlette.requests.Request
-) -> result.Result[call.Answer, verdict.Refusal]:
-    caller = authentication.identify(request.headers, state.snapshot).and_then(
-        lambda found: authentication.authorize(found, endpoint.role)
-    )
+) -> call.Answer:
+    received = await _receive(state, endpoint, request)
+    if isinstance(received, result.Err):
+        return problem.from_refusal(received.err_value, _status(received.err_value))
+    answered = await endpoint.serve(state, received.ok_value)
+    if isinstance(answered, result.Err):
+        return problem.from_refusal(answered.err_value)
+    return answered.ok_value
+
+
+async def _receive(
+    state: call.State, endpoint: call.Endpoint, request: starlette.requests.Request
+) -> result.Result[call.Call, verdict.Refusal]:
+    """Run the stages before the decision; all of them refuse with ``not_run``."""
+    short = limits.check_headers(request, state.limits)
+    if isinstance(short, result.Err):
+        return short
+    caller = _caller(state, endpoint, request)
     if isinstance(caller, result.Err):
         return caller
+    query = bodies.query(request.query_params.multi_items(), endpoint.parameters)
+    if isinstance(query, result.Err):
+        return query
     received = call.Call(
-        dict(request.path_params),
-        dict(request.query_params),
-        dict(request.headers),
-        caller.ok_value,
+        dict(request.path_params), query.ok_value, dict(request.headers), caller.ok_value
     )
-    if endpoint.method in METHODS_WITHOUT_BODY:
-        return await endpoint.serve(state, received)
+    if endpoint.method not in METHODS_WITH_BODY:
+        return result.Ok(received)
     body = await limits.receive(request, state.limits)
     if isinstance(body, result.Err):
         return body
     received = dataclasses.replace(received, body=body.ok_value)
-    if endpoint.document is not None:
-        document = bodies.validate(endpoint.document, body.ok_value)
-        if isinstance(document, result.Err):
-            return document
-        received = dataclasses.replace(received, document=document.ok_value)
-    return await endpoint.serve(state, received)
+    if endpoint.document is None:
+        return result.Ok(received)
+    return bodies.validate(endpoint.document, body.ok_value).map(
+        lambda document: dataclasses.replace(received, document=document)
+    )
+
+
+def _caller(
+    state: call.State, endpoint: call.Endpoint, request: starlette.requests.Request
+) -> result.Result[call.Caller, verdict.Refusal]:
+    if endpoint.role is call.Role.PUBLIC:
+        return result.Ok(PUBLIC_CALLER)
+    return authentication.identify(request.headers, state.snapshot).and_then(
+        lambda found: authentication.authorize(found, endpoint.role)
+    )
+
+
+def _status(refusal: verdict.Refusal) -> int:
+    """Return the status of refusals that HTTP tells apart more finely than codes do."""
+    if refusal.field == "headers":
+        return 431
+    if refusal.code is verdict.Code.DEADLINE:
+        return 408
+    return 0
 
 
 def _internal() -> verdict.Refusal:
--- a/packages/daemon/src/peridothatch_daemon/intake/routes.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/routes.py
@@ -11,9 +11,26 @@
 import starlette.routing
 
 from peridothatch_core.model import verdict
-from peridothatch_daemon.intake import call, jobs, pipeline, problem, requests, status
-
-ENDPOINTS: typing.Final = (*requests.ENDPOINTS, *jobs.ENDPOINTS, *status.ENDPOINTS)
+from peridothatch_daemon.intake import (
+    call,
+    changes,
+    jobs,
+    objects,
+    openapi,
+    pipeline,
+    problem,
+    requests,
+    status,
+)
+
+_DESCRIBED: typing.Final = (
+    *requests.ENDPOINTS,
+    *jobs.ENDPOINTS,
+    *objects.ENDPOINTS,
+    *changes.ENDPOINTS,
+    *status.ENDPOINTS,
+)
+ENDPOINTS: typing.Final = (*_DESCRIBED, openapi.endpoint(_DESCRIBED))
 
 
 def application(state: call.State) -> starlette.applications.Starlette:
--- a/packages/daemon/src/peridothatch_daemon/intake/schema.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/schema.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import typing
 
 import pydantic
@@ -9,11 +10,14 @@
 from peridothatch_core.model import shape
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+NAME_EXPECTED = "at most 63 lower-case letters, digits and hyphens"
 Name = typing.Annotated[str, pydantic.StringConstraints(pattern=NAME_PATTERN)]
 Argument = typing.Annotated[str, pydantic.StringConstraints(max_length=4096)]
 MAX_ACCELERATORS_PER_TASK = 64
 MAX_CORES_PER_TASK = 4096
 MAX_MEMORY_MB_PER_TASK = 64 * 1024 * 1024
+MAX_QUOTA_ACCELERATORS = 1_000_000
 MAX_EXPECTED_SECONDS = 366 * 86400.0
 
 
@@ -57,3 +61,46 @@
         shape.TaskShape(document.task.accelerators, document.task.cores, document.task.memory_mb),
         shape.Adjacency(document.adjacency),
     )
+
+
+class ClassDocument(Strict):
+    """A class of work and its target."""
+
+    target: str = pydantic.Field(
+        max_length=100, description="Such as 'within 8h' or 'by 06:00 Africa/Accra'."
+    )
+    urgent: bool = False
+
+
+class CustomerDocument(Strict):
+    """A customer; without ``token_sha256`` an existing customer keeps its token."""
+
+    quota_accelerators: int = pydantic.Field(ge=0, le=MAX_QUOTA_ACCELERATORS)
+    token_sha256: str = pydantic.Field(
+        default="",
+        pattern=r"^([0-9a-f]{64})?$",
+        description="SHA-256 of the bearer token, in lower-case hexadecimal.",
+    )
+
+
+class GuaranteeDocument(Strict):
+    """A shape that a customer can always have, ``count`` times over."""
+
+    customer: Name
+    shape: GangShape
+    count: int = pydantic.Field(default=1, ge=1, le=MAX_QUOTA_ACCELERATORS)
+    data_centre: str = pydantic.Field(
+        default="", max_length=63, description="Empty lets the system choose."
+    )
+
+
+class Problem(pydantic.BaseModel):
+    """Why something was refused, and whether it may have run."""
+
+    title: str
+    status: int
+    detail: str
+    verdict: typing.Literal["ran", "not_run", "may_have_run"]
+    field: str = ""
+    value: str = ""
+    expected: str = ""
--- a/packages/daemon/src/peridothatch_daemon/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/messages.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from peridothatch_core.message import link, store
     from peridothatch_core.model import config, job, request
+    from peridothatch_core.report import promises
     from peridothatch_wire import mailbox
 
 
@@ -126,22 +127,84 @@
     reply: mailbox.Reply
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobView:
+    """A job as it was read ``age_seconds`` ago."""
+
+    job: job.Job
+    age_seconds: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobList:
+    """Jobs as they were read ``age_seconds`` ago, newest first.
+
+    ``truncated`` means that there are more, older jobs.
+    """
+
+    jobs: tuple[job.Job, ...]
+    age_seconds: float = 0.0
+    truncated: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FindJob:
-    """Look up a job; replies as ``SubmitJob`` does. An empty customer is an operator."""
+    """Look up a job; ``result.Result[JobView, verdict.Refusal]`` is the reply.
+
+    Attributes
+    ----------
+    customer : str
+        Only its jobs are found; empty for operators.
+    wait_seconds : float
+        How long the reply may wait until the job is final, or has left ``known_state``.
+    """
 
     job_id: str
     customer: str
     reply: mailbox.Reply
+    wait_seconds: float = 0.0
+    known_state: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListJobs:
-    """List jobs of a customer, or of all for an operator; a list of ``job.Job`` is the reply."""
+    """List jobs; ``result.Result[JobList, verdict.Refusal]`` is the reply.
+
+    ``customer`` is empty for the jobs of all, and ``state`` for all states; ``open`` stands for
+    every state that is not final.
+    """
 
     customer: str
     state: str
     reply: mailbox.Reply
+    limit: int = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListPromises:
+    """Report on promises; ``result.Result[PromiseView, verdict.Refusal]`` is the reply.
+
+    ``customer`` is empty for a report on all.
+    """
+
+    customer: str
+    reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromiseView:
+    """A report on promises from jobs as they were read ``age_seconds`` ago."""
+
+    report: promises.Report
+    age_seconds: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GuaranteesShort:
+    """The guarantees that are short in a data centre, from its planner to the jobs task."""
+
+    data_centre: str
+    names: frozenset[str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/daemon/tests/intake/conftest.py
@@ -0,0 +1,122 @@
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import json
+import typing
+
+import pytest
+import result
+
+from peridothatch_core.model import config, customer, datacentre, shape, verdict, workclass
+from peridothatch_daemon.decide import loop
+from peridothatch_daemon.intake import call, routes
+from peridothatch_wire import mailbox, task
+
+
+def digest(token):
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+GANG = shape.GangShape(2, shape.TaskShape(8))
+SNAPSHOT = config.Snapshot(
+    7,
+    {name: customer.Customer(name, 16, digest(f"token-{name}")) for name in ("adinkra", "kolar")},
+    {"gold": customer.Guarantee("gold", "kolar", GANG, 1, "accra-a", "kofi", 1.0)},
+    {"notices": workclass.WorkClass("notices", workclass.Within(60.0), True, "kofi", 1.0)},
+    {"accra-a": datacentre.DataCentre("accra-a", "gh-south")},
+    {digest("token-operator"): "kofi"},
+)
+
+
+def refuse(message):
+    reply = getattr(message, "reply", None)
+    if reply is not None:
+        refusal = verdict.not_run(verdict.Code.UNAVAILABLE, "nothing is connected")
+        mailbox.answer(reply, result.Err(refusal))
+
+
+@dataclasses.dataclass
+class Front:
+    """The intake without a socket, in front of tasks that a test plays."""
+
+    snapshot: config.Snapshot = SNAPSHOT
+    limits: call.Limits = dataclasses.field(default_factory=call.Limits)
+    seen: list[typing.Any] = dataclasses.field(default_factory=list)
+
+    def __post_init__(self):
+        boxes = [mailbox.create(name) for name in ("requests", "jobs", "config")]
+        self.ports = call.Ports(*boxes, {"jobs": boxes[1]})
+        self.state = call.State("e1.1", self.limits, self.ports, self.snapshot)
+
+    @contextlib.asynccontextmanager
+    async def answering(self, decide=refuse):
+        def handle(message):
+            self.seen.append(message)
+            decide(message)
+
+        boxes = (self.ports.requests, self.ports.jobs, self.ports.config)
+        running = [task.start(box.name, loop.run(box, handle)) for box in boxes]
+        try:
+            yield self
+        finally:
+            for item in running:
+                await task.close(item)
+
+    async def send(self, method, path, token="", body=b"", headers=()):
+        """Return status, headers and body of the answer."""
+        path, _, query = path.partition("?")
+        lines = [(b"authorization", f"Bearer {token}".encode())] if token else []
+        lines += [(name.lower().encode(), value.encode()) for name, value in headers]
+        scope = {
+            "type": "http",
+            "http_version": "1.1",
+            "method": method,
+            "path": path,
+            "raw_path": path.encode(),
+            "query_string": query.encode(),
+            "root_path": "",
+            "scheme": "http",
+            "headers": lines,
+            "server": ("127.0.0.1", 80),
+            "client": ("127.0.0.1", 1),
+        }
+        sent = []
+
+        async def receive():
+            return {"type": "http.request", "body": body, "more_body": False}
+
+        async def send(message):
+            sent.append(message)
+
+        await routes.application(self.state)(scope, receive, send)
+        received = {name.decode(): value.decode() for name, value in sent[0]["headers"]}
+        whole = b"".join(part.get("body", b"") for part in sent[1:])
+        return sent[0]["status"], received, whole
+
+    def exchange(self, method, path, token="", body=b"", headers=(), decide=refuse):
+        """Send one request in an event loop of its own."""
+
+        async def run():
+            async with self.answering(decide):
+                return await self.send(method, path, token, body, headers)
+
+        return asyncio.run(run())
+
+    def refusal(self, *arguments, **options):
+        """Return status and problem document of a request that is refused."""
+        status, headers, body = self.exchange(*arguments, **options)
+        document = json.loads(body)
+        assert headers["content-type"] == "application/problem+json"
+        assert headers["peridothatch-verdict"] == document["verdict"]
+        return status, document
+
+
+@pytest.fixture(scope="session")
+def create_front():
+    return Front
+
+
+@pytest.fixture
+def front():
+    return Front()
