--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/decide/bootstrap.py
@@ -0,0 +1,90 @@
+"""The task that puts the data centres and the first operator of the settings into the store."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import typing
+
+import result
+
+from peridothatch_core.model import config, datacentre
+from peridothatch_daemon import messages, settings
+from peridothatch_wire import mailbox, task
+
+logger = logging.getLogger(__name__)
+
+REPLY_TIMEOUT_SECONDS = 15.0
+CHANGED_BY = "settings"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """An object that must exist."""
+
+    kind: str
+    name: str
+    value: typing.Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bootstrap:
+    """The running task; ``inbox`` takes ``ConfigChanged``."""
+
+    inbox: mailbox.Mailbox
+    running: task.Task
+
+
+def start(
+    own_settings: settings.Entry, inbox: mailbox.Mailbox, config_inbox: mailbox.Mailbox
+) -> Bootstrap:
+    """Start the task; it makes the missing changes each time the configuration changes."""
+    body = _run(own_settings, inbox, config_inbox)
+    return Bootstrap(inbox, task.start("bootstrap", body))
+
+
+async def close(bootstrap: Bootstrap) -> None:
+    """Stop the task."""
+    await task.close(bootstrap.running)
+
+
+def missing(own_settings: settings.Entry, snapshot: config.Snapshot) -> list[Wanted]:
+    """Return the objects of the settings that the configuration lacks.
+
+    The operator is created only while there is none, so that a token that was replaced does not
+    come back with the next restart.
+    """
+    wanted = [
+        Wanted("data_centre", item.name, datacentre.DataCentre(item.name, item.region))
+        for item in own_settings.data_centres
+        if item.name not in snapshot.data_centres
+    ]
+    first = own_settings.bootstrap
+    if first is not None and not snapshot.operator_tokens:
+        wanted.append(Wanted("operator", first.operator_name, first.operator_token_sha256))
+    return wanted
+
+
+async def _run(
+    own_settings: settings.Entry, inbox: mailbox.Mailbox, config_inbox: mailbox.Mailbox
+) -> None:
+    while True:
+        message = await mailbox.take(inbox)
+        if not isinstance(message, messages.ConfigChanged):
+            continue
+        for item in missing(own_settings, message.snapshot):
+            await _change(item, config_inbox)
+
+
+async def _change(item: Wanted, config_inbox: mailbox.Mailbox) -> None:
+    reply = mailbox.Reply()
+    change = messages.ChangeConfig(item.kind, item.name, item.value, CHANGED_BY, reply)
+    await mailbox.put(config_inbox, change)
+    try:
+        outcome = await mailbox.wait(reply, REPLY_TIMEOUT_SECONDS)
+    except TimeoutError:
+        logger.warning("no outcome of creating %s %s", item.kind, item.name)
+        return
+    # Another entry that started at the same time may have won; that is as good.
+    if isinstance(outcome, result.Err):
+        logger.info("%s %s was not created: %s", item.kind, item.name, outcome.err_value.detail)
--- a/packages/daemon/src/peridothatch_daemon/intake/links.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/links.py
@@ -32,12 +32,16 @@
     )  # fmt: skip
 
     def __init__(
-        self, own: link.Hello, table: peer_routes.Routes, ssl_client: ssl.SSLContext | None
+        self,
+        own: link.Hello,
+        table: peer_routes.Routes,
+        inbox: mailbox.Mailbox,
+        ssl_client: ssl.SSLContext | None,
     ) -> None:
         self._own = own
         self._routes = table
         self._ssl_client = ssl_client
-        self._inbox = mailbox.create("links", INBOX_MESSAGES)
+        self._inbox = inbox
         self._connections: dict[str, connection.Connection] = {}
         self._entries: tuple[link.EntryAddress, ...] = ()
         self._dials: dict[str, task.Task] = {}
@@ -62,11 +66,16 @@
     host: str,
     port: int,
     table: peer_routes.Routes,
+    inbox: mailbox.Mailbox,
     ssl_server: ssl.SSLContext | None = None,
     ssl_client: ssl.SSLContext | None = None,
 ) -> Links:
-    """Listen for peers and serve them."""
-    links = Links(own, table, ssl_client)
+    """Listen for peers and serve them.
+
+    ``inbox`` is the mailbox of the new task, made beforehand because the tasks that ``table``
+    names need it too.
+    """
+    links = Links(own, table, inbox, ssl_client)
     links._server = await connection.listen(host, port, lambda: own, links._inbox, ssl_server)
     links._main = task.start("links", loop.run(links._inbox, lambda item: _handle(links, item)))
     timer = task.every(HEARTBEAT_SECONDS, links._inbox, messages.Tick())
@@ -95,6 +104,8 @@
             _received(links, message.connection, message.message)
         case messages.ToPeer():
             _send(links, message.peer_id, message.message)
+        case messages.ToEntries():
+            _send_to_entries(links, message.message)
         case connection.Opened():
             _opened(links, message.connection)
         case connection.Closed():
@@ -125,6 +136,12 @@
         connection.send(target, message)
 
 
+def _send_to_entries(links: Links, message: link.Message) -> None:
+    for item in links._connections.values():
+        if item.peer.role == "entry":
+            connection.send(item, message)
+
+
 def _opened(links: Links, opened: connection.Connection) -> None:
     peer = opened.peer
     previous = links._connections.get(peer.id)
--- a/packages/daemon/src/peridothatch_daemon/intake/peer_routes.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/peer_routes.py
@@ -35,7 +35,7 @@
         case link.ConfigRevision() | link.RevisionsWanted():
             return [routes.config]
         case link.CapacityDigest():
-            return [routes.jobs]
+            return [routes.jobs, *routes.planners.values()]
         case link.JobChanged():
             return _planner(routes, message.data_centre)
         case _:
--- a/packages/daemon/src/peridothatch_daemon/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/messages.py
@@ -77,6 +77,13 @@
     message: link.Message
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToEntries:
+    """Send a message to each connected entry."""
+
+    message: link.Message
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Commit:
     """Apply a transaction; ``store.Committed`` goes to ``reply_to``."""
