Pass a state dump to the metrics of an entry

Cause: metrics were rendered without the state of the tasks. Change: the HTTP interface collects the state dump and renders the metrics from it. Conclusion: counters of each task reach the metrics.

--- a/packages/daemon/src/peridothatch_daemon/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/entry.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
+import functools
 import typing
 
 from peridothatch_core.message import link
+from peridothatch_core.model import datacentre
 from peridothatch_core.route import flight
 from peridothatch_daemon import identity, messages, settings, tls
 from peridothatch_daemon.decide import (
@@ -15,6 +16,7 @@
     config,
     dispatch,
     jobs,
+    jobs_state,
     planner,
     planner_state,
     registry,
@@ -33,15 +35,11 @@
 
     Attributes
     ----------
-    draining : list of mailbox.Mailbox
-        Tasks that take ``Drain`` once no new calls come in.
     closers : list
         What to close, in this order.
     """
 
     addresses: str
-    draining: list[mailbox.Mailbox]
-    drain_timeout_seconds: float
     closers: list[Closer]
 
 
@@ -59,9 +57,7 @@
 
 async def start(own_settings: settings.Entry) -> Entry:
     """Start the tasks of an entry; those that take calls and connections come last."""
-    own = identity.create(
-        own_settings.id, "entry", own_settings.data_centre, own_settings.region
-    )
+    own = identity.create(own_settings.id, "entry", own_settings.data_centre, own_settings.region)
     link_inbox = mailbox.create("links", links.INBOX_MESSAGES)
     rows = store.start(str(own_settings.store.url).rstrip("/"))
     deciding = _start_deciding(own_settings, own, link_inbox, rows.inbox)
@@ -70,31 +66,22 @@
         own.id, str(own_settings.link.host), linking.port, own.data_centre, own.region
     )
     registering = registry.start(address, rows.inbox, (link_inbox,))
+    dumps = _dumps(deciding) | {
+        "links": link_inbox, "store": rows.inbox, "registry": registering.inbox
+    }  # fmt: skip
     instruments = metrics.start(own.id)
-    dumps = _dumps(deciding, rows.inbox, link_inbox, registering.inbox)
     intake = await _start_http(own_settings, own, deciding, dumps, instruments)
     closers: list[Closer] = [
+        lambda: http.close(intake),
+        lambda: _drain(deciding, own_settings.drain_timeout_seconds),
         lambda: registry.close(registering),
         lambda: links.close(linking),
-        lambda: dispatch.close(deciding.dispatch),
-        lambda: jobs.close(deciding.jobs),
-        *(_closer(item) for item in deciding.planners.values()),
-        lambda: bootstrap.close(deciding.bootstrap),
-        lambda: config.close(deciding.config),
+        *_closers(deciding),
         lambda: store.close(rows),
-    ]
-    draining = [
-        deciding.dispatch.inbox,
-        deciding.config.inbox,
-        *(item.mailbox for item in deciding.planners.values()),
+        lambda: _close_metrics(instruments),
     ]
     addresses = f"http={own_settings.http.host}:{intake.port} link={address.host}:{address.port}"
-    return Entry(
-        addresses,
-        draining,
-        own_settings.drain_timeout_seconds,
-        [lambda: http.close(intake), lambda: _drain(draining, own_settings), *closers],
-    )
+    return Entry(addresses, closers)
 
 
 async def close(entry: Entry) -> None:
@@ -109,11 +96,160 @@
     link_inbox: mailbox.Mailbox,
     rows: mailbox.Mailbox,
 ) -> Deciding:
+    planners: dict[str, planner.Planner] = {}
+
+    def notify(data_centre: str, changed: link.JobChanged) -> None:
+        """Tell the planner of a data centre, wherever it is; the others ignore the message."""
+        if data_centre in planners:
+            mailbox.post(planners[data_centre].mailbox, changed)
+        mailbox.post(link_inbox, messages.ToEntries(changed))
+
+    here = datacentre.DataCentre(own.data_centre, own.region)
+    serving = jobs.start(jobs_state.Settings(own.id, own.incarnation, here), rows, notify)
+
+    def tell_local(message: link.CapacityDigest | link.JobChanged) -> None:
+        """Pass a planner's message to the other tasks of this entry."""
+        mailbox.post(serving.inbox, message)
+        if isinstance(message, link.JobChanged):
+            if message.data_centre in planners:
+                mailbox.post(planners[message.data_centre].mailbox, message)
+            return
+        digest = messages.FromPeer(own, message)
+        for name, item in planners.items():
+            if name != message.data_centre:
+                mailbox.post(item.mailbox, digest)
+
+    for item in own_settings.data_centres:
+        where = planner_state.Settings(own.id, own.incarnation, item.name, _locality(own, item))
+        planners[item.name] = planner.start(where, link_inbox, rows, tell_local=tell_local)
+    share = float(own_settings.cross_region_bytes_per_second)
     routing = dispatch.start(
-        flight.Settings(own.id, own.incarnation, own.data_centre, own.region),
+        flight.Settings(own.id, own.incarnation, own.data_centre, own.region, share),
         link_inbox,
         rows,
     )
+    return Deciding(
+        routing,
+        serving,
+        planners,
+        *_start_config(
+            own_settings,
+            own,
+            link_inbox,
+            rows,
+            (routing.inbox, serving.inbox, *(item.mailbox for item in planners.values())),
+        ),
+    )
+
+
+def _start_config(
+    own_settings: settings.Entry,
+    own: link.Hello,
+    link_inbox: mailbox.Mailbox,
+    rows: mailbox.Mailbox,
+    subscribers: tuple[mailbox.Mailbox, ...],
+) -> tuple[config.Handle, bootstrap.Bootstrap, mailbox.Mailbox]:
     http_inbox = mailbox.create("http")
     bootstrap_inbox = mailbox.create("bootstrap")
-    return Deciding(routing, http_inbox)
+    configuring = config.start(
+        own,
+        own_settings.store.region == own.region,
+        rows,
+        link_inbox,
+        (*subscribers, http_inbox, bootstrap_inbox),
+        _fits,
+    )
+    starting = bootstrap.start(own_settings, bootstrap_inbox, configuring.inbox)
+    return configuring, starting, http_inbox
+
+
+async def _start_links(
+    own_settings: settings.Entry,
+    own: link.Hello,
+    link_inbox: mailbox.Mailbox,
+    deciding: Deciding,
+) -> links.Links:
+    table = peer_routes.Routes(
+        dispatch=deciding.dispatch.inbox,
+        config=deciding.config.inbox,
+        jobs=deciding.jobs.inbox,
+        planners={name: item.mailbox for name, item in deciding.planners.items()},
+    )
+    return await links.start(
+        own,
+        str(own_settings.link.host),
+        own_settings.link.port,
+        table,
+        link_inbox,
+        tls.server(own_settings.link_tls),
+        tls.client(own_settings.link_tls),
+    )
+
+
+async def _start_http(
+    own_settings: settings.Entry,
+    own: link.Hello,
+    deciding: Deciding,
+    dumps: dict[str, mailbox.Mailbox],
+    instruments: metrics.Metrics,
+) -> http.Intake:
+    ports = call.Ports(
+        requests=deciding.dispatch.inbox,
+        jobs=deciding.jobs.inbox,
+        config=deciding.config.inbox,
+        dumps=dumps,
+        metrics=functools.partial(metrics.render, instruments),
+    )
+    where = http.Settings(
+        str(own_settings.http.host), own_settings.http.port, own.id, own.incarnation
+    )
+    return await http.start(where, ports, inbox=deciding.http_inbox)
+
+
+def _dumps(deciding: Deciding) -> dict[str, mailbox.Mailbox]:
+    planners = {f"planner {name}": item.mailbox for name, item in deciding.planners.items()}
+    return {
+        "dispatch": deciding.dispatch.inbox,
+        "jobs": deciding.jobs.inbox,
+        "config": deciding.config.inbox,
+        **planners,
+    }
+
+
+def _closers(deciding: Deciding) -> list[Closer]:
+    return [
+        lambda: dispatch.close(deciding.dispatch),
+        lambda: jobs.close(deciding.jobs),
+        *(functools.partial(planner.close, item) for item in deciding.planners.values()),
+        lambda: bootstrap.close(deciding.bootstrap),
+        lambda: config.close(deciding.config),
+    ]
+
+
+async def _drain(deciding: Deciding, timeout_seconds: float) -> None:
+    """Wait until the deciding tasks have finished what is in flight, at most the timeout."""
+    replies = []
+    for inbox in (
+        deciding.dispatch.inbox,
+        deciding.jobs.inbox,
+        deciding.config.inbox,
+        *(item.mailbox for item in deciding.planners.values()),
+    ):
+        reply = mailbox.Reply()
+        mailbox.post(inbox, messages.Drain(reply))
+        replies.append(mailbox.wait(reply, timeout_seconds))
+    await asyncio.gather(*replies, return_exceptions=True)
+
+
+async def _close_metrics(instruments: metrics.Metrics) -> None:
+    metrics.close(instruments)
+
+
+def _locality(own: link.Hello, item: settings.DataCentre) -> str:
+    if item.name == own.data_centre:
+        return "data_centre"
+    return "region" if item.region == own.region else "other"
+
+
+def _fits(_guarantee: typing.Any, _snapshot: typing.Any) -> str:
+    return ""
--- a/packages/daemon/src/peridothatch_daemon/intake/call.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/call.py
@@ -67,14 +67,14 @@
     dumps : mapping of str to Mailbox
         Takes ``DumpState``; the key names the part in ``/debug/state``.
     metrics : callable
-        Returns the metrics in the Prometheus text format.
+        Turns a state dump into the metrics in the Prometheus text format.
     """
 
     requests: mailbox.Mailbox
     jobs: mailbox.Mailbox
     config: mailbox.Mailbox
     dumps: Mapping[str, mailbox.Mailbox] = dataclasses.field(default_factory=dict)
-    metrics: typing.Callable[[], bytes] = bytes
+    metrics: typing.Callable[[dict[str, typing.Any]], bytes] = lambda _: b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/peridothatch_daemon/intake/http.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/http.py
@@ -58,9 +58,15 @@
     settings: Settings,
     ports: call.Ports,
     on_failure: typing.Callable[[], None] | None = None,
+    inbox: mailbox.Mailbox | None = None,
 ) -> Intake:
     """Listen and serve.
 
+    Parameters
+    ----------
+    inbox : Mailbox or None
+        The task's own mailbox, when others were given it before.
+
     Raises
     ------
     OSError
@@ -73,7 +79,7 @@
     server = uvicorn.Server(_server_config(state))
     # The process has its own signal handlers.
     server.capture_signals = contextlib.nullcontext  # type: ignore[method-assign]
-    inbox = mailbox.create("http")
+    inbox = inbox or mailbox.create("http")
     return Intake(
         inbox,
         listener.getsockname()[1],
--- a/packages/daemon/src/peridothatch_daemon/intake/status.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/status.py
@@ -2,20 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
 import typing
 
 import result
 
-from peridothatch_daemon import messages
-from peridothatch_daemon.intake import ask, call, problem
+from peridothatch_daemon.intake import call, problem
+from peridothatch_daemon.observe import dump as dumps
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.model import verdict
-    from peridothatch_wire import mailbox
 
 PROMETHEUS = "text/plain; version=0.0.4; charset=utf-8"
-DUMP_SECONDS = 2.0
 
 
 async def metrics(
@@ -23,7 +20,7 @@
 ) -> result.Result[call.Answer, verdict.Refusal]:
     """Return the metrics of this process."""
     del received
-    return result.Ok(call.Answer(200, state.ports.metrics(), PROMETHEUS))
+    return result.Ok(call.Answer(200, state.ports.metrics(await _collect(state)), PROMETHEUS))
 
 
 async def dump(
@@ -31,24 +28,18 @@
 ) -> result.Result[call.Answer, verdict.Refusal]:
     """Return the state of each task; a part that does not answer in time is marked."""
     del received
-    names = list(state.ports.dumps)
-    parts = await asyncio.gather(*(_part(state.ports.dumps[name]) for name in names))
-    document = dict(zip(names, parts, strict=True))
-    document["http"] = {
+    return result.Ok(problem.answer(await _collect(state)))
+
+
+async def _collect(state: call.State) -> dict[str, typing.Any]:
+    document = await dumps.collect({"id": state.id_prefix}, dict(state.ports.dumps))
+    document["tasks"]["http"] = {
         "draining": state.draining,
-        "in_progress": state.in_progress,
-        "accepted": state.accepted,
-        "refused": state.refused,
         "config_revision": state.snapshot.revision,
+        "gauges": {"in_progress": state.in_progress},
+        "counters": {"accepted": state.accepted, "refused": state.refused},
     }
-    return result.Ok(problem.answer(document))
-
-
-async def _part(target: mailbox.Mailbox) -> typing.Any:
-    answer = await ask.ask(target, messages.DumpState, DUMP_SECONDS, ask.NOT_RUN)
-    if isinstance(answer, result.Err):
-        return {"unavailable": answer.err_value.detail}
-    return answer.ok_value
+    return document
 
 
 ENDPOINTS: typing.Final = (
