Add the jobs task, with explanations and promises from the store

Cause: callers of jobs need submissions that are neither lost nor doubled, and true answers while the store is down. Change: decide/jobs.py writes job, index and idempotency rows in one transaction, cancels by conditional writes, batches lookups into one read in flight, keeps callers of long polls and serves reads from a bounded cache with their age. Its data centre comes from choose_data_centre. The due time of order/slack.py is used; the second one in targets.py is gone. Explanations no longer begin a sentence with a number.

--- a/packages/core/src/peridothatch_core/configure/targets.py
+++ b/packages/core/src/peridothatch_core/configure/targets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import datetime
 import re
 import zoneinfo
 
@@ -66,21 +65,6 @@
     return "".join(parts) or "0s"
 
 
-def due_at(target: workclass.Within | workclass.ByTime, submitted_at: float) -> float:
-    """Return when the target falls due, in seconds since 1970-01-01 UTC.
-
-    A time of day means its next occurrence after the submission.
-    """
-    if isinstance(target, workclass.Within):
-        return submitted_at + target.seconds
-    zone = _zone(target.zone) or datetime.UTC
-    submitted = datetime.datetime.fromtimestamp(submitted_at, zone)
-    due = submitted.replace(hour=target.hour, minute=target.minute, second=0, microsecond=0)
-    if due.timestamp() <= submitted_at:
-        due = due.replace(fold=0) + datetime.timedelta(days=1)
-    return due.timestamp()
-
-
 def _zone(name: str) -> zoneinfo.ZoneInfo | None:
     try:
         return zoneinfo.ZoneInfo(name)
--- a/packages/core/src/peridothatch_core/report/explain.py
+++ b/packages/core/src/peridothatch_core/report/explain.py
@@ -185,14 +185,14 @@
     if not choose_data_centre.has_room(item.shape, digest):
         fit = choose_data_centre.tasks_that_fit(item.shape.task.accelerators, digest)
         return (
-            f"{free} accelerators are free in {digest.data_centre}, but in blocks that are too "
+            f"In {digest.data_centre}, {free} accelerators are free, but in blocks that are too "
             f"small: {fit} of its {item.shape.tasks} tasks would find adjacent accelerators."
         )
     adjacency = ""
     if item.shape.adjacency is not shape.Adjacency.DATA_CENTRE and item.shape.tasks > 1:
         adjacency = f" The whole gang must be {shape_text(item.shape).rpartition(', ')[2]}."
     return (
-        f"{free} accelerators are free in {digest.data_centre}, where {digest.waiting_jobs} jobs "
+        f"In {digest.data_centre}, {free} accelerators are free and {digest.waiting_jobs} jobs "
         f"wait; jobs with less time left before their targets go first.{adjacency}"
     )
 
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/decide/jobs.py
@@ -0,0 +1,185 @@
+"""Task that serves callers of jobs: submissions, lookups, cancellations and reports."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import time
+import typing
+from collections.abc import Mapping
+
+from peridothatch_core.admit import jobs as admission
+from peridothatch_core.message import link, store
+from peridothatch_daemon import messages
+from peridothatch_daemon.decide import jobs_read, jobs_state, jobs_write, loop
+from peridothatch_wire import mailbox, task
+
+if typing.TYPE_CHECKING:
+    import result
+
+    from peridothatch_core.model import config, job, verdict
+
+logger = logging.getLogger(__name__)
+
+# A caller who waits for a job of another entry's data centre learns of a change this late.
+REFRESH_SECONDS = 1.0
+
+Hardware = typing.Callable[[], Mapping[str, admission.Hardware]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Jobs:
+    """The running task.
+
+    Attributes
+    ----------
+    inbox : Mailbox
+        Takes the messages of the HTTP interface, ``ConfigChanged``, ``CapacityDigest`` and
+        ``JobChanged`` from planners (also within ``FromPeer``), ``GuaranteesShort``,
+        ``DumpState`` and ``Drain``.
+    """
+
+    inbox: mailbox.Mailbox
+    tasks: tuple[task.Task, ...]
+
+
+def start(
+    settings: jobs_state.Settings,
+    rows: mailbox.Mailbox,
+    notify: jobs_state.Notify,
+    admit: jobs_state.Admit | None = None,
+    clock: jobs_state.Clock = time.monotonic,
+    wall: jobs_state.Clock = time.time,
+) -> Jobs:
+    """Start the task.
+
+    Parameters
+    ----------
+    rows : Mailbox
+        Takes ``Commit`` and ``Read``.
+    notify : callable
+        Passes ``JobChanged`` to the planner of the named data centre.
+    admit : callable or None
+        Accepts or refuses a job for a data centre; ``admit_with`` without hardware by default.
+    """
+    inbox = mailbox.create("jobs", 16_384)
+    state = jobs_state.State(settings, inbox, rows, admit or admit_with(dict), notify, clock, wall)
+
+    def handle(message: typing.Any) -> None:
+        receive(state, message)
+
+    ticks = task.every(REFRESH_SECONDS, inbox, messages.Tick())
+    return Jobs(
+        inbox,
+        (
+            task.start("jobs", loop.run(inbox, handle)),
+            task.start("jobs ticks", ticks),
+        ),
+    )
+
+
+async def close(jobs: Jobs) -> None:
+    """End the task; send ``Drain`` before, so that no caller is cut off."""
+    for item in jobs.tasks:
+        await task.close(item)
+
+
+def admit_with(hardware: Hardware) -> jobs_state.Admit:
+    """Return the admission that refuses shapes which no known hardware can ever hold.
+
+    Parameters
+    ----------
+    hardware : callable
+        Returns the racks of each data centre that is known at the moment.
+    """
+
+    def admit(
+        submitted: job.Job, snapshot: config.Snapshot, data_centre: str, now: float
+    ) -> result.Result[job.Job, verdict.Refusal]:
+        submission = admission.Submission(
+            submitted.customer,
+            submitted.work_class,
+            submitted.shape,
+            submitted.command,
+            submitted.checkpointable,
+            submitted.expected_seconds,
+        )
+        return admission.admit(submission, snapshot, hardware(), submitted.id, data_centre, now)
+
+    return admit
+
+
+def receive(state: jobs_state.State, message: typing.Any) -> None:
+    """Handle one message."""
+    match message:
+        case messages.SubmitJob():
+            jobs_write.submit(state, message)
+        case messages.CancelJob():
+            jobs_write.cancel(state, message)
+        case messages.FindJob():
+            jobs_read.find(state, message)
+        case messages.ListJobs():
+            jobs_read.list_all(state, message)
+        case messages.ExplainJob():
+            jobs_read.explain(state, message)
+        case messages.ListPromises():
+            jobs_read.promises(state, message)
+        case store.Committed():
+            jobs_state.committed(state, message)
+        case store.Rows():
+            jobs_state.rows_read(state, message)
+        case messages.Tick():
+            jobs_read.refresh_all(state)
+        case messages.DumpState():
+            mailbox.answer(message.reply, dump(state))
+        case messages.Drain():
+            state.draining = True
+            state.drains.append(message.reply)
+            jobs_read.refresh_all(state)
+        case _:
+            _record(state, message)
+    _finish_drain(state)
+
+
+def dump(state: jobs_state.State) -> dict[str, typing.Any]:
+    """Return the state as plain JSON types."""
+    return {
+        "config_revision": state.snapshot.revision,
+        "cached_jobs": len(state.cache),
+        "transactions_in_flight": len(state.committing),
+        "reads_in_flight": len(state.reading),
+        "lookups_waiting": len(state.wanted),
+        "callers_waiting": sum(len(several) for several in state.waiters.values()),
+        "draining": state.draining,
+        "pledged_accelerators": dict(state.pledged),
+        "capacity": {name: dataclasses.asdict(one) for name, one in state.digests.items()},
+        "guarantees_short": {name: sorted(names) for name, names in state.short.items()},
+        "mailbox": {"waiting": state.inbox.depth, "dropped": state.inbox.dropped},
+    }
+
+
+def _record(state: jobs_state.State, message: typing.Any) -> None:
+    """Take in a report of another task or process."""
+    match message:
+        case messages.ConfigChanged():
+            state.snapshot = message.snapshot
+        case messages.FromPeer():
+            _record(state, message.message)
+        case link.CapacityDigest():
+            known = state.digests.get(message.data_centre)
+            if known is None or message.epoch >= known.epoch:
+                state.digests[message.data_centre] = message
+                state.pledged.pop(message.data_centre, None)
+        case link.JobChanged():
+            jobs_read.refresh(state, message.job_id)
+        case messages.GuaranteesShort():
+            state.short[message.data_centre] = message.names
+        case _:
+            logger.error("jobs got an unexpected %s", type(message).__name__)
+
+
+def _finish_drain(state: jobs_state.State) -> None:
+    if state.drains and not (state.committing or state.reading or state.waiters):
+        for reply in state.drains:
+            mailbox.answer(reply, True)
+        state.drains.clear()
--- /dev/null
+++ b/packages/daemon/tests/decide/test_jobs.py
@@ -0,0 +1,379 @@
+"""Guards against jobs that are lost, doubled or shown to others, and against untrue answers."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import pytest
+import result
+
+from peridothatch_core.message import link, store
+from peridothatch_core.model import config, customer, datacentre, job, shape, verdict, workclass
+from peridothatch_daemon import messages
+from peridothatch_daemon.decide import jobs, jobs_read, jobs_state
+from peridothatch_daemon.outlet import rows
+from peridothatch_wire import mailbox, task
+
+ACCRA = datacentre.DataCentre("accra-a", "gh-south")
+SNAPSHOT = config.Snapshot(
+    1,
+    {name: customer.Customer(name, 64) for name in ("adinkra", "kolar")},
+    {},
+    {"notices": workclass.WorkClass("notices", workclass.Within(60.0), True, "kofi", 1.0)},
+    {"accra-a": ACCRA},
+)
+
+
+def new_job(number=1, **changes):
+    gang = shape.GangShape(2, shape.TaskShape(4))
+    item = job.Job(f"j{number}", "adinkra", "notices", gang, ("primes", "9"), "", number, 0.0)
+    return dataclasses.replace(item, **changes)
+
+
+class Clock:
+    now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@dataclasses.dataclass
+class Desk:
+    """Jobs tasks of several entries over one table service."""
+
+    table: object
+    clock: Clock = dataclasses.field(default_factory=Clock)
+    told: list = dataclasses.field(default_factory=list)
+    tasks: list = dataclasses.field(default_factory=list)
+
+    def add(self, entry="e1", snapshot=SNAPSHOT, rows_box=None):
+        def notify(centre, message):
+            self.told.append((centre, message.job_id))
+
+        settings = jobs_state.Settings(entry, "1", ACCRA)
+        box = rows_box or self.table.inbox
+        self.tasks.append(jobs.start(settings, box, notify, clock=self.clock, wall=Clock()))
+        mailbox.post(self.tasks[-1].inbox, messages.ConfigChanged(snapshot))
+        return self.tasks[-1].inbox
+
+    def put(self, item):
+        self.table.put(rows.job_key(item.id), rows.job_value(item))
+        if item.state not in job.FINAL_STATES:
+            self.table.put(rows.active_key(item.data_centre, item.id), {"job": item.id})
+
+    def jobs(self):
+        return [rows.read_job(r.value) for k, r in self.table.rows.items() if k.startswith("job/")]
+
+
+@pytest.fixture
+async def desk(create_table):
+    desk = Desk(create_table())
+    table = task.start("table", desk.table.run())
+    yield desk
+    for item in desk.tasks:
+        await jobs.close(item)
+    await task.close(table)
+
+
+async def ask(inbox, kind, *arguments, **options):
+    reply = mailbox.Reply()
+    mailbox.post(inbox, kind(*arguments, reply, **options))
+    return await mailbox.wait(reply, 20.0)
+
+
+async def submit(inbox, item, key=""):
+    return await ask(inbox, messages.SubmitJob, item, key)
+
+
+@contextlib.asynccontextmanager
+async def silent_store():
+    """Answer as the outlet of the table service does while the service is down."""
+    box = mailbox.create("down")
+
+    async def run():
+        while True:
+            asked = await mailbox.take(box)
+            if isinstance(asked, messages.Commit):
+                answer = store.Committed(asked.transaction, store.Outcome.NOT_SENT)
+            else:
+                answer = store.Rows(asked.tag, False, {}, 0.0)
+            mailbox.post(asked.reply_to, answer)
+
+    running = task.start("down", run())
+    yield box
+    await task.close(running)
+
+
+async def test_a_submission_writes_all_its_rows_and_tells_the_planner(desk):
+    accepted = (await submit(desk.add(), new_job(), "lot-7")).ok_value
+    assert (accepted.data_centre, accepted.due_at) == ("accra-a", 160.0)
+    assert set(desk.table.rows) == {"job/j1", "active/accra-a/j1", "jobkey/adinkra/lot-7"}
+    assert desk.jobs() == [accepted]
+    assert desk.told == [("accra-a", "j1")]
+
+
+async def test_a_repeated_submission_returns_the_first_job(desk):
+    first = await submit(desk.add("e1"), new_job(1), "lot-7")
+    again = await submit(desk.add("e2"), new_job(2), "lot-7")
+    assert again == first
+    assert len(desk.jobs()) == 1
+
+
+async def test_racing_submissions_with_one_key_make_one_job(desk):
+    inboxes = [desk.add(f"e{n}") for n in range(4)]
+    answers = await asyncio.gather(
+        *(submit(inbox, new_job(n), "lot-7") for n, inbox in enumerate(inboxes))
+    )
+    assert len(desk.jobs()) == 1
+    assert {answer.ok_value.id for answer in answers} == {desk.jobs()[0].id}
+
+
+async def test_a_key_is_not_reused_for_another_job_nor_seen_by_another_customer(desk):
+    inbox = desk.add()
+    await submit(inbox, new_job(1), "lot-7")
+    other = await submit(inbox, new_job(2, command=("sleep", "1")), "lot-7")
+    assert (other.err_value.code, other.err_value.field) == ("conflict", "Idempotency-Key")
+    assert (await submit(inbox, new_job(3, customer="kolar"), "lot-7")).ok_value.id == "j3"
+
+
+async def test_a_lost_answer_may_have_run_and_the_key_makes_it_safe(desk):
+    inbox = desk.add()
+    desk.table.lies.append(store.Outcome.UNKNOWN)
+    lost = await submit(inbox, new_job(1), "lot-7")
+    assert lost.err_value.verdict is verdict.Verdict.MAY_HAVE_RUN
+    assert "j1" in lost.err_value.detail
+    assert (await submit(inbox, new_job(2), "lot-7")).ok_value.id == "j1"
+    assert [item.id for item in desk.jobs()] == ["j1"]
+    assert desk.told == [("accra-a", "j1")]
+
+
+async def test_without_the_store_nothing_is_accepted(desk):
+    async with silent_store() as box:
+        inbox = desk.add(rows_box=box)
+        refused = await submit(inbox, new_job(), "k")
+        assert (refused.err_value.verdict, refused.err_value.code) == (
+            "not_run",
+            "store_unavailable",
+        )
+        found = await ask(inbox, messages.FindJob, "j1", "")
+        listed = await ask(inbox, messages.ListJobs, "", "")
+        cancelled = await ask(inbox, messages.CancelJob, "j1", "")
+    assert {x.err_value.code for x in (found, listed, cancelled)} == {"store_unavailable"}
+    assert desk.told == []
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [({"work_class": "x"}, "work_class"), ({"shape": shape.GangShape(99, shape.TaskShape(1))},
+                                          "shape"), ({"customer": "x"}, "customer")],
+)  # fmt: skip
+async def test_a_job_that_is_not_admitted_writes_nothing(desk, changes, field):
+    refused = await submit(desk.add(), new_job(**changes))
+    assert (refused.err_value.verdict, refused.err_value.field) == ("not_run", field)
+    assert desk.table.rows == {}
+
+
+async def test_a_cancellation_survives_races_with_the_planner(desk):
+    desk.put(new_job(data_centre="accra-a"))
+    read, commit, moves = desk.table.read, desk.table.commit, [1, 2]
+
+    def change():
+        if moves:
+            run = moves.pop()
+            desk.put(new_job(data_centre="accra-a", run=run, detail="from the planner"))
+
+    def read_then_change(wanted):
+        found = read(wanted)
+        change()
+        return found
+
+    def change_then_commit(transaction):
+        change()
+        return commit(transaction)
+
+    desk.table.read, desk.table.commit = read_then_change, change_then_commit
+    cancelled = await ask(desk.add(), messages.CancelJob, "j1", "adinkra")
+    assert cancelled.ok_value.cancel_requested
+    [kept] = desk.jobs()
+    assert (kept.cancel_requested, kept.run, kept.detail) == (True, 1, "from the planner")
+    assert kept.state is job.State.WAITING
+    assert desk.told == [("accra-a", "j1")]
+
+
+async def test_a_cancellation_that_loses_every_race_says_not_run(desk):
+    desk.put(new_job(data_centre="accra-a"))
+    commit = desk.table.commit
+
+    def change_then_commit(transaction):
+        desk.put(new_job(data_centre="accra-a"))
+        return commit(transaction)
+
+    desk.table.commit = change_then_commit
+    refused = await ask(desk.add(), messages.CancelJob, "j1", "")
+    assert (refused.err_value.verdict, refused.err_value.code) == ("not_run", "conflict")
+    assert not desk.jobs()[0].cancel_requested
+
+
+@pytest.mark.parametrize("state", list(job.State))
+async def test_only_an_unfinished_job_is_cancelled(desk, state):
+    desk.put(new_job(data_centre="accra-a", state=state))
+    outcome = await ask(desk.add(), messages.CancelJob, "j1", "adinkra")
+    assert outcome.is_ok() == (state not in (job.State.SUCCEEDED, job.State.FAILED))
+    assert desk.jobs()[0].cancel_requested == (state not in job.FINAL_STATES)
+    assert desk.jobs()[0].state is state
+
+
+async def test_the_job_of_another_customer_looks_like_an_unknown_one(desk):
+    desk.put(new_job(data_centre="accra-a"))
+    inbox = desk.add()
+    for kind in (messages.FindJob, messages.CancelJob, messages.ExplainJob):
+        hidden = await ask(inbox, kind, "j1", "kolar")
+        unknown = await ask(inbox, kind, "j9", "kolar")
+        assert hidden.err_value.code == "not_found"
+        assert hidden.err_value.detail.replace("j1", "j9") == unknown.err_value.detail
+    assert not desk.jobs()[0].cancel_requested
+
+
+async def test_reads_come_from_the_cache_with_their_age_while_the_store_is_down(desk):
+    desk.put(new_job(data_centre="accra-a"))
+    inbox = desk.add()
+    await ask(inbox, messages.FindJob, "j1", "")
+
+    def no_rows(wanted):
+        return store.Rows(wanted.tag, False, {}, 0.0)
+
+    desk.table.read = no_rows
+    desk.clock.now = asyncio.get_running_loop().time() + 40.0
+    found = (await ask(inbox, messages.FindJob, "j1", "adinkra")).ok_value
+    assert found.age_seconds >= 40.0
+    listed = (await ask(inbox, messages.ListJobs, "", "open")).ok_value
+    assert ([item.id for item in listed.jobs], listed.age_seconds >= 40.0) == (["j1"], True)
+    sentences = (await ask(inbox, messages.ExplainJob, "j1", "")).ok_value
+    assert "table service does not answer" in sentences[-1]
+
+
+async def test_the_cache_is_bounded(desk, monkeypatch):
+    monkeypatch.setattr(jobs_state, "CACHED_JOBS", 3)
+    for number in range(8):
+        desk.put(new_job(number, data_centre="accra-a"))
+    inbox = desk.add()
+    await ask(inbox, messages.ListJobs, "", "")
+    assert (await ask(inbox, messages.DumpState))["cached_jobs"] == 3
+
+
+async def wait_until_waiting(inbox):
+    while (await ask(inbox, messages.DumpState))["callers_waiting"] == 0:
+        pass
+
+
+@pytest.mark.parametrize(
+    ("known", "states"),
+    [("", ["running", "succeeded"]), ("waiting", ["running"]), ("running", [])],
+)
+async def test_a_long_poll_ends_with_the_change_it_waits_for(desk, known, states):
+    desk.put(new_job(data_centre="accra-a"))
+    inbox = desk.add()
+    polling = asyncio.create_task(
+        ask(inbox, messages.FindJob, "j1", "adinkra", wait_seconds=1e6, known_state=known)
+    )
+    for state in states:
+        await wait_until_waiting(inbox)
+        assert not polling.done()
+        desk.put(new_job(data_centre="accra-a", state=job.State(state)))
+        mailbox.post(inbox, link.JobChanged("j1", "accra-a"))
+    assert (await polling).ok_value.job.state == (states or ["waiting"])[-1]
+
+
+async def test_a_long_poll_ends_with_its_time_or_with_a_drain(desk):
+    desk.put(new_job(data_centre="accra-a"))
+    inbox = desk.add()
+    for end in ("time", "drain"):
+        polling = asyncio.create_task(
+            ask(inbox, messages.FindJob, "j1", "adinkra", wait_seconds=50.0)
+        )
+        await wait_until_waiting(inbox)
+        if end == "time":
+            desk.clock.now += 60.0
+            mailbox.post(inbox, messages.Tick())
+        else:
+            assert await ask(inbox, messages.Drain) is True
+        assert (await polling).ok_value.job.state is job.State.WAITING
+    assert (await submit(inbox, new_job(2))).err_value.verdict is verdict.Verdict.NOT_RUN
+    assert len(desk.jobs()) == 1
+
+
+async def test_lists_are_selected_sorted_and_cut(desk):
+    states = [job.State.RUNNING, job.State.SUCCEEDED, job.State.WAITING, job.State.WAITING]
+    for number, state in enumerate(states):
+        desk.put(new_job(number, data_centre="accra-a", state=state))
+    desk.put(new_job(9, data_centre="accra-a", customer="kolar"))
+    inbox = desk.add()
+
+    async def ids(customer_name, state, limit=10):
+        listed = await ask(inbox, messages.ListJobs, customer_name, state, limit=limit)
+        return [item.id for item in listed.ok_value.jobs], listed.ok_value.truncated
+
+    assert await ids("adinkra", "") == (["j3", "j2", "j1", "j0"], False)
+    assert await ids("adinkra", "open") == (["j3", "j2", "j0"], False)
+    assert await ids("adinkra", "succeeded") == (["j1"], False)
+    assert await ids("", "waiting", 2) == (["j9", "j3"], True)
+
+
+async def test_many_lookups_share_reads(desk):
+    for number in range(20):
+        desk.put(new_job(number, data_centre="accra-a"))
+    inbox, reads = desk.add(), []
+    read = desk.table.read
+
+    def count(wanted):
+        reads.append(len(wanted.keys))
+        return read(wanted)
+
+    desk.table.read = count
+    found = await asyncio.gather(
+        *(ask(inbox, messages.FindJob, f"j{n % 20}", "") for n in range(200))
+    )
+    assert [item.ok_value.job.id for item in found] == [f"j{n % 20}" for n in range(200)]
+    assert sum(reads) <= 21
+
+
+async def test_a_row_that_cannot_be_read_is_an_error_of_that_job_alone(desk):
+    desk.put(new_job(1, data_centre="accra-a"))
+    desk.table.put("job/j2", {"id": "j2"})
+    inbox = desk.add()
+    assert (await ask(inbox, messages.FindJob, "j2", "")).err_value.code == "internal"
+    listed = (await ask(inbox, messages.ListJobs, "", "")).ok_value
+    assert [item.id for item in listed.jobs] == ["j1"]
+
+
+async def test_digests_spread_submissions_between_data_centres(desk):
+    tema = datacentre.DataCentre("tema-b", "gh-south")
+    snapshot = dataclasses.replace(SNAPSHOT, data_centres={"accra-a": ACCRA, "tema-b": tema})
+    inbox = desk.add(snapshot=snapshot)
+    for name in ("accra-a", "tema-b"):
+        digest = link.CapacityDigest(name, 1, 16, (0, 0, 0, 2), 0)
+        mailbox.post(inbox, digest)
+    chosen = [(await submit(inbox, new_job(n))).ok_value.data_centre for n in range(4)]
+    assert chosen == ["accra-a", "accra-a", "tema-b", "tema-b"]
+
+
+async def test_promises_count_the_jobs_of_a_customer(desk):
+    ended = {"data_centre": "accra-a", "due_at": 50.0, "state": job.State.SUCCEEDED}
+    desk.put(new_job(1, ended_at=40.0, **ended))
+    desk.put(new_job(2, ended_at=60.0, **ended))
+    inbox = desk.add()
+    view = (await ask(inbox, messages.ListPromises, "adinkra")).ok_value
+    [promise] = view.report.classes
+    assert (promise.kept, promise.missed, promise.kept_share) == (1, 1, 0.5)
+
+
+async def test_a_full_queue_to_the_store_is_a_true_not_run(desk):
+    full = mailbox.create("full", 1)
+    mailbox.post(full, "waiting")
+    refused = await submit(desk.add(rows_box=full), new_job())
+    assert refused.err_value.verdict is verdict.Verdict.NOT_RUN
+
+
+def test_visible_hides_errors_of_nobody():
+    refusal = verdict.not_run(verdict.Code.NOT_FOUND, "x")
+    assert jobs_read.visible(result.Err(refusal), "j1", "kolar").err_value is refusal
