Keep backend servers in groups by service and distance

Cause: each decision walked all servers and queues of all services.

Change: route/pool holds groups of usable servers with counts of used slots, rebuilt when a server comes, goes or changes; only services whose queue or servers changed are looked at.

--- a/packages/core/src/peridothatch_core/route/dispatch.py
+++ b/packages/core/src/peridothatch_core/route/dispatch.py
@@ -20,6 +20,7 @@
     link_budget,
     lookup,
     outcome,
+    pool,
     retry_budget,
 )
 
@@ -87,7 +88,8 @@
 
 def _send_queued(state: flight.State, now: float) -> Effects:
     effects: Effects = []
-    for service in list(state.queues):
+    stirred, state.stirred = state.stirred, set()
+    for service in sorted(stirred):
         while service in state.queues:
             picked = choice.pick(state, service, now)
             if picked is None:
@@ -99,16 +101,14 @@
 
 
 def _dispatch(
-    state: flight.State, record: flight.Record, server: flight.Server, now: float
+    state: flight.State, record: flight.Record, server: pool.Server, now: float
 ) -> exchange.Effect:
     call, peer_id = record.request, server.peer_id
     record.phase = flight.Phase.SENT
     record.attempts[peer_id] = flight.Attempt(peer_id, server.incarnation, now)
-    server.open[call.id] = call.customer
-    server.held[call.customer] = server.held.get(call.customer, 0) + 1
+    pool.occupy(server, call.id, call.customer)
     ejection.sent(state.health, peer_id, call.id)
-    away = choice.distance(state.settings, server.backend.data_centre, server.backend.region)
-    if away == choice.ACROSS_THE_LINK:
+    if server.distance == pool.ACROSS_THE_LINK:
         link_budget.spend(state.link, len(call.body))
     flight.set_timer(state, now + QUERY_PERIOD_SECONDS, "query", call.id)
     left = record.deadline - now
@@ -138,19 +138,27 @@
         # Read from a connection that has ended or that a restarted agent has replaced.
         return []
     server = state.servers.get(peer.id)
+    away = pool.distance(state.settings, message.backend)
     if server is None:
-        server = flight.Server(peer.id, peer.incarnation, message.backend)
+        server = pool.Server(peer.id, peer.incarnation, message.backend, away)
         state.servers[peer.id] = server
-    server.backend = message.backend
-    server.foreign = max(0, message.in_flight - len(server.open))
+    before, server.backend, server.distance = server.backend, message.backend, away
+    for service in {before.service, server.backend.service}:
+        pool.refresh(state, service)
+    _note_load(state, server, message.in_flight)
     return []
 
 
+def _note_load(state: flight.State, server: pool.Server, in_flight: int) -> None:
+    server.foreign = max(0, in_flight - len(server.open))
+    state.stirred.add(server.backend.service)
+
+
 def _heartbeat(state: flight.State, peer: link.Hello, message: link.Heartbeat) -> Effects:
     server = state.servers.get(peer.id)
     if server is None:
         return []
-    server.foreign = max(0, message.in_flight - len(server.open))
+    _note_load(state, server, message.in_flight)
     # Only a planner proves that the data centre is in service.
     return [exchange.Send(peer.id, link.HeartbeatAck(message.t0, False, -1.0, 0, 0))]
 
@@ -214,6 +222,7 @@
     if server is None:
         return []
     server.connected = True
+    pool.refresh(state, server.backend.service)
     if server.incarnation != peer.incarnation:
         return _restarted(state, server, peer, now)
     # What was on its way over the connection before this one may be lost.
@@ -223,15 +232,13 @@
     ]
 
 
-def _restarted(
-    state: flight.State, server: flight.Server, peer: link.Hello, now: float
-) -> Effects:
+def _restarted(state: flight.State, server: pool.Server, peer: link.Hello, now: float) -> Effects:
     """End the attempts at an agent that has forgotten them."""
     ended = [state.records[request_id] for request_id in server.open]
     server.incarnation = peer.incarnation
     server.open.clear()
-    server.held.clear()
     ejection.forget(state.health, peer.id)
+    pool.refresh(state, server.backend.service)
     effects: Effects = []
     for record in ended:
         attempt = record.attempts[peer.id]
@@ -251,6 +258,7 @@
         return effects
     server.connected = False
     server.lost_at = now
+    pool.refresh(state, server.backend.service)
     flight.set_timer(state, now + LOST_SECONDS, "lost", peer_id)
     for request_id in list(server.open):
         record = state.records[request_id]
@@ -307,7 +315,7 @@
     if record is None or record.phase is not flight.Phase.QUEUED:
         return []
     service = record.request.service
-    if any(server.peer_id not in record.attempts for server in choice.usable(state, service)):
+    if any(server.peer_id not in record.attempts for server in pool.servers(state, service)):
         return []
     refusal = verdict.Refusal(
         flight.verdict_of(record),
@@ -357,7 +365,8 @@
     return _conclude(state, concluded, now) if concluded is not None else []
 
 
-def _wake_due(_state: flight.State, _name: str, _now: float) -> Effects:
+def _wake_due(state: flight.State, _name: str, _now: float) -> Effects:
+    state.stirred.update(state.queues)
     return []
 
 
--- a/packages/core/src/peridothatch_core/route/ejection.py
+++ b/packages/core/src/peridothatch_core/route/ejection.py
@@ -74,6 +74,13 @@
     return now >= health.until and not health.probe
 
 
+def is_overdue(state: State, peer_id: str, now: float) -> bool:
+    """Return whether a probe has been due for as long as the first ejection."""
+    health = state.servers.get(peer_id)
+    until = health.until if health is not None else None
+    return until is not None and now >= until + FIRST_EJECTION_SECONDS
+
+
 def sent(state: State, peer_id: str, request_id: str) -> None:
     """Note that a request was sent; to an ejected server it is the probe."""
     health = state.servers.get(peer_id)
--- a/packages/core/src/peridothatch_core/route/fair_queue.py
+++ b/packages/core/src/peridothatch_core/route/fair_queue.py
@@ -5,7 +5,7 @@
 import typing
 
 from peridothatch_core.model import verdict
-from peridothatch_core.route import choice, flight
+from peridothatch_core.route import flight, pool
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.model import request
@@ -37,6 +37,7 @@
     queue = state.queues.setdefault(call.service, {}).setdefault(call.customer, [])
     queue.insert(0 if first else len(queue), call.id)
     state.queued_bytes += len(call.body)
+    state.stirred.add(call.service)
     flight.set_timer(state, now + NO_SERVER_PATIENCE_SECONDS, "patience", call.id)
 
 
@@ -55,11 +56,11 @@
 def _expected_wait_seconds(state: flight.State, call: request.Request, ahead: int) -> float:
     """Return how long ``ahead`` requests take at the customer's share of the slots."""
     mean = state.service_seconds.get(call.service)
-    servers = choice.usable(state, call.service)
-    slots = sum(server.backend.slots for server in servers)
+    groups = pool.groups(state, call.service)
+    slots = sum(group.slots for group in groups)
     if not ahead or mean is None or not slots:
         return 0.0
     active = set(state.queues.get(call.service, ())) | {call.customer}
-    for server in servers:
-        active.update(server.held)
+    for group in groups:
+        active.update(group.held)
     return ahead * mean * len(active) / slots
--- a/packages/core/src/peridothatch_core/route/flight.py
+++ b/packages/core/src/peridothatch_core/route/flight.py
@@ -9,13 +9,13 @@
 import typing
 
 from peridothatch_core.model import verdict
-from peridothatch_core.route import ejection, link_budget, retry_budget
+from peridothatch_core.route import ejection, link_budget, pool, retry_budget
 
 if typing.TYPE_CHECKING:
     import result
 
     from peridothatch_core.message import link
-    from peridothatch_core.model import backend, request
+    from peridothatch_core.model import request
 
 Outcome = typing.Union["result.Ok[request.Answer]", "result.Err[verdict.Refusal]"]
 
@@ -97,28 +97,6 @@
     followers: list[str] = dataclasses.field(default_factory=list)
 
 
-@dataclasses.dataclass(slots=True)
-class Server:
-    """A backend server that announced itself.
-
-    Attributes
-    ----------
-    open : dict of str to str
-        Customer by id of the requests of this entry that the server may hold.
-    foreign : int
-        Slots in use by other entries, as the agent last reported.
-    """
-
-    peer_id: str
-    incarnation: str
-    backend: backend.BackendServer
-    connected: bool = True
-    lost_at: float = 0.0
-    open: dict[str, str] = dataclasses.field(default_factory=dict)
-    held: dict[str, int] = dataclasses.field(default_factory=dict)
-    foreign: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class Lookup:
     """Callers and claims that wait for the outcome of a request of another entry.
@@ -142,12 +120,24 @@
 
 @dataclasses.dataclass(slots=True)
 class State:
-    """Everything that the entry knows about requests."""
+    """Everything that the entry knows about requests.
+
+    Attributes
+    ----------
+    stirred : set of str
+        Services whose queues or servers changed since waiting requests were last sent.
+    kept : dict of str to int
+        Bytes by id of the answers that are kept, oldest first.
+    service_seconds : dict of str to float
+        Mean time by service from sending a request to its answer.
+    """
 
     settings: Settings
     link: link_budget.Budget
     records: dict[str, Record] = dataclasses.field(default_factory=dict)
-    servers: dict[str, Server] = dataclasses.field(default_factory=dict)
+    servers: dict[str, pool.Server] = dataclasses.field(default_factory=dict)
+    pools: dict[str, list[pool.Group]] = dataclasses.field(default_factory=dict)
+    stirred: set[str] = dataclasses.field(default_factory=set)
     peers: dict[str, link.Hello] = dataclasses.field(default_factory=dict)
     queues: dict[str, dict[str, list[str]]] = dataclasses.field(default_factory=dict)
     queued_bytes: int = 0
@@ -228,7 +218,7 @@
     }
 
 
-def _dump_server(state: State, server: Server) -> dict[str, typing.Any]:
+def _dump_server(state: State, server: pool.Server) -> dict[str, typing.Any]:
     return {
         "id": server.backend.id,
         "service": server.backend.service,
--- a/packages/core/src/peridothatch_core/route/outcome.py
+++ b/packages/core/src/peridothatch_core/route/outcome.py
@@ -10,12 +10,12 @@
 from peridothatch_core.model import verdict
 from peridothatch_core.route import (
     agent_exchange,
-    choice,
     ejection,
     exchange,
     fair_queue,
     flight,
     link_budget,
+    pool,
     retry_budget,
 )
 
@@ -44,11 +44,7 @@
     server = state.servers.get(attempt.peer_id)
     if not first or server is None or server.incarnation != attempt.incarnation:
         return
-    if server.open.pop(request_id, None) is not None:
-        customer = record.request.customer
-        server.held[customer] -= 1
-        if not server.held[customer]:
-            del server.held[customer]
+    pool.release(state, server, request_id)
     # What ended after the deadline shows a fault, not how long the service takes.
     if told is verdict.Verdict.RAN and record.phase is not flight.Phase.ENDED:
         _learn(state, record.request.service, now - attempt.sent_at)
@@ -70,7 +66,7 @@
     if told is verdict.Verdict.RAN and status < 500:
         ejection.succeeded(state.health, attempt.peer_id)
     else:
-        servers = choice.usable(state, server.backend.service)
+        servers = pool.servers(state, server.backend.service)
         group = [member.peer_id for member in servers]
         until = ejection.failed(state.health, attempt.peer_id, group, now)
         if until is not None:
@@ -92,7 +88,7 @@
     if attempt.outcome is verdict.Verdict.NOT_RUN and answer.verdict is not verdict.Verdict.RAN:
         return []
     server = state.servers.get(attempt.peer_id)
-    if server is not None and _is_far(state, server):
+    if server is not None and server.distance == pool.ACROSS_THE_LINK:
         link_budget.spend(state.link, len(answer.body))
     close_attempt(state, record, attempt, answer.verdict, now)
     judge(state, attempt, answer.verdict, answer.status, now)
@@ -123,7 +119,7 @@
     harmless = call.idempotent or flight.verdict_of(record) is verdict.Verdict.NOT_RUN
     if record.phase is not flight.Phase.SENT or not harmless or now >= record.deadline:
         return False
-    servers = choice.usable(state, call.service)
+    servers = pool.servers(state, call.service)
     if all(server.peer_id in record.attempts for server in servers):
         return False
     if not retry_budget.take(flight.retries(state, call.service)):
@@ -209,8 +205,3 @@
 def _learn(state: flight.State, service: str, seconds: float) -> None:
     mean = state.service_seconds.get(service, seconds)
     state.service_seconds[service] = mean + MEAN_WEIGHT * (seconds - mean)
-
-
-def _is_far(state: flight.State, server: flight.Server) -> bool:
-    away = choice.distance(state.settings, server.backend.data_centre, server.backend.region)
-    return away == choice.ACROSS_THE_LINK
--- /dev/null
+++ b/packages/core/src/peridothatch_core/route/pool.py
@@ -0,0 +1,116 @@
+"""Backend servers of a service that may get requests, grouped by distance."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from peridothatch_core.route import ejection
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.model import backend
+    from peridothatch_core.route import flight
+
+ACROSS_THE_LINK = 2
+
+
+@dataclasses.dataclass(slots=True)
+class Server:
+    """A backend server that announced itself.
+
+    Attributes
+    ----------
+    open : dict of str to str
+        Customer by id of the requests of this entry that the server may hold.
+    foreign : int
+        Slots in use by other entries, as the agent last reported.
+    group : Group or None
+        ``None`` while the server is not connected or leaves.
+    """
+
+    peer_id: str
+    incarnation: str
+    backend: backend.BackendServer
+    distance: int
+    connected: bool = True
+    lost_at: float = 0.0
+    open: dict[str, str] = dataclasses.field(default_factory=dict)
+    foreign: int = 0
+    group: Group | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Group:
+    """Servers at one distance; ``held`` counts slots in use by customer of this entry."""
+
+    distance: int
+    slots: int = 0
+    used: int = 0
+    servers: list[Server] = dataclasses.field(default_factory=list)
+    held: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+def distance(settings: flight.Settings, server: backend.BackendServer) -> int:
+    """Return 0 in the same data centre, 1 in the same region, 2 across the link."""
+    if server.data_centre == settings.data_centre:
+        return 0
+    return 1 if server.region == settings.region else ACROSS_THE_LINK
+
+
+def groups(state: flight.State, service: str) -> list[Group]:
+    """Return the groups of a service, the nearest first."""
+    return state.pools.get(service, [])
+
+
+def servers(state: flight.State, service: str) -> list[Server]:
+    """Return the servers that may get requests of a service, ejected ones included."""
+    return [server for group in groups(state, service) for server in group.servers]
+
+
+def refresh(state: flight.State, service: str) -> None:
+    """Group the servers of a service anew after one came, went or changed."""
+    members: dict[int, Group] = {}
+    for server in state.servers.values():
+        if server.backend.service != service:
+            continue
+        server.group = None
+        if not server.connected or server.backend.leaving:
+            continue
+        group = members.setdefault(server.distance, Group(server.distance))
+        group.slots += server.backend.slots
+        group.servers.append(server)
+        server.group = group
+        for customer in server.open.values():
+            _add(group, customer)
+    if members:
+        state.pools[service] = [members[away] for away in sorted(members)]
+    else:
+        state.pools.pop(service, None)
+    state.stirred.add(service)
+    ejection.keep_cap(state.health, [server.peer_id for server in servers(state, service)])
+
+
+def occupy(server: Server, request_id: str, customer: str) -> None:
+    """Count a request that is sent to a server."""
+    server.open[request_id] = customer
+    if server.group is not None:
+        _add(server.group, customer)
+
+
+def release(state: flight.State, server: Server, request_id: str) -> None:
+    """Count a request that has ended on a server."""
+    customer = server.open.pop(request_id, None)
+    group = server.group
+    if customer is None:
+        return
+    state.stirred.add(server.backend.service)
+    if group is not None:
+        group.used -= 1
+        group.held[customer] -= 1
+        if not group.held[customer]:
+            del group.held[customer]
+
+
+def _add(group: Group, customer: str) -> None:
+    group.used += 1
+    group.held[customer] = group.held.get(customer, 0) + 1
--- a/packages/core/tests/route/test_request_property.py
+++ b/packages/core/tests/route/test_request_property.py
@@ -239,8 +239,11 @@
         assert all(runs <= 1 for runs in by_key.values()), "at_most_once by key"
         for name in ("contradictions", "second_runs", "answers_not_asked_for"):
             assert not self.entry.counters.get(name), name
-        for server in self.entry.servers.values():
-            assert server.held == collections.Counter(server.open.values())
+        for groups in self.entry.pools.values():
+            for group in groups:
+                held = [name for server in group.servers for name in server.open.values()]
+                assert group.held == collections.Counter(held)
+                assert group.used == len(held)
 
     def settle(self):
         """Let all faults end, after which each caller must have its outcome."""
