Add the task that owns the configuration of an entry

Cause: every entry needs the newest configuration, must make operators' changes one after another with a true verdict, and must prove how fresh its configuration is. An entry of a region without the store asks the region's reader and computes freshness from its own clock reading, which needs two fields: RevisionsWanted.t0, and ConfigRevision.t0 with read_age_seconds (link.py and the IDL).

--- a/packages/core/src/peridothatch_core/message/link.py
+++ b/packages/core/src/peridothatch_core/message/link.py
@@ -297,17 +297,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigRevision:
-    """One accepted change, as JSON text of its revision row."""
+    """One accepted change, or the state of the sender's replica when ``change`` is empty.
+
+    Attributes
+    ----------
+    change : str
+        JSON text of the revision row.
+    t0 : float
+        Copied from ``RevisionsWanted``.
+    read_age_seconds : float
+        Age of the sender's own store read that showed ``revision`` to be the newest, counted
+        from when that read was sent to when this message was; negative when there is none.
+    """
 
     revision: int
     change: str
+    t0: float = 0.0
+    read_age_seconds: float = -1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RevisionsWanted:
-    """Ask the entry that reads the store for its region for later revisions."""
+    """Ask the entry that reads the store for its region for later revisions.
+
+    ``t0`` is the asking entry's monotonic clock, in seconds.
+    """
 
     after: int
+    t0: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/decide/config_changes.py
@@ -0,0 +1,173 @@
+"""Operators' changes: one at a time through check, commit and, after a conflict, both again."""
+
+from __future__ import annotations
+
+import typing
+
+import result
+
+from peridothatch_core.admit import changes
+from peridothatch_core.configure import revisions
+from peridothatch_core.message import store
+from peridothatch_core.model import config, verdict
+from peridothatch_daemon import messages
+from peridothatch_daemon.decide import config_reads, config_state
+from peridothatch_daemon.outlet import config_rows
+from peridothatch_wire import mailbox
+
+MAX_WAITING = 256
+MAX_WAIT_SECONDS = 10.0
+COMMIT_TIMEOUT_SECONDS = 5.0
+MAX_CONFLICTS = 5
+# The store task answers within its timeouts; this bounds the wait if it does not.
+LOST_ANSWER_SECONDS = 30.0
+
+UNREACHABLE = "the table service cannot be reached"
+
+
+def accept(state: config_state.State, message: messages.ChangeConfig) -> None:
+    """Queue a change for ``advance``, or refuse it at once."""
+    if not state.replica.loaded:
+        _refuse(message, verdict.Code.STORE_UNAVAILABLE, "the configuration is not read yet")
+    elif len(state.queue) >= MAX_WAITING:
+        _refuse(message, verdict.Code.OVERLOADED, f"{MAX_WAITING} changes wait already")
+    else:
+        state.queue.append(config_state.Pending(message, state.clock()))
+
+
+def advance(state: config_state.State) -> None:
+    """Start on the next change when none is being made."""
+    while state.current is None and state.queue:
+        pending = state.queue.popleft()
+        if state.clock() - pending.arrived > MAX_WAIT_SECONDS:
+            _refuse(pending.message, verdict.Code.OVERLOADED, "other changes took too long")
+        else:
+            state.current = pending
+            _check(state, pending)
+
+
+def refreshed(state: config_state.State, read_sent_at: float) -> None:
+    """Go on with a change that waited for a read, now that the replica reflects one."""
+    pending = state.current
+    if pending is None or pending.refresh_after is None or read_sent_at < pending.refresh_after:
+        return
+    pending.refresh_after, pending.refreshed = None, True
+    _check(state, pending)
+
+
+def unreachable(state: config_state.State) -> None:
+    """Refuse a change that waited for a read which failed."""
+    pending = state.current
+    if pending is not None and pending.refresh_after is not None:
+        refusal = verdict.not_run(verdict.Code.STORE_UNAVAILABLE, UNREACHABLE)
+        _finish(state, result.Err(refusal))
+
+
+def committed(state: config_state.State, outcome: store.Committed) -> config.Change | None:
+    """Take the outcome of the transaction; return the change when it was applied."""
+    pending = state.current
+    if pending is None or pending.transaction != outcome.transaction.id:
+        return None
+    if outcome.outcome is store.Outcome.APPLIED:
+        _finish(state, result.Ok(pending.change))
+        return pending.change
+    if outcome.outcome is store.Outcome.UNKNOWN:
+        detail = "the table service did not tell whether the change was made"
+        refusal = verdict.Refusal(
+            verdict.Verdict.MAY_HAVE_RUN, verdict.Code.STORE_UNAVAILABLE, detail
+        )
+        _finish(state, result.Err(refusal))
+    elif outcome.outcome is store.Outcome.NOT_SENT:
+        refusal = verdict.not_run(verdict.Code.STORE_UNAVAILABLE, UNREACHABLE)
+        _finish(state, result.Err(refusal))
+    else:
+        _conflict(state, pending)
+    return None
+
+
+def expire(state: config_state.State, now: float) -> None:
+    """Give up a change whose outcome never came."""
+    pending = state.current
+    if pending is not None and now - pending.arrived > MAX_WAIT_SECONDS + LOST_ANSWER_SECONDS:
+        refusal = verdict.Refusal(
+            verdict.Verdict.MAY_HAVE_RUN, verdict.Code.INTERNAL, "the outcome was lost"
+        )
+        _finish(state, result.Err(refusal))
+
+
+def _check(state: config_state.State, pending: config_state.Pending) -> None:
+    message, snapshot = pending.message, state.replica.snapshot
+    kind, name, wall = message.kind, message.name, state.wall()
+    value = changes.complete(snapshot, kind, name, message.value, message.changed_by, wall)
+    checked = changes.validate(snapshot, kind, name, value, state.fits)
+    known = kind in revisions.COLLECTIONS
+    current = revisions.find(snapshot, kind, name) if known else None
+    if pending.conflicts and current not in (pending.before, value):
+        refusal = verdict.not_run(verdict.Code.CONFLICT, _describe_other(state, kind, name))
+        _finish(state, result.Err(refusal))
+    elif isinstance(checked, result.Ok):
+        pending.before = pending.before if pending.conflicts else current
+        _commit(state, pending, value, wall)
+    elif pending.refreshed:
+        _finish(state, checked)
+    else:
+        # The replica may lack what another entry accepted a moment ago.
+        _wait_for_read(state, pending)
+
+
+def _commit(
+    state: config_state.State,
+    pending: config_state.Pending,
+    value: typing.Any,
+    wall: float,
+) -> None:
+    message = pending.message
+    pending.change = config.Change(
+        state.revision + 1, message.kind, message.name, value, message.changed_by, wall
+    )
+    pending.transaction = config_state.next_id(state, "config")
+    transaction = revisions.transaction(
+        pending.change, pending.transaction, config_rows.object_value, config_rows.change_value
+    )
+    commit = messages.Commit(transaction, state.ports.inbox, COMMIT_TIMEOUT_SECONDS)
+    if not mailbox.post(state.ports.store, commit):
+        refusal = verdict.not_run(verdict.Code.OVERLOADED, "too many store operations wait")
+        _finish(state, result.Err(refusal))
+
+
+def _conflict(state: config_state.State, pending: config_state.Pending) -> None:
+    pending.conflicts += 1
+    pending.transaction = ""
+    if pending.conflicts > MAX_CONFLICTS:
+        detail = f"other changes came first {pending.conflicts} times"
+        refusal = verdict.not_run(verdict.Code.CONFLICT, detail)
+        _finish(state, result.Err(refusal))
+    else:
+        _wait_for_read(state, pending)
+
+
+def _wait_for_read(state: config_state.State, pending: config_state.Pending) -> None:
+    pending.refresh_after = state.clock()
+    config_reads.read_head(state)
+
+
+def _describe_other(state: config_state.State, kind: str, name: str) -> str:
+    for change in reversed(state.replica.recent):
+        if (change.kind, change.name) == (kind, name):
+            what = "deleted" if change.value is None else "changed"
+            return f"{kind} {name!r} was {what} by {change.changed_by} at {change.revision}"
+    return f"{kind} {name!r} was changed meanwhile"
+
+
+def _finish(
+    state: config_state.State,
+    outcome: result.Result[typing.Any, verdict.Refusal],
+) -> None:
+    pending = state.current
+    state.current = None
+    if pending is not None:
+        mailbox.answer(pending.message.reply, outcome)
+
+
+def _refuse(message: messages.ChangeConfig, code: verdict.Code, detail: str) -> None:
+    mailbox.answer(message.reply, result.Err(verdict.not_run(code, detail)))
--- a/packages/wire/src/peridothatch_wire/peridothatch.thrift
+++ b/packages/wire/src/peridothatch_wire/peridothatch.thrift
@@ -33,8 +33,8 @@
 struct RequestState { 1: string request_id, 2: string state }
 struct Cancel { 1: string request_id }
 struct CapacityDigest { 1: string data_centre, 2: i64 epoch, 3: i32 free_accelerators, 4: list<i32> free_blocks, 5: i32 waiting_jobs, 6: bool in_service }
-struct ConfigRevision { 1: i64 revision, 2: string change }
-struct RevisionsWanted { 1: i64 after }
+struct ConfigRevision { 1: i64 revision, 2: string change, 3: double t0, 4: double read_age_seconds }
+struct RevisionsWanted { 1: i64 after, 2: double t0 }
 struct JobChanged { 1: string job_id, 2: string data_centre }
 
 struct Envelope {
