Add the task that registers an entry and learns of the others

Cause: agents and entries dial entries that they know only from the store. Conclusion: only time between answered reads counts, so an hour without the store removes nobody.

--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/decide/registry.py
@@ -0,0 +1,222 @@
+"""The task that registers this entry in the store and learns which others exist.
+
+Clocks of entries are not compared: an entry is gone when its counter stood still for a while of
+the own clock. Only time between answered reads counts, so that an outage of the store, during
+which nobody can raise a counter, removes no entry.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import logging
+import time
+import typing
+
+from peridothatch_core.message import link, store
+from peridothatch_daemon import messages
+from peridothatch_daemon.decide import loop
+from peridothatch_daemon.outlet import entry_rows
+from peridothatch_wire import mailbox, task
+
+logger = logging.getLogger(__name__)
+
+PERIOD_SECONDS = 2.0
+GONE_SECONDS = 10.0
+DELETE_SECONDS = 60.0
+# Two reads further apart than this say nothing about the time between them.
+MAX_GAP_SECONDS = 2 * PERIOD_SECONDS
+STORE_TIMEOUT_SECONDS = 2.0
+TAG = "entries"
+
+Clock = typing.Callable[[], float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ports:
+    """Mailboxes that the task sends to, and its own."""
+
+    inbox: mailbox.Mailbox
+    store: mailbox.Mailbox
+    subscribers: tuple[mailbox.Mailbox, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Seen:
+    """Another entry, and for how long its counter stood still."""
+
+    address: link.EntryAddress
+    counter: int
+    version: int
+    still_seconds: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """What the registry task owns."""
+
+    own: link.EntryAddress
+    incarnation: str
+    ports: Ports
+    clock: Clock
+    counter: int = 0
+    seen: dict[str, Seen] = dataclasses.field(default_factory=dict)
+    read_at: float | None = None
+    listed: tuple[link.EntryAddress, ...] = ()
+    behind: set[int] = dataclasses.field(default_factory=set)
+    leaving: mailbox.Reply | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Handle:
+    """The running registry task; send messages to ``inbox``."""
+
+    inbox: mailbox.Mailbox
+    running: tuple[task.Task, ...]
+
+
+def create(
+    own: link.EntryAddress, incarnation: str, ports: Ports, clock: Clock = time.monotonic
+) -> State:
+    """Return the state of an entry that knows only itself."""
+    everyone = set(range(len(ports.subscribers)))
+    return State(own, incarnation, ports, clock, listed=(own,), behind=everyone)
+
+
+def start(
+    own: link.EntryAddress,
+    incarnation: str,
+    store_inbox: mailbox.Mailbox,
+    subscribers: tuple[mailbox.Mailbox, ...],
+) -> Handle:
+    """Start the task; ``incarnation`` differs between processes that use the same id."""
+    inbox = mailbox.create("registry")
+    state = create(own, incarnation, Ports(inbox, store_inbox, subscribers))
+    running = task.start("registry", loop.run(inbox, functools.partial(handle, state)))
+    timer = task.start("registry timer", task.every(PERIOD_SECONDS, inbox, messages.Tick()))
+    return Handle(inbox, (timer, running))
+
+
+async def close(handle: Handle) -> None:
+    """Stop the task; send ``Drain`` first to delete the own row."""
+    for running in handle.running:
+        await task.close(running)
+
+
+def handle(state: State, message: typing.Any) -> None:
+    """Take one message."""
+    if isinstance(message, messages.Tick):
+        _publish(state)
+        if state.leaving is None:
+            _register(state)
+            read = messages.Read(
+                TAG, (), (entry_rows.PREFIX,), state.ports.inbox, STORE_TIMEOUT_SECONDS
+            )
+            mailbox.post(state.ports.store, read)
+    elif isinstance(message, store.Rows):
+        if message.ok:
+            _observe(state, message)
+    elif isinstance(message, store.Committed):
+        _take_outcome(state, message)
+    elif isinstance(message, messages.Drain):
+        _leave(state, message.reply)
+    elif isinstance(message, messages.DumpState):
+        mailbox.answer(message.reply, _describe(state))
+
+
+def _register(state: State) -> None:
+    """Write the own row; an earlier write that is still on its way is overtaken harmlessly."""
+    state.counter += 1
+    value = entry_rows.encode(state.own, state.counter)
+    _commit(state, "register", (), store.Write(entry_rows.key(state.own.id), value))
+
+
+def _leave(state: State, reply: mailbox.Reply) -> None:
+    """Delete the own row, so that nobody dials an entry that is gone."""
+    state.leaving = reply
+    state.counter += 1
+    if not _commit(state, "leave", (), store.Write(entry_rows.key(state.own.id), None)):
+        mailbox.answer(reply, False)
+
+
+def _take_outcome(state: State, outcome: store.Committed) -> None:
+    applied = outcome.outcome is store.Outcome.APPLIED
+    if outcome.transaction.id.startswith("leave:") and state.leaving is not None:
+        mailbox.answer(state.leaving, applied)
+    elif outcome.transaction.id.startswith("register:") and not applied:
+        logger.warning("registration was not written: %s", outcome.outcome)
+
+
+def _observe(state: State, rows: store.Rows) -> None:
+    """Take a read of all rows."""
+    gap = 0.0 if state.read_at is None else rows.sent_at - state.read_at
+    if gap < 0:
+        # An answer that another one overtook.
+        return
+    state.read_at = rows.sent_at
+    found = {}
+    for key, row in rows.rows.items():
+        try:
+            address, counter = entry_rows.parse(key, row)
+        except ValueError as error:
+            logger.warning("ignored row %s: %s", key, error)
+            continue
+        if address.id != state.own.id:
+            found[address.id] = _seen(state, address, counter, row.version, gap)
+    state.seen = found
+    for entry in found.values():
+        if entry.still_seconds >= DELETE_SECONDS:
+            _delete(state, entry)
+    alive = [item.address for item in found.values() if item.still_seconds < GONE_SECONDS]
+    listed = tuple(sorted([state.own, *alive], key=lambda address: address.id))
+    if listed != state.listed:
+        logger.info("entries: %s", ", ".join(address.id for address in listed))
+        state.listed = listed
+        state.behind = set(range(len(state.ports.subscribers)))
+    _publish(state)
+
+
+def _seen(
+    state: State, address: link.EntryAddress, counter: int, version: int, gap: float
+) -> Seen:
+    before = state.seen.get(address.id)
+    # A restarted entry begins to count anew, so any difference is a sign of life.
+    if before is None or before.counter != counter or before.address != address:
+        return Seen(address, counter, version)
+    still = before.still_seconds + min(gap, MAX_GAP_SECONDS)
+    return Seen(address, counter, version, still)
+
+
+def _delete(state: State, entry: Seen) -> None:
+    key = entry_rows.key(entry.address.id)
+    # The entry may come back meanwhile; its row has another version then and stays.
+    conditions = (store.VersionIs(key, entry.version),)
+    state.counter += 1
+    _commit(state, "delete", conditions, store.Write(key, None))
+
+
+def _commit(
+    state: State, word: str, conditions: tuple[store.VersionIs, ...], write: store.Write
+) -> bool:
+    transaction_id = f"{word}:{state.own.id}:{state.incarnation}:{state.counter}"
+    transaction = store.Transaction(transaction_id, conditions, (write,))
+    commit = messages.Commit(transaction, state.ports.inbox, STORE_TIMEOUT_SECONDS)
+    return mailbox.post(state.ports.store, commit)
+
+
+def _publish(state: State) -> None:
+    """Tell the subscribers that have not heard of the newest list yet."""
+    changed = messages.EntriesChanged(state.listed)
+    subscribers = state.ports.subscribers
+    state.behind = {
+        index for index in state.behind if not mailbox.post(subscribers[index], changed)
+    }
+
+
+def _describe(state: State) -> dict[str, typing.Any]:
+    return {
+        "counter": state.counter,
+        "entries": [dataclasses.asdict(address) for address in state.listed],
+        "still_seconds": {key: round(seen.still_seconds, 1) for key, seen in state.seen.items()},
+        "subscribers_behind": len(state.behind),
+    }
--- a/packages/daemon/src/peridothatch_daemon/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/messages.py
@@ -45,6 +45,13 @@
     read_sent_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntriesChanged:
+    """Which entries exist, this one included, in the order of their ids."""
+
+    entries: tuple[link.EntryAddress, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerOpened:
     """A peer connected; a second connection of one peer replaces the first."""
