--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/intake/status.py
@@ -0,0 +1,48 @@
+"""Endpoints for metrics and the state of this entry."""
+
+from __future__ import annotations
+
+import typing
+
+import result
+
+from peridothatch_daemon.intake import call, problem
+from peridothatch_daemon.observe import dump as dumps
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.model import verdict
+
+PROMETHEUS = "text/plain; version=0.0.4; charset=utf-8"
+
+
+async def metrics(
+    state: call.State, received: call.Call
+) -> result.Result[call.Answer, verdict.Refusal]:
+    """Return the metrics of this process."""
+    del received
+    return result.Ok(call.Answer(200, state.ports.metrics(await _collect(state)), PROMETHEUS))
+
+
+async def dump(
+    state: call.State, received: call.Call
+) -> result.Result[call.Answer, verdict.Refusal]:
+    """Return the state of each task; a part that does not answer in time is marked."""
+    del received
+    return result.Ok(problem.answer(await _collect(state)))
+
+
+async def _collect(state: call.State) -> dict[str, typing.Any]:
+    document = await dumps.collect({"id": state.id_prefix}, dict(state.ports.dumps))
+    document["tasks"]["http"] = {
+        "draining": state.draining,
+        "config_revision": state.snapshot.revision,
+        "gauges": {"in_progress": state.in_progress},
+        "counters": {"accepted": state.accepted, "refused": state.refused},
+    }
+    return document
+
+
+ENDPOINTS: typing.Final = (
+    call.Endpoint("GET", "/metrics", "Metrics of this entry", metrics, call.Role.OPERATOR),
+    call.Endpoint("GET", "/debug/state", "State of this entry", dump, call.Role.OPERATOR),
+)
