--- a/packages/core/src/peridothatch_core/route/pool.py
+++ b/packages/core/src/peridothatch_core/route/pool.py
@@ -13,6 +13,9 @@
 
 ACROSS_THE_LINK = 2
 
+# An agent sends a heartbeat every 2 s, and a silent connection is closed after 6 s.
+SUSPECT_AFTER_SECONDS = 2.5
+
 
 @dataclasses.dataclass(slots=True)
 class Server:
@@ -25,7 +28,7 @@
     foreign : int
         Slots in use by other entries, as the agent last reported.
     group : Group or None
-        ``None`` while the server is not connected or leaves.
+        ``None`` while the server is not connected, leaves, or its data centre is out.
     """
 
     peer_id: str
@@ -33,6 +36,7 @@
     backend: backend.BackendServer
     distance: int
     connected: bool = True
+    heard_at: float = 0.0
     lost_at: float = 0.0
     open: dict[str, str] = dataclasses.field(default_factory=dict)
     foreign: int = 0
@@ -74,7 +78,8 @@
         if server.backend.service != service:
             continue
         server.group = None
-        if not server.connected or server.backend.leaving:
+        away = server.backend.leaving or server.backend.data_centre in state.out
+        if away or not server.connected:
             continue
         group = members.setdefault(server.distance, Group(server.distance))
         group.slots += server.backend.slots
@@ -90,6 +95,11 @@
     ejection.keep_cap(state.health, [server.peer_id for server in servers(state, service)])
 
 
+def is_suspect(server: Server, now: float) -> bool:
+    """Return whether the connection may have gone silent."""
+    return now > server.heard_at + SUSPECT_AFTER_SECONDS
+
+
 def occupy(server: Server, request_id: str, customer: str) -> None:
     """Count a request that is sent to a server."""
     server.open[request_id] = customer
