--- a/packages/core/src/peridothatch_core/start/gang_report.py
+++ b/packages/core/src/peridothatch_core/start/gang_report.py
@@ -108,7 +108,12 @@
         for (job_id, run, task), member in agent.members.items():
             if (job_id, run) == (gang.job_id, gang.run):
                 party.tasks[task] = member
-    return evaluate(state, gang, now)
+    effects = evaluate(state, gang, now)
+    for worker in gang.parties:
+        agent = state.agents.get(state.workers.get(worker, ""))
+        if agent is not None:
+            effects += _missing(state, gang, agent, now)
+    return effects
 
 
 def closed(state: gang_state.State, agent_id: str) -> list[gang_state.Effect]:
@@ -152,8 +157,12 @@
         if member.state == "failed":
             return gang_stop.begin(state, gang, gang_state.Reason.FAILED, now, member.detail)
         if member.state == "stopped":
-            state.counters.members_lost += 1
-            return gang_stop.begin(state, gang, gang_state.Reason.MEMBER_LOST, now, member.detail)
+            reason = gang_state.Reason.MEMBER_LOST
+            if gang.phase is gang_state.Phase.STARTING:
+                reason = gang_state.Reason.NOT_STARTED
+            else:
+                state.counters.members_lost += 1
+            return gang_stop.begin(state, gang, reason, now, member.detail)
     if all(member is not None and member.state == "succeeded" for member in tasks):
         return gang_stop.record(state, gang, now)
     if gang.phase is not gang_state.Phase.RUNNING and _all_alive(tasks):
@@ -250,8 +259,11 @@
     held = {
         task for job_id, run, task in agent.members if (job_id, run) == (gang.job_id, gang.run)
     }
-    confirmed = {task for task, item in party.tasks.items() if item.state in _ALIVE}
-    if not confirmed - held:
+    expected = {task for task, item in party.tasks.items() if item.state in _ALIVE}
+    if gang.phase is gang_state.Phase.ADOPTING:
+        # What an earlier planner committed but had not started will not be started any more.
+        expected = {cell.task for cell in party.cells}
+    if not expected - held:
         return []
     state.counters.members_lost += 1
     detail = f"{agent.worker.id} no longer holds it"
--- a/packages/core/src/peridothatch_core/start/gang_start.py
+++ b/packages/core/src/peridothatch_core/start/gang_start.py
@@ -14,6 +14,9 @@
     gang_stop,
 )
 
+# Agents have dialled the new planner and announced their members long before this.
+ADOPT_TIMEOUT_SECONDS = 30.0
+
 _Phase = gang_state.Phase
 _Effects = list[gang_state.Effect]
 
@@ -133,7 +136,7 @@
             return []
         case _Phase.RESERVING:
             return gang_launch.abandon(state, gang) + _settle(state, entry, now)
-        case _Phase.COMMITTING if ours:
+        case _Phase.COMMITTING if ours and row.epoch == state.epoch:
             gang.phase, gang.since = _Phase.STARTING, now
             state.counters.runs_started += 1
             effects: _Effects = [gang_state.Holding(row)]
@@ -274,6 +277,10 @@
         case _Phase.STARTING if now - gang.since > gang_launch.START_TIMEOUT_SECONDS:
             state.counters.start_timeouts += 1
             return gang_stop.begin(state, gang, gang_state.Reason.NOT_STARTED, now)
+        case _Phase.ADOPTING if now - gang.since > ADOPT_TIMEOUT_SECONDS:
+            return gang_stop.begin(
+                state, gang, gang_state.Reason.MEMBER_LOST, now, "not all members were found"
+            )
         case _Phase.STARTING:
             return gang_launch.start(state, gang, now)
         case _Phase.STOPPING:
