Index the gangs by worker and pace starts

Cause: each heartbeat scanned all gangs and sorted all their tasks, and nothing paced the starts after a data centre or the store came back. Change: gangs are indexed by worker and keep a tally of member states, digests are kept until a member changes, rows in writing are listed apart, and a token bucket limits starts (30/s, burst 60). Conclusion: the cost of a heartbeat follows the members on its worker.

--- a/packages/core/src/peridothatch_core/start/gang_launch.py
+++ b/packages/core/src/peridothatch_core/start/gang_launch.py
@@ -6,7 +6,7 @@
 
 from peridothatch_core.message import link
 from peridothatch_core.model import job
-from peridothatch_core.start import gang_save, gang_state, gang_stop, service_proof
+from peridothatch_core.start import gang_event, gang_save, gang_state, gang_stop, service_proof
 
 RESERVATION_SECONDS = 10.0
 RESERVE_TIMEOUT_SECONDS = 5.0
@@ -14,13 +14,16 @@
 # Reservations are renewed this often, and a start wants the agent's clock reading of a
 # reservation that is no older, because the service proof is counted from that reading.
 REFRESH_SECONDS = 1.0
+# The store takes several hundred writes a second for all data centres; a start costs one.
+STARTS_PER_SECOND = 30.0
+START_BURST = 60.0
 STALE_PROOF = "service proof expired"
 
 _Phase = gang_state.Phase
-_Effects = list[gang_state.Effect]
+_Effects = list[gang_event.Effect]
 
 
-def place(state: gang_state.State, event: gang_state.Place, now: float) -> _Effects:
+def place(state: gang_state.State, event: gang_event.Place, now: float) -> _Effects:
     """Begin a run on the given cells, or say that the job still waits."""
     entry = state.jobs.get(event.job_id)
     if entry is None:
@@ -33,25 +36,35 @@
         and event.job_id not in state.gangs
         and entry.job.state is job.State.WAITING
         and service_proof.age(state.reading, now) >= 0
+        and _tokens(state, now) >= 1.0
     )
     parties = {cell.worker: gang_state.Party(()) for cell in event.cells}
     agents = {worker: _connected(state, worker) for worker in parties}
     if not usable or not all(agents.values()):
         waits = entry.saving is None and event.job_id not in state.gangs
-        return [gang_state.Waiting(entry.job)] if waits else []
+        return [gang_event.Waiting(entry.job)] if waits else []
     for worker, party in parties.items():
         party.cells = tuple(cell for cell in event.cells if cell.worker == worker)
         party.incarnation = agents[worker].worker.incarnation
+    state.start_tokens -= 1.0
     # Each attempt has its own run number, so that late answers to an earlier attempt, which
     # may name other cells, cannot count for this one.
     entry.last_run = max(entry.last_run, entry.job.run) + 1
     gang = gang_state.Gang(
         event.job_id, entry.last_run, _Phase.RESERVING, parties, event.borrowed, now
     )
-    state.gangs[event.job_id] = gang
+    gang_stop.add(state, gang)
     return reserve(state, gang, now)
 
 
+def _tokens(state: gang_state.State, now: float) -> float:
+    """Refill the bucket that paces starts after the data centre or the store comes back."""
+    earned = (now - state.tokens_at) * STARTS_PER_SECOND
+    state.start_tokens = min(START_BURST, state.start_tokens + earned)
+    state.tokens_at = now
+    return state.start_tokens
+
+
 def _connected(state: gang_state.State, worker: str) -> gang_state.Agent | None:
     agent = state.agents.get(state.workers.get(worker, ""))
     return agent if agent and agent.connected else None
@@ -136,7 +149,7 @@
 
 def abandon(state: gang_state.State, gang: gang_state.Gang) -> _Effects:
     """Give up a run that was not committed."""
-    del state.gangs[gang.job_id]
+    gang_stop.drop(state, gang.job_id)
     return gang_stop.release(state, gang)
 
 
--- a/packages/core/src/peridothatch_core/start/gang_report.py
+++ b/packages/core/src/peridothatch_core/start/gang_report.py
@@ -6,7 +6,7 @@
 
 from peridothatch_core.message import link
 from peridothatch_core.model import job
-from peridothatch_core.start import gang_state, gang_stop, service_proof
+from peridothatch_core.start import gang_event, gang_state, gang_stop, service_proof
 
 MEMBER_SILENT_SECONDS = 20.0
 _ALIVE = frozenset({"running", "succeeded"})
@@ -27,7 +27,7 @@
 
 def heartbeat(
     state: gang_state.State, agent_id: str, message: link.Heartbeat, now: float
-) -> list[gang_state.Effect]:
+) -> list[gang_event.Effect]:
     """Answer a heartbeat, with renewals for whole running gangs."""
     agent = state.agents.get(agent_id)
     renewed: tuple[link.GangRef, ...] = ()
@@ -38,19 +38,21 @@
         agent.heard_at, agent.connected = now, True
         if message.epoch == state.epoch and agent.fenced_at == float("inf"):
             agent.fenced_at = now
-        announce = message.digest != digest(tuple(agent.members.values()))
+        if agent.digest is None:
+            agent.digest = digest(tuple(agent.members.values()))
+        announce = message.digest != agent.digest
         renewed = _renew(state, agent, now)
     reading = state.reading
     age = service_proof.age(reading, now)
     ack = link.HeartbeatAck(
         message.t0, reading.in_service, age, reading.revision, state.epoch, True, renewed, announce
     )
-    return [gang_state.Tell(agent_id, ack)]
+    return [gang_event.Tell(agent_id, ack)]
 
 
 def announced(
-    state: gang_state.State, event: gang_state.FromAgent, now: float
-) -> list[gang_state.Effect]:
+    state: gang_state.State, event: gang_event.FromAgent, now: float
+) -> list[gang_event.Effect]:
     """Take over the members that an agent holds and stop those that no row knows."""
     message = event.message
     agent = state.agents.get(event.agent_id)
@@ -66,16 +68,18 @@
         for item in message.members
         if item.state != "reserved"
     }
-    effects: list[gang_state.Effect] = [gang_state.WorkerJoined(message.worker)]
+    agent.digest = None
+    effects: list[gang_event.Effect] = [gang_event.WorkerJoined(message.worker)]
     effects += check_members(state, agent, now)
-    for gang in tuple(state.gangs.values()):
-        effects += _missing(state, gang, agent, now)
+    for job_id in sorted(state.on_worker.get(message.worker.id, ())):
+        if job_id in state.gangs:
+            effects += _missing(state, state.gangs[job_id], agent, now)
     return effects
 
 
 def member_state(
     state: gang_state.State, agent_id: str, message: link.MemberState, now: float
-) -> list[gang_state.Effect]:
+) -> list[gang_event.Effect]:
     """Record a changed member."""
     agent = state.agents.get(agent_id)
     if agent is None:
@@ -83,14 +87,15 @@
     member = message.member
     if member.cell.task >= 0:
         agent.members[(member.job, member.run, member.cell.task)] = member
+        agent.digest = None
     return _member(state, agent, member, now)
 
 
 def check_members(
     state: gang_state.State, agent: gang_state.Agent, now: float
-) -> list[gang_state.Effect]:
+) -> list[gang_event.Effect]:
     """Compare all members that an agent holds with the runs that the rows know."""
-    effects: list[gang_state.Effect] = []
+    effects: list[gang_event.Effect] = []
     for member in tuple(agent.members.values()):
         effects += _member(state, agent, member, now)
     return effects
@@ -98,16 +103,16 @@
 
 def adopt_members(
     state: gang_state.State, gang: gang_state.Gang, now: float
-) -> list[gang_state.Effect]:
+) -> list[gang_event.Effect]:
     """Take what agents announced before the job row was read into a run."""
     for worker, party in gang.parties.items():
         agent = state.agents.get(state.workers.get(worker, ""))
         if agent is None:
             continue
         party.incarnation = agent.worker.incarnation
-        for (job_id, run, task), member in agent.members.items():
+        for (job_id, run, _), member in agent.members.items():
             if (job_id, run) == (gang.job_id, gang.run):
-                party.tasks[task] = member
+                gang_stop.set_member(gang, party, member)
     effects = evaluate(state, gang, now)
     for worker in gang.parties:
         agent = state.agents.get(state.workers.get(worker, ""))
@@ -116,18 +121,18 @@
     return effects
 
 
-def closed(state: gang_state.State, agent_id: str) -> list[gang_state.Effect]:
+def closed(state: gang_state.State, agent_id: str) -> list[gang_event.Effect]:
     """Record that an agent is not connected; its members count as lost only after a while."""
     agent = state.agents.get(agent_id)
     if agent is None or not agent.connected:
         return []
     agent.connected = False
-    return [gang_state.WorkerLost(agent.worker.id)]
+    return [gang_event.WorkerLost(agent.worker.id)]
 
 
-def watch(state: gang_state.State, now: float) -> list[gang_state.Effect]:
+def watch(state: gang_state.State, now: float) -> list[gang_event.Effect]:
     """Stop gangs with a member that has not been heard of for too long."""
-    effects: list[gang_state.Effect] = []
+    effects: list[gang_event.Effect] = []
     for gang in tuple(state.gangs.values()):
         if gang.phase not in _WATCHED:
             continue
@@ -144,34 +149,32 @@
 
 def evaluate(
     state: gang_state.State, gang: gang_state.Gang, now: float
-) -> list[gang_state.Effect]:
+) -> list[gang_event.Effect]:
     """Move a run on after the state of a member changed."""
     if gang.phase is gang_state.Phase.STOPPING:
         return gang_stop.advance(state, gang, now)
     if gang.phase not in _WATCHED:
         return []
-    tasks = gang_stop.all_tasks(gang)
-    for member in tasks:
-        if member is None:
-            continue
-        if member.state == "failed":
-            return gang_stop.begin(state, gang, gang_state.Reason.FAILED, now, member.detail)
-        if member.state == "stopped":
-            reason = gang_state.Reason.MEMBER_LOST
-            if gang.phase is gang_state.Phase.STARTING:
-                reason = gang_state.Reason.NOT_STARTED
-            else:
-                state.counters.members_lost += 1
-            return gang_stop.begin(state, gang, reason, now, member.detail)
-    if all(member is not None and member.state == "succeeded" for member in tasks):
+    if gang.tally.get("failed"):
+        failed = _first(gang, "failed")
+        return gang_stop.begin(state, gang, gang_state.Reason.FAILED, now, failed.detail)
+    if gang.tally.get("stopped"):
+        reason = gang_state.Reason.MEMBER_LOST
+        if gang.phase is gang_state.Phase.STARTING:
+            reason = gang_state.Reason.NOT_STARTED
+        else:
+            state.counters.members_lost += 1
+        return gang_stop.begin(state, gang, reason, now, _first(gang, "stopped").detail)
+    if gang_stop.succeeded(gang):
         return gang_stop.record(state, gang, now)
-    if gang.phase is not gang_state.Phase.RUNNING and _all_alive(tasks):
+    if gang.phase is not gang_state.Phase.RUNNING and gang_stop.whole(gang):
         gang.phase, gang.since = gang_state.Phase.RUNNING, now
     return []
 
 
-def _all_alive(tasks: list[link.Member | None]) -> bool:
-    return all(member is not None and member.state in _ALIVE for member in tasks)
+def _first(gang: gang_state.Gang, word: str) -> link.Member:
+    members = (item for party in gang.parties.values() for item in party.tasks.values())
+    return next(item for item in members if item.state == word)
 
 
 def _renew(
@@ -182,12 +185,12 @@
     if state.outranked or (not state.may_decide and agent.since > state.contact_at):
         return ()
     renewed = []
-    for gang in state.gangs.values():
-        party = gang.parties.get(agent.worker.id)
-        if party is None or gang.phase is not gang_state.Phase.RUNNING:
+    for job_id in sorted(state.on_worker.get(agent.worker.id, ())):
+        gang = state.gangs[job_id]
+        if gang.phase is not gang_state.Phase.RUNNING or not gang_stop.whole(gang):
             continue
-        if _all_alive(gang_stop.all_tasks(gang)) and _all_heard(state, gang, now):
-            party.renewed_at = now
+        if _all_heard(state, gang, now):
+            gang.parties[agent.worker.id].renewed_at = now
             renewed.append(link.GangRef(gang.job_id, gang.run))
     return tuple(renewed)
 
@@ -199,14 +202,14 @@
 
 def _member(
     state: gang_state.State, agent: gang_state.Agent, member: link.Member, now: float
-) -> list[gang_state.Effect]:
+) -> list[gang_event.Effect]:
     gang = state.gangs.get(member.job)
     if gang is None or gang.run != member.run:
         return _unknown(state, agent, gang, member)
     party = gang.parties.get(agent.worker.id)
     if party is None:
         return [
-            gang_state.Tell(agent.agent_id, link.Stop(member.job, member.run, state.epoch, False))
+            gang_event.Tell(agent.agent_id, link.Stop(member.job, member.run, state.epoch, False))
         ]
     party.incarnation = party.incarnation or agent.worker.incarnation
     if member.cell.task < 0:
@@ -214,11 +217,10 @@
         for cell in party.cells:
             known = party.tasks.get(cell.task)
             if known is None or known.state not in gang_stop.ENDED:
-                party.tasks[cell.task] = link.Member(
-                    member.job, member.run, cell, "stopped", member.detail
-                )
-    else:
-        party.tasks[member.cell.task] = member
+                none = link.Member(member.job, member.run, cell, "stopped", member.detail)
+                gang_stop.set_member(gang, party, none)
+    elif any(cell.task == member.cell.task for cell in party.cells):
+        gang_stop.set_member(gang, party, member)
     return evaluate(state, gang, now)
 
 
@@ -227,7 +229,7 @@
     agent: gang_state.Agent,
     gang: gang_state.Gang | None,
     member: link.Member,
-) -> list[gang_state.Effect]:
+) -> list[gang_event.Effect]:
     """Stop or forget a member of a run that no row knows."""
     if gang is None and not state.loaded:
         return []
@@ -235,11 +237,12 @@
         return []
     if member.state in gang_stop.ENDED:
         agent.members.pop((member.job, member.run, member.cell.task), None)
+        agent.digest = None
         message: link.Message = link.Release(member.job, member.run, state.epoch)
-        return [gang_state.Tell(agent.agent_id, message)]
+        return [gang_event.Tell(agent.agent_id, message)]
     state.counters.stale_members_stopped += 1
     message = link.Stop(member.job, member.run, state.epoch, False)
-    return [gang_state.Tell(agent.agent_id, message)]
+    return [gang_event.Tell(agent.agent_id, message)]
 
 
 def _adoptable(state: gang_state.State, member: link.Member) -> bool:
@@ -251,7 +254,7 @@
 
 def _missing(
     state: gang_state.State, gang: gang_state.Gang, agent: gang_state.Agent, now: float
-) -> list[gang_state.Effect]:
+) -> list[gang_event.Effect]:
     """Treat members that a running gang had on a worker, and that are gone, as lost."""
     party = gang.parties.get(agent.worker.id)
     if party is None or gang.phase not in _WATCHED:
--- a/packages/core/src/peridothatch_core/start/gang_save.py
+++ b/packages/core/src/peridothatch_core/start/gang_save.py
@@ -5,7 +5,7 @@
 import typing
 
 from peridothatch_core.message import store
-from peridothatch_core.start import gang_state
+from peridothatch_core.start import gang_event, gang_state
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.model import job
@@ -15,27 +15,29 @@
 
 def save(
     state: gang_state.State, entry: gang_state.Entry, written: job.Job
-) -> list[gang_state.Effect]:
+) -> list[gang_event.Effect]:
     """Start a transaction that replaces the row as it was last read."""
     state.attempts += 1
+    state.saving.add(written.id)
     entry.saving = gang_state.Saving(written, entry.version, state.attempts)
-    return [gang_state.SaveJob(written, entry.version, state.attempts)]
+    return [gang_event.SaveJob(written, entry.version, state.attempts)]
 
 
 def saved(
-    state: gang_state.State, entry: gang_state.Entry, event: gang_state.Saved, now: float
-) -> list[gang_state.Effect]:
+    state: gang_state.State, entry: gang_state.Entry, event: gang_event.Saved, now: float
+) -> list[gang_event.Effect]:
     """Record an outcome; on ``APPLIED`` the entry holds the new row and ``saving`` is empty."""
     saving = entry.saving
     if saving is None or saving.attempt != event.attempt:
         return []
     if event.outcome is store.Outcome.APPLIED:
-        entry.job, entry.version, entry.saving = saving.job, event.version, None
+        entry.job, entry.version = saving.job, event.version
+        forget(state, entry)
         return []
     if event.outcome is store.Outcome.CONFLICT:
         # The row decides: a transaction that the store no longer remembers conflicts with itself.
         state.counters.conflicts += 1
-        return [gang_state.ReadJob(event.job_id)]
+        return [gang_event.ReadJob(event.job_id)]
     if event.outcome is store.Outcome.UNKNOWN:
         state.counters.unknown_outcomes += 1
         saving.in_doubt = True
@@ -43,20 +45,26 @@
     return []
 
 
-def retry(state: gang_state.State, now: float) -> list[gang_state.Effect]:
+def retry(state: gang_state.State, now: float) -> list[gang_event.Effect]:
     """Send again, under the same attempt, what has not been recorded."""
-    effects: list[gang_state.Effect] = []
+    effects: list[gang_event.Effect] = []
     if not state.may_decide:
         return effects
-    for entry in state.jobs.values():
-        saving = entry.saving
+    for job_id in sorted(state.saving):
+        saving = state.jobs[job_id].saving
         if saving is not None and saving.retry_at <= now:
             saving.retry_at = float("inf")
-            effects.append(gang_state.SaveJob(saving.job, saving.version, saving.attempt))
+            effects.append(gang_event.SaveJob(saving.job, saving.version, saving.attempt))
     return effects
 
 
-def read(entry: gang_state.Entry, found: job.Job, version: int) -> bool:
+def forget(state: gang_state.State, entry: gang_state.Entry) -> None:
+    """Drop a transaction whose outcome is known."""
+    entry.saving = None
+    state.saving.discard(entry.job.id)
+
+
+def read(state: gang_state.State, entry: gang_state.Entry, found: job.Job, version: int) -> bool:
     """Take over a row that was read; return whether it is newer than what was known.
 
     A row with a higher version than a transaction expects decides its outcome: either the
@@ -64,6 +72,7 @@
     """
     if version <= entry.version:
         return False
-    entry.job, entry.version, entry.saving = found, version, None
+    entry.job, entry.version = found, version
+    forget(state, entry)
     entry.last_run = max(entry.last_run, found.run)
     return True
--- a/packages/core/src/peridothatch_core/start/gang_start.py
+++ b/packages/core/src/peridothatch_core/start/gang_start.py
@@ -7,6 +7,7 @@
 from peridothatch_core.message import link, store
 from peridothatch_core.model import job
 from peridothatch_core.start import (
+    gang_event,
     gang_launch,
     gang_report,
     gang_save,
@@ -18,7 +19,7 @@
 ADOPT_TIMEOUT_SECONDS = 30.0
 
 _Phase = gang_state.Phase
-_Effects = list[gang_state.Effect]
+_Effects = list[gang_event.Effect]
 
 
 def create(
@@ -30,39 +31,39 @@
     )
 
 
-def step(state: gang_state.State, event: gang_state.Event, now: float) -> _Effects:
+def step(state: gang_state.State, event: gang_event.Event, now: float) -> _Effects:
     """Apply one event and return what to do."""
     match event:
-        case gang_state.FromAgent():
+        case gang_event.FromAgent():
             return _from_agent(state, event, now)
-        case gang_state.AgentClosed():
+        case gang_event.AgentClosed():
             return gang_report.closed(state, event.agent_id)
-        case gang_state.JobRead():
+        case gang_event.JobRead():
             return _job_read(state, event, now)
-        case gang_state.Saved():
+        case gang_event.Saved():
             return _saved(state, event, now)
-        case gang_state.Place():
+        case gang_event.Place():
             return gang_launch.place(state, event, now)
-        case gang_state.Preempt():
+        case gang_event.Preempt():
             return _stop_for(state, event.job_id, gang_state.Reason.PREEMPTED, event.detail, now)
-        case gang_state.MoveOut():
+        case gang_event.MoveOut():
             return _move_out(state, event, now)
-        case gang_state.Elsewhere():
+        case gang_event.Elsewhere():
             return _elsewhere(state, event)
-        case gang_state.FailureJudged():
+        case gang_event.FailureJudged():
             return _judged(state, event, now)
-        case gang_state.Reading():
+        case gang_event.Reading():
             state.reading, state.vouched = event.reading, event.vouched
-        case gang_state.Lease():
+        case gang_event.Lease():
             state.may_decide, state.contact_at = event.may_decide, event.contact_at
-        case gang_state.Loaded():
+        case gang_event.Loaded():
             return _loaded(state, now)
-        case gang_state.Tick():
+        case gang_event.Tick():
             return _tick(state, now)
     return []
 
 
-def _from_agent(state: gang_state.State, event: gang_state.FromAgent, now: float) -> _Effects:
+def _from_agent(state: gang_state.State, event: gang_event.FromAgent, now: float) -> _Effects:
     message = event.message
     match message:
         case link.Heartbeat():
@@ -87,7 +88,7 @@
     return _settle(state, entry, now)
 
 
-def _job_read(state: gang_state.State, event: gang_state.JobRead, now: float) -> _Effects:
+def _job_read(state: gang_state.State, event: gang_event.JobRead, now: float) -> _Effects:
     entry = state.jobs.get(event.job_id)
     if event.job is None:
         return _forget(state, event.job_id) if entry else []
@@ -97,18 +98,18 @@
         entry = gang_state.Entry(event.job, event.version, event.job.run)
         state.jobs[event.job_id] = entry
         return _settle(state, entry, now)
-    if not gang_save.read(entry, event.job, event.version):
+    if not gang_save.read(state, entry, event.job, event.version):
         return []
     return _settle(state, entry, now)
 
 
-def _saved(state: gang_state.State, event: gang_state.Saved, now: float) -> _Effects:
+def _saved(state: gang_state.State, event: gang_event.Saved, now: float) -> _Effects:
     entry = state.jobs.get(event.job_id)
     if entry is None:
         return []
     effects = gang_save.saved(state, entry, event, now)
     if event.outcome is store.Outcome.NOT_SENT and _uncommitted(state, entry):
-        entry.saving = None
+        gang_save.forget(state, entry)
         effects += gang_launch.abandon(state, state.gangs[event.job_id])
     if entry.saving is None:
         effects += _settle(state, entry, now)
@@ -139,7 +140,7 @@
         case _Phase.COMMITTING if ours and row.epoch == state.epoch:
             gang.phase, gang.since = _Phase.STARTING, now
             state.counters.runs_started += 1
-            effects: _Effects = [gang_state.Holding(row)]
+            effects: _Effects = [gang_event.Holding(row)]
             if row.cancel_requested:
                 return effects + gang_stop.begin(state, gang, gang_state.Reason.CANCELLED, now)
             return effects + gang_launch.start(state, gang, now)
@@ -148,7 +149,7 @@
         case _Phase.RECORDING if ours:
             return gang_stop.record(state, gang, now)
         case _Phase.RECORDING:
-            del state.gangs[row.id]
+            gang_stop.drop(state, row.id)
             return gang_stop.release(state, gang) + _settle(state, entry, now)
     if not ours:
         return gang_stop.begin(state, gang, gang_state.Reason.SUPERSEDED, now)
@@ -161,7 +162,7 @@
     row = entry.job
     if row.state is job.State.WAITING:
         if not row.cancel_requested:
-            return [gang_state.Waiting(row)]
+            return [gang_event.Waiting(row)]
         if not state.may_decide:
             return []
         ended = dataclasses.replace(
@@ -172,7 +173,7 @@
             detail="cancelled before it started",
         )
         return gang_save.save(state, entry, ended)
-    return [gang_state.Holding(row), *_adopt(state, entry, now)]
+    return [gang_event.Holding(row), *_adopt(state, entry, now)]
 
 
 def _adopt(state: gang_state.State, entry: gang_state.Entry, now: float) -> _Effects:
@@ -184,7 +185,7 @@
     gang = gang_state.Gang(
         row.id, row.run, _Phase.ADOPTING, parties, row.borrowed, now, adopted=True
     )
-    state.gangs[row.id] = gang
+    gang_stop.add(state, gang)
     if row.cancel_requested:
         return gang_stop.begin(state, gang, gang_state.Reason.CANCELLED, now)
     return gang_report.adopt_members(state, gang, now)
@@ -193,9 +194,10 @@
 def _forget(state: gang_state.State, job_id: str) -> _Effects:
     """Drop a job that has ended or left; stop what should not be running."""
     entry = state.jobs.pop(job_id)
-    gang = state.gangs.pop(job_id, None)
+    gang_save.forget(state, entry)
+    gang = gang_stop.drop(state, job_id)
     succeeded = entry.job.state is job.State.SUCCEEDED
-    effects: _Effects = [gang_state.Ended(job_id, succeeded)]
+    effects: _Effects = [gang_event.Ended(job_id, succeeded)]
     if gang is None:
         return effects
     if gang.phase in (_Phase.RECORDING, _Phase.RESERVING, _Phase.COMMITTING):
@@ -220,7 +222,7 @@
     return gang_stop.begin(state, gang, reason, now, detail)
 
 
-def _move_out(state: gang_state.State, event: gang_state.MoveOut, now: float) -> _Effects:
+def _move_out(state: gang_state.State, event: gang_event.MoveOut, now: float) -> _Effects:
     gang = state.gangs.get(event.job_id)
     if gang is None:
         return []
@@ -229,7 +231,7 @@
     return _stop_for(state, event.job_id, reason, event.data_centre, now)
 
 
-def _elsewhere(state: gang_state.State, event: gang_state.Elsewhere) -> _Effects:
+def _elsewhere(state: gang_state.State, event: gang_event.Elsewhere) -> _Effects:
     entry = state.jobs.get(event.job_id)
     free = entry is not None and entry.saving is None and event.job_id not in state.gangs
     if not free or not state.may_decide or not event.data_centre:
@@ -242,7 +244,7 @@
     return gang_save.save(state, entry, moved)
 
 
-def _judged(state: gang_state.State, event: gang_state.FailureJudged, now: float) -> _Effects:
+def _judged(state: gang_state.State, event: gang_event.FailureJudged, now: float) -> _Effects:
     gang = state.gangs.get(event.job_id)
     if gang is None or not gang.judging:
         return []
--- a/packages/core/src/peridothatch_core/start/gang_state.py
+++ b/packages/core/src/peridothatch_core/start/gang_state.py
@@ -1,4 +1,4 @@
-"""State, events and effects of the gangs of one data centre, planner side."""
+"""State of the gangs of one data centre, planner side."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import typing
 
 if typing.TYPE_CHECKING:
-    from peridothatch_core.message import link, store
+    from peridothatch_core.message import link
     from peridothatch_core.model import job, worker
 
 from peridothatch_core.start import service_proof
@@ -55,6 +55,8 @@
         When it was first heard to have seen our epoch; infinite before that.
     since : float
         When this incarnation of the agent was first heard.
+    digest : int or None
+        Hash of ``members``; ``None`` after a change.
     """
 
     agent_id: str
@@ -64,7 +66,7 @@
     incarnation: str = ""
     since: float = 0.0
     connected: bool = True
-    digest: int = 0
+    digest: int | None = None
     members: dict[tuple[str, int, int], link.Member] = dataclasses.field(default_factory=dict)
 
 
@@ -102,6 +104,8 @@
     ----------
     since : float
         When the present phase began.
+    tally : dict
+        Number of tasks in each reported state.
     judging : bool
         Placement has not yet said whether to run the job again after a failure.
     """
@@ -116,6 +120,7 @@
     reason: Reason = Reason.NONE
     detail: str = ""
     checkpoint: bool = False
+    tally: dict[str, int] = dataclasses.field(default_factory=dict)
     judging: bool = False
     run_again: bool = True
     moved_to: str = ""
@@ -184,6 +189,14 @@
         All job rows have been read since the lease was taken.
     wall_offset : float
         Seconds since 1970-01-01 UTC minus the monotonic clock, for times in job rows.
+    workers : dict
+        Agent of each worker.
+    on_worker : dict
+        Jobs whose run has members on each worker.
+    saving : set
+        Jobs whose row is being written.
+    start_tokens : float
+        Starts that may begin at once, as of ``tokens_at``.
     vouched : bool
         An operator confirmed that nothing runs in the data centre.
     """
@@ -202,191 +215,9 @@
     gangs: dict[str, Gang] = dataclasses.field(default_factory=dict)
     agents: dict[str, Agent] = dataclasses.field(default_factory=dict)
     workers: dict[str, str] = dataclasses.field(default_factory=dict)
+    on_worker: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    saving: set[str] = dataclasses.field(default_factory=set)
+    start_tokens: float = 0.0
+    tokens_at: float = float("-inf")
     attempts: int = 0
     counters: Counters = dataclasses.field(default_factory=Counters)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class JobRead:
-    """A job row was read; ``job`` is ``None`` when it is absent."""
-
-    job_id: str
-    job: job.Job | None
-    version: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Loaded:
-    """All active job rows have been read."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
-    """Start a waiting job on these cells."""
-
-    job_id: str
-    cells: tuple[job.Cell, ...]
-    borrowed: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Preempt:
-    """Stop a running job and let it wait again."""
-
-    job_id: str
-    detail: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class MoveOut:
-    """Stop a running job; ``data_centre`` may be empty when no other has room."""
-
-    job_id: str
-    data_centre: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Elsewhere:
-    """Write another data centre into the row of a waiting job."""
-
-    job_id: str
-    data_centre: str
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FromAgent:
-    """A message from an agent of the data centre."""
-
-    agent_id: str
-    message: link.Message
-    incarnation: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AgentClosed:
-    """The connection to an agent has ended."""
-
-    agent_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reading:
-    """The configuration's view of the data centre was confirmed or changed."""
-
-    reading: service_proof.Reading
-    vouched: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Lease:
-    """Whether the planner lease is held, rather than renew-only."""
-
-    may_decide: bool
-    contact_at: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FailureJudged:
-    """Answer of placement to ``RunFailed``."""
-
-    job_id: str
-    run_again: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Saved:
-    """Outcome of the transaction ``attempt`` of a job; ``version`` is set after ``APPLIED``."""
-
-    job_id: str
-    attempt: int
-    outcome: store.Outcome
-    version: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tick:
-    """A timer fired."""
-
-
-Event = (
-    JobRead | Loaded | Place | Preempt | MoveOut | Elsewhere | FromAgent | AgentClosed
-    | Reading | Lease | FailureJudged | Saved | Tick
-)  # fmt: skip
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tell:
-    """Send a message to an agent."""
-
-    agent_id: str
-    message: link.Message
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SaveJob:
-    """Write a job row and its index rows.
-
-    The transaction has the conditions that ``planner/DC`` has our epoch and that the job row has
-    ``version``. The same ``attempt`` is the same transaction.
-    """
-
-    job: job.Job
-    version: int
-    attempt: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReadJob:
-    """Read a job row again."""
-
-    job_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Waiting:
-    """Tell placement that a job waits and holds no cells."""
-
-    job: job.Job
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Holding:
-    """Tell placement that a job holds the cells of its row."""
-
-    job: job.Job
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ended:
-    """Tell placement that a job has left the data centre."""
-
-    job_id: str
-    succeeded: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunFailed:
-    """Tell placement that members of a run failed on these workers."""
-
-    job_id: str
-    workers: tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkerJoined:
-    """Tell placement that a worker can be used."""
-
-    worker: worker.Worker
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkerLost:
-    """Tell placement that a worker cannot be used."""
-
-    worker_id: str
-
-
-Effect = (
-    Tell | SaveJob | ReadJob | Waiting | Holding | Ended | RunFailed | WorkerJoined | WorkerLost
-)
--- a/packages/core/src/peridothatch_core/start/gang_stop.py
+++ b/packages/core/src/peridothatch_core/start/gang_stop.py
@@ -6,7 +6,7 @@
 
 from peridothatch_core.message import link
 from peridothatch_core.model import job
-from peridothatch_core.start import gang_save, gang_state, planner_lease
+from peridothatch_core.start import gang_event, gang_save, gang_state, planner_lease
 
 GANG_LEASE_SECONDS = 60.0
 DRIFT = 1.05
@@ -20,7 +20,7 @@
     reason: gang_state.Reason,
     now: float,
     detail: str = "",
-) -> list[gang_state.Effect]:
+) -> list[gang_event.Effect]:
     """Stop every member of a run at once."""
     if gang.phase is gang_state.Phase.RECORDING:
         return []
@@ -39,19 +39,19 @@
         detail,
     )
     state.counters.runs_stopped += 1
-    effects: list[gang_state.Effect] = []
+    effects: list[gang_event.Effect] = []
     if reason is gang_state.Reason.FAILED:
         gang.judging = True
         failed = tuple(
             worker for worker, party in gang.parties.items() if "failed" in _states(party)
         )
-        effects.append(gang_state.RunFailed(gang.job_id, failed))
+        effects.append(gang_event.RunFailed(gang.job_id, failed))
     return effects + advance(state, gang, now)
 
 
-def advance(state: gang_state.State, gang: gang_state.Gang, now: float) -> list[gang_state.Effect]:
+def advance(state: gang_state.State, gang: gang_state.Gang, now: float) -> list[gang_event.Effect]:
     """Repeat ``Stop`` where a member may still run, and record the end when none can."""
-    effects: list[gang_state.Effect] = []
+    effects: list[gang_event.Effect] = []
     for worker, party in gang.parties.items():
         if not party.down:
             party.down = _is_down(state, gang, worker, party, now)
@@ -64,11 +64,11 @@
     return effects
 
 
-def record(state: gang_state.State, gang: gang_state.Gang, now: float) -> list[gang_state.Effect]:
+def record(state: gang_state.State, gang: gang_state.Gang, now: float) -> list[gang_event.Effect]:
     """Write the row of a run that has ended everywhere."""
     entry = state.jobs.get(gang.job_id)
     if entry is None:
-        del state.gangs[gang.job_id]
+        drop(state, gang.job_id)
         return release(state, gang)
     gang.phase, gang.since = gang_state.Phase.RECORDING, now
     if entry.saving is not None or not state.may_decide:
@@ -83,7 +83,7 @@
     wall = now + state.wall_offset
     tasks = all_tasks(gang)
     base = dataclasses.replace(current, epoch=state.epoch)
-    if all(member is not None and member.state == "succeeded" for member in tasks):
+    if succeeded(gang):
         return dataclasses.replace(
             base,
             state=job.State.SUCCEEDED,
@@ -117,6 +117,47 @@
     )
 
 
+def add(state: gang_state.State, gang: gang_state.Gang) -> None:
+    """Add a run and index it by worker."""
+    state.gangs[gang.job_id] = gang
+    for worker in gang.parties:
+        state.on_worker.setdefault(worker, set()).add(gang.job_id)
+
+
+def drop(state: gang_state.State, job_id: str) -> gang_state.Gang | None:
+    """Remove the run of a job, if there is one."""
+    gang = state.gangs.pop(job_id, None)
+    for worker in gang.parties if gang else ():
+        state.on_worker[worker].discard(job_id)
+        if not state.on_worker[worker]:
+            del state.on_worker[worker]
+    return gang
+
+
+def set_member(gang: gang_state.Gang, party: gang_state.Party, member: link.Member) -> None:
+    """Record the state of one task of a run."""
+    known = party.tasks.get(member.cell.task)
+    if known is not None:
+        gang.tally[known.state] -= 1
+    gang.tally[member.state] = gang.tally.get(member.state, 0) + 1
+    party.tasks[member.cell.task] = member
+
+
+def whole(gang: gang_state.Gang) -> bool:
+    """Return whether every member was reported as running or as succeeded."""
+    alive = gang.tally.get("running", 0) + gang.tally.get("succeeded", 0)
+    return alive == _size(gang)
+
+
+def succeeded(gang: gang_state.Gang) -> bool:
+    """Return whether every member has succeeded."""
+    return gang.tally.get("succeeded", 0) == _size(gang)
+
+
+def _size(gang: gang_state.Gang) -> int:
+    return sum(len(party.cells) for party in gang.parties.values())
+
+
 def all_tasks(gang: gang_state.Gang) -> list[link.Member | None]:
     """Return the last reported state of each task, in order of task index."""
     found = [
@@ -127,18 +168,18 @@
     return [member for _, member in sorted(found, key=lambda pair: pair[0])]
 
 
-def release(state: gang_state.State, gang: gang_state.Gang) -> list[gang_state.Effect]:
+def release(state: gang_state.State, gang: gang_state.Gang) -> list[gang_event.Effect]:
     """Let the agents forget the run."""
     message = link.Release(gang.job_id, gang.run, state.epoch)
     return [effect for worker in gang.parties for effect in tell(state, worker, message)]
 
 
-def tell(state: gang_state.State, worker: str, message: link.Message) -> list[gang_state.Effect]:
+def tell(state: gang_state.State, worker: str, message: link.Message) -> list[gang_event.Effect]:
     """Send a message to the agent of a worker, if it is connected."""
     agent = state.agents.get(state.workers.get(worker, ""))
     if agent is None or not agent.connected:
         return []
-    return [gang_state.Tell(agent.agent_id, message)]
+    return [gang_event.Tell(agent.agent_id, message)]
 
 
 def _states(party: gang_state.Party) -> set[str]:
--- a/packages/daemon/src/peridothatch_daemon/decide/planner.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner.py
@@ -8,7 +8,7 @@
 import typing
 
 from peridothatch_core.message import link, store
-from peridothatch_core.start import gang_state, planner_lease
+from peridothatch_core.start import gang_event, planner_lease
 from peridothatch_daemon import messages
 from peridothatch_daemon.decide import loop, planner_state, planner_store, policy
 from peridothatch_wire import mailbox, task
@@ -122,7 +122,7 @@
     if peer.role != "agent" or peer.data_centre != state.settings.data_centre:
         return
     if state.gangs is not None:
-        event = gang_state.FromAgent(peer.id, content, peer.incarnation)
+        event = gang_event.FromAgent(peer.id, content, peer.incarnation)
         planner_state.apply(state, event, now)
     elif isinstance(content, link.Heartbeat):
         ack = link.HeartbeatAck(
@@ -137,7 +137,7 @@
     planner_store.tick(state, now)
     if state.gangs is None:
         return
-    planner_state.apply(state, gang_state.Tick(), now)
+    planner_state.apply(state, gang_event.Tick(), now)
     state.dirty = True
     if now >= state.digest_due_at:
         state.digest_due_at = now + DIGEST_SECONDS
@@ -158,7 +158,7 @@
     if peer.id in state.agents:
         state.agents.discard(peer.id)
         if state.gangs is not None:
-            planner_state.apply(state, gang_state.AgentClosed(peer.id), now)
+            planner_state.apply(state, gang_event.AgentClosed(peer.id), now)
 
 
 def _config(state: planner_state.State, snapshot: config.Snapshot, now: float) -> None:
--- a/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
@@ -9,7 +9,13 @@
 from peridothatch_core.message import link, store
 from peridothatch_core.model import config, datacentre, job, shape
 from peridothatch_core.place import decide as placing
-from peridothatch_core.start import gang_start, gang_state, planner_lease, service_proof
+from peridothatch_core.start import (
+    gang_event,
+    gang_start,
+    gang_state,
+    planner_lease,
+    service_proof,
+)
 from peridothatch_daemon import messages
 from peridothatch_daemon.decide import policy
 from peridothatch_daemon.outlet import rows
@@ -59,7 +65,7 @@
     entries: set[str] = dataclasses.field(default_factory=set)
     agents: set[str] = dataclasses.field(default_factory=set)
     introduced: tuple[str, int] = ("", 0)
-    attempts: dict[str, gang_state.SaveJob] = dataclasses.field(default_factory=dict)
+    attempts: dict[str, gang_event.SaveJob] = dataclasses.field(default_factory=dict)
     lease_writes: int = 0
     lease_sent: tuple[str, planner_lease.WriteRow, float] | None = None
     loading: set[str] | None = None
@@ -122,10 +128,10 @@
         service is datacentre.Service.IN, state.snapshot.revision, state.fresh_at
     )
     vouched = service is datacentre.Service.LOST
-    apply(state, gang_state.Reading(reading, vouched), now)
+    apply(state, gang_event.Reading(reading, vouched), now)
 
 
-def apply(state: State, event: gang_state.Event, now: float) -> None:
+def apply(state: State, event: gang_event.Event, now: float) -> None:
     """Run one event through the gangs and carry its effects out."""
     if state.gangs is None:
         return
@@ -134,34 +140,34 @@
         _carry_out(state, effect, now)
 
 
-def _carry_out(state: State, effect: gang_state.Effect, now: float) -> None:
+def _carry_out(state: State, effect: gang_event.Effect, now: float) -> None:
     wall = state.wall()
     match effect:
-        case gang_state.Tell():
+        case gang_event.Tell():
             to_peer(state, effect.agent_id, effect.message)
-        case gang_state.SaveJob():
+        case gang_event.SaveJob():
             _save(state, effect)
-        case gang_state.ReadJob():
+        case gang_event.ReadJob():
             read_jobs(state, (effect.job_id,))
-        case gang_state.Waiting():
+        case gang_event.Waiting():
             state.policy.record_waiting(effect.job, wall)
-        case gang_state.Holding():
+        case gang_event.Holding():
             state.policy.record_started(effect.job, wall)
-        case gang_state.Ended():
+        case gang_event.Ended():
             state.policy.record_ended(effect.job_id, wall, effect.succeeded)
             broadcast(state, link.JobChanged(effect.job_id, state.settings.data_centre))
-        case gang_state.RunFailed():
+        case gang_event.RunFailed():
             again = state.policy.record_failed(effect.job_id, effect.workers, wall)
-            apply(state, gang_state.FailureJudged(effect.job_id, again), now)
-        case gang_state.WorkerJoined():
+            apply(state, gang_event.FailureJudged(effect.job_id, again), now)
+        case gang_event.WorkerJoined():
             state.policy.record_worker_joined(effect.worker, wall)
-        case gang_state.WorkerLost():
+        case gang_event.WorkerLost():
             state.policy.record_worker_lost(effect.worker_id, wall)
-    if not isinstance(effect, gang_state.Tell):
+    if not isinstance(effect, gang_event.Tell):
         state.dirty = True
 
 
-def _save(state: State, effect: gang_state.SaveJob) -> None:
+def _save(state: State, effect: gang_event.SaveJob) -> None:
     data_centre = state.settings.data_centre
     held = effect.job
     transaction = store.Transaction(
@@ -209,13 +215,13 @@
     for decision in state.policy.decide(state.wall()):
         match decision:
             case placing.Place():
-                event = gang_state.Place(decision.job_id, decision.cells, decision.borrowed)
+                event = gang_event.Place(decision.job_id, decision.cells, decision.borrowed)
             case placing.Preempt():
-                event = gang_state.Preempt(decision.job_id, f"for {decision.for_job}")
+                event = gang_event.Preempt(decision.job_id, f"for {decision.for_job}")
             case placing.MoveOut():
-                event = gang_state.MoveOut(decision.job_id, _other_centre(state, decision.job_id))
+                event = gang_event.MoveOut(decision.job_id, _other_centre(state, decision.job_id))
             case placing.Elsewhere():
-                event = gang_state.Elsewhere(
+                event = gang_event.Elsewhere(
                     decision.job_id, decision.data_centre, decision.reason
                 )
         apply(state, event, now)
--- a/packages/daemon/src/peridothatch_daemon/decide/planner_store.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_store.py
@@ -8,7 +8,7 @@
 import pydantic
 
 from peridothatch_core.message import link, store
-from peridothatch_core.start import gang_start, gang_state, planner_lease
+from peridothatch_core.start import gang_event, gang_start, planner_lease
 from peridothatch_daemon import messages
 from peridothatch_daemon.decide import planner_state
 from peridothatch_daemon.outlet import rows
@@ -62,7 +62,7 @@
     if state.gangs is not None:
         holding = mode is planner_lease.Mode.HOLDING
         if (state.gangs.may_decide, state.gangs.contact_at) != (holding, lease.contact_at):
-            planner_state.apply(state, gang_state.Lease(holding, lease.contact_at), now)
+            planner_state.apply(state, gang_event.Lease(holding, lease.contact_at), now)
     known = (planner_lease.holder(lease), lease.row.epoch if lease.row else 0)
     if known != state.introduced:
         state.introduced = known
@@ -125,7 +125,7 @@
         lease_event(state, planner_lease.Fenced(), now)
         return
     version = message.versions.get(rows.job_key(effect.job.id), 0)
-    event = gang_state.Saved(effect.job.id, effect.attempt, message.outcome, version)
+    event = gang_event.Saved(effect.job.id, effect.attempt, message.outcome, version)
     planner_state.apply(state, event, now)
 
 
@@ -192,11 +192,11 @@
     for job_id in job_ids:
         row = message.rows.get(rows.job_key(job_id))
         if row is None:
-            planner_state.apply(state, gang_state.JobRead(job_id, None, 0), now)
+            planner_state.apply(state, gang_event.JobRead(job_id, None, 0), now)
         else:
             found = _job(state, job_id, row)
             if found is not None:
-                planner_state.apply(state, gang_state.JobRead(job_id, found, row.version), now)
+                planner_state.apply(state, gang_event.JobRead(job_id, found, row.version), now)
         if state.loading is not None:
             state.loading.discard(job_id)
     if state.loading is not None:
@@ -215,5 +215,5 @@
 def _finish_loading(state: planner_state.State, now: float) -> None:
     if not state.loading and not state.gangs.loaded:
         state.loading = None
-        planner_state.apply(state, gang_state.Loaded(), now)
+        planner_state.apply(state, gang_event.Loaded(), now)
         state.dirty = True
