--- a/packages/core/src/peridothatch_core/message/link.py
+++ b/packages/core/src/peridothatch_core/message/link.py
@@ -253,10 +253,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Query:
-    """Ask what became of a request; an unknown id is refused from then on."""
+    """Ask what became of a request; an unknown id is refused from then on.
+
+    With an empty ``agent_incarnation`` this is a lookup on behalf of ``customer``: an unknown
+    id is answered ``unknown`` and may still run.
+    """
 
     request_id: str
     agent_incarnation: str
+    customer: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -266,7 +271,8 @@
     Attributes
     ----------
     state : str
-        ``running``, ``not_run`` or ``forgotten`` (the agent restarted since).
+        ``running``, ``not_run``, ``forgotten`` (the agent restarted since) or ``unknown`` (to a
+        lookup).
     """
 
     request_id: str
@@ -300,17 +306,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigRevision:
-    """One accepted change, as JSON text of its revision row."""
+    """One accepted change, or the state of the sender's replica when ``change`` is empty.
+
+    Attributes
+    ----------
+    change : str
+        JSON text of the revision row.
+    t0 : float
+        Copied from ``RevisionsWanted``.
+    read_age_seconds : float
+        Age of the sender's own store read that showed ``revision`` to be the newest, counted
+        from when that read was sent to when this message was; negative when there is none.
+    """
 
     revision: int
     change: str
+    t0: float = 0.0
+    read_age_seconds: float = -1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RevisionsWanted:
-    """Ask the entry that reads the store for its region for later revisions."""
+    """Ask the entry that reads the store for its region for later revisions.
+
+    ``t0`` is the asking entry's monotonic clock, in seconds.
+    """
 
     after: int
+    t0: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/core/src/peridothatch_core/route/choice.py
@@ -0,0 +1,112 @@
+"""Which waiting request is sent next, and to which backend server."""
+
+from __future__ import annotations
+
+import math
+
+from peridothatch_core.route import ejection, flight, link_budget, pool
+
+# The link is paid for by volume, so a request waits this long for a nearer slot first.
+SPILL_AFTER_SECONDS = 0.1
+
+# Rounding of the clock must not make a wait of zero length.
+SHORTEST_WAIT_SECONDS = 1e-6
+
+# One slot in eight stays free for other customers, so that the burst of one customer does not
+# make the next request of another wait for a slot.
+HEADROOM_DIVISOR = 8
+
+
+def pick(
+    state: flight.State, service: str, now: float
+) -> tuple[flight.Record, pool.Server] | None:
+    """Return the next request of a service and its backend server, if one can be sent.
+
+    The customer that holds the fewest slots comes first.
+    """
+    groups = [group for group in pool.groups(state, service) if group.used < group.slots]
+    if not groups:
+        return None
+    queues = state.queues[service]
+    for customer in sorted(queues, key=lambda name: _held(state, service, name)):
+        record = state.records[queues[customer][0]]
+        server = _choose(state, record, now)
+        if server is not None:
+            return record, server
+    return None
+
+
+def _held(state: flight.State, service: str, customer: str) -> int:
+    return sum(group.held.get(customer, 0) for group in pool.groups(state, service))
+
+
+def _choose(state: flight.State, record: flight.Record, now: float) -> pool.Server | None:
+    nearer_slots = 0
+    for group in pool.groups(state, record.request.service):
+        server = _least_loaded(state, record, group, now)
+        if server is not None and group.distance == pool.ACROSS_THE_LINK:
+            wait = _link_wait_seconds(state, record, nearer_slots, now)
+            if wait > SHORTEST_WAIT_SECONDS:
+                if math.isfinite(wait):
+                    flight.wake(state, now + wait, now)
+                return None
+        if server is not None:
+            return server
+        nearer_slots += group.slots
+    return None
+
+
+def _least_loaded(
+    state: flight.State, record: flight.Record, group: pool.Group, now: float
+) -> pool.Server | None:
+    """Return the server of the group with the smallest share of its slots in use."""
+    held = group.held.get(record.request.customer, 0)
+    if group.used >= group.slots or held >= _most(state, group):
+        return None
+    best, lowest = None, math.inf
+    for server in group.servers:
+        load = (len(server.open) + server.foreign) / server.backend.slots
+        if load >= lowest or not _has_room(server) or server.peer_id in record.attempts:
+            continue
+        if not _may_serve(state, record, server, now):
+            continue
+        best, lowest = server, load
+    return best
+
+
+def _has_room(server: pool.Server) -> bool:
+    # The agent queues half as many requests as it has slots. What other entries use is known
+    # with a lag of a heartbeat, so requests may be sent into half of that queue.
+    slots = server.backend.slots
+    return len(server.open) < slots and len(server.open) + server.foreign < slots + slots // 4
+
+
+def _may_serve(
+    state: flight.State, record: flight.Record, server: pool.Server, now: float
+) -> bool:
+    """Return whether ejection allows the request; a probe is idempotent if possible."""
+    if not ejection.is_ejected(state.health, server.peer_id):
+        return True
+    if not record.request.idempotent and not ejection.is_overdue(
+        state.health, server.peer_id, now
+    ):
+        return False
+    return ejection.admits(state.health, server.peer_id, now)
+
+
+def _most(state: flight.State, group: pool.Group) -> int:
+    """Return how many slots of the group one customer may hold."""
+    if state.customers == 1:
+        return group.slots
+    return group.slots - group.slots // HEADROOM_DIVISOR
+
+
+def _link_wait_seconds(
+    state: flight.State, record: flight.Record, nearer_slots: int, now: float
+) -> float:
+    """Return how long the request has to wait before it may cross the link."""
+    closed = link_budget.wait_seconds(state.link, now)
+    if not nearer_slots:
+        return closed
+    patience = min(SPILL_AFTER_SECONDS, (record.deadline - record.queued_at) / 4)
+    return max(closed, record.queued_at + patience - now)
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/intake/pipeline.py
@@ -0,0 +1,120 @@
+"""The stages that a request passes: limits, authentication, validation, decision, answer."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import typing
+
+import result
+import starlette.requests
+import starlette.responses
+
+from peridothatch_core.model import verdict
+from peridothatch_daemon.intake import authentication, bodies, call, limits, problem
+
+logger = logging.getLogger(__name__)
+
+VERDICT_HEADER = "Peridothatch-Verdict"
+METHODS_WITH_BODY = frozenset({"POST", "PUT"})
+PUBLIC_CALLER = call.Caller("", operator=False)
+
+Handle = typing.Callable[
+    [starlette.requests.Request], typing.Awaitable[starlette.responses.Response]
+]
+
+
+def serve(state: call.State, endpoint: call.Endpoint) -> Handle:
+    """Return the starlette handler that runs the stages for ``endpoint``."""
+
+    async def handle(request: starlette.requests.Request) -> starlette.responses.Response:
+        admitted = limits.admit(state)
+        if isinstance(admitted, result.Err):
+            return encode(problem.from_refusal(admitted.err_value))
+        try:
+            return encode(await _answer(state, endpoint, request))
+        except starlette.requests.ClientDisconnect:
+            gone = verdict.not_run(verdict.Code.INVALID, "the caller closed the connection")
+            return encode(problem.from_refusal(gone))
+        except Exception:
+            logger.exception("%s %s failed", endpoint.method, endpoint.path)
+            return encode(problem.from_refusal(_internal()))
+        finally:
+            limits.release(state)
+
+    return handle
+
+
+def encode(answer: call.Answer) -> starlette.responses.Response:
+    """Return the answer for HTTP, with its verdict."""
+    headers = {**answer.headers, VERDICT_HEADER: answer.verdict.value}
+    headers["Content-Type"] = answer.content_type
+    return starlette.responses.Response(answer.body, answer.status, headers)
+
+
+async def _answer(
+    state: call.State, endpoint: call.Endpoint, request: starlette.requests.Request
+) -> call.Answer:
+    received = await _receive(state, endpoint, request)
+    if isinstance(received, result.Err):
+        return problem.from_refusal(received.err_value, _status(received.err_value))
+    answered = await endpoint.serve(state, received.ok_value)
+    if isinstance(answered, result.Err):
+        return problem.from_refusal(answered.err_value)
+    return answered.ok_value
+
+
+async def _receive(
+    state: call.State, endpoint: call.Endpoint, request: starlette.requests.Request
+) -> result.Result[call.Call, verdict.Refusal]:
+    """Run the stages before the decision; all of them refuse with ``not_run``."""
+    short = limits.check_headers(request, state.limits)
+    if isinstance(short, result.Err):
+        return short
+    caller = _caller(state, endpoint, request)
+    if isinstance(caller, result.Err):
+        return caller
+    query = bodies.query(request.query_params.multi_items(), endpoint.parameters)
+    if isinstance(query, result.Err):
+        return query
+    received = call.Call(
+        dict(request.path_params), query.ok_value, dict(request.headers), caller.ok_value
+    )
+    if endpoint.method not in METHODS_WITH_BODY:
+        return result.Ok(received)
+    body = await limits.receive(request, state.limits)
+    if isinstance(body, result.Err):
+        return body
+    received = dataclasses.replace(received, body=body.ok_value)
+    if endpoint.document is None:
+        return result.Ok(received)
+    return bodies.validate(endpoint.document, body.ok_value).map(
+        lambda document: dataclasses.replace(received, document=document)
+    )
+
+
+def _caller(
+    state: call.State, endpoint: call.Endpoint, request: starlette.requests.Request
+) -> result.Result[call.Caller, verdict.Refusal]:
+    if endpoint.role is call.Role.PUBLIC:
+        return result.Ok(PUBLIC_CALLER)
+    return authentication.identify(request.headers, state.snapshot).and_then(
+        lambda found: authentication.authorize(found, endpoint.role)
+    )
+
+
+def _status(refusal: verdict.Refusal) -> int:
+    """Return the status of refusals that HTTP tells apart more finely than codes do."""
+    if refusal.field == "headers":
+        return 431
+    if refusal.code is verdict.Code.DEADLINE:
+        return 408
+    return 0
+
+
+def _internal() -> verdict.Refusal:
+    return verdict.Refusal(
+        verdict.Verdict.MAY_HAVE_RUN,
+        verdict.Code.INTERNAL,
+        "an internal error; the log of this entry has the details",
+    )
