Bind the planner to the job decisions of place

Change: capacity and short guarantees come from place; notices go out with ToEntries; an unnamed data centre is out of service; placement decides on changes and once a second. Conclusion: planner and placement agree on the service state.

--- a/packages/daemon/src/peridothatch_daemon/decide/planner.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner.py
@@ -20,6 +20,7 @@
 
 TICK_SECONDS = 0.25
 DIGEST_SECONDS = 2.0
+DECIDE_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,7 +51,8 @@
     create_policy : callable
         Returns a placement policy with a new state; called for each epoch.
     tell_local : callable
-        Passes a ``CapacityDigest`` or ``JobChanged`` to the other tasks of this entry.
+        Passes a ``CapacityDigest``, ``JobChanged`` or ``GuaranteesShort`` to the other tasks of
+        this entry.
     """
     inbox = mailbox.create(f"planner {settings.data_centre}", 16_384)
     state = planner_state.create(
@@ -138,23 +140,24 @@
     if state.gangs is None:
         return
     planner_state.apply(state, gang_event.Tick(), now)
-    state.dirty = True
+    if now >= state.decide_due_at:
+        # Placement has deadlines of its own; changes are decided on at once.
+        state.decide_due_at = now + DECIDE_SECONDS
+        state.dirty = True
     if now >= state.digest_due_at:
         state.digest_due_at = now + DIGEST_SECONDS
         planner_state.broadcast(state, planner_state.digest(state))
+        short = messages.GuaranteesShort(state.settings.data_centre, state.policy.short())
+        state.tell_local(short)
 
 
 def _opened(state: planner_state.State, peer: link.Hello) -> None:
-    if peer.role == "entry":
-        state.entries.add(peer.id)
-        return
-    if peer.data_centre == state.settings.data_centre:
+    if peer.role == "agent" and peer.data_centre == state.settings.data_centre:
         state.agents.add(peer.id)
         planner_state.introduce(state, peer.id)
 
 
 def _closed(state: planner_state.State, peer: link.Hello, now: float) -> None:
-    state.entries.discard(peer.id)
     if peer.id in state.agents:
         state.agents.discard(peer.id)
         if state.gangs is not None:
--- a/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
@@ -25,7 +25,8 @@
 
 Clock = typing.Callable[[], float]
 CreatePolicy = typing.Callable[[str], policy.Policy]
-TellLocal = typing.Callable[[link.CapacityDigest | link.JobChanged], None]
+Notice = link.CapacityDigest | link.JobChanged | messages.GuaranteesShort
+TellLocal = typing.Callable[[Notice], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,7 +63,6 @@
     snapshot: config.Snapshot = dataclasses.field(default_factory=config.Snapshot)
     fresh_at: float = float("-inf")
     digests: dict[str, link.CapacityDigest] = dataclasses.field(default_factory=dict)
-    entries: set[str] = dataclasses.field(default_factory=set)
     agents: set[str] = dataclasses.field(default_factory=set)
     introduced: tuple[str, int] = ("", 0)
     attempts: dict[str, gang_event.SaveJob] = dataclasses.field(default_factory=dict)
@@ -74,12 +74,13 @@
     listed_at: float = float("-inf")
     reread_after: str = ""
     digest_due_at: float = 0.0
+    decide_due_at: float = 0.0
     drains: list[mailbox.Reply] = dataclasses.field(default_factory=list)
     dirty: bool = False
     bad_rows: int = 0
 
 
-def tell_nobody(message: link.CapacityDigest | link.JobChanged) -> None:
+def tell_nobody(message: Notice) -> None:
     """Drop a message for the other tasks of this entry."""
 
 
@@ -106,8 +107,7 @@
 def broadcast(state: State, message: link.CapacityDigest | link.JobChanged) -> None:
     """Send a message to all entries, this one included."""
     state.tell_local(message)
-    for entry_id in sorted(state.entries):
-        to_peer(state, entry_id, message)
+    mailbox.post(state.links, messages.ToEntries(message))
 
 
 def introduce(state: State, agent_id: str) -> None:
@@ -122,8 +122,8 @@
     if state.gangs is None:
         return
     centre = state.snapshot.data_centres.get(state.settings.data_centre)
-    # A data centre without a row has never been taken out.
-    service = centre.service if centre else datacentre.Service.IN
+    # A data centre that the snapshot does not name is not in service, as placement has it.
+    service = centre.service if centre else datacentre.Service.OUT
     reading = service_proof.Reading(
         service is datacentre.Service.IN, state.snapshot.revision, state.fresh_at
     )
@@ -280,6 +280,7 @@
     dumped["in_service"] = gangs.reading.in_service
     dumped["proof_age_seconds"] = service_proof.age(gangs.reading, now)
     dumped["jobs"] = len(gangs.jobs)
+    dumped["guarantees_short"] = sorted(state.policy.short())
     dumped["agents"] = len(gangs.agents)
     dumped["counters"] = dataclasses.asdict(gangs.counters)
     dumped["gangs"] = [
--- a/packages/daemon/src/peridothatch_daemon/decide/policy.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/policy.py
@@ -6,23 +6,21 @@
 import functools
 import typing
 
-from peridothatch_core.place import decide
+from peridothatch_core.place import decide, fleet, guarantees
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.model import config, job, worker
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Capacity:
-    """Free capacity for a digest, with the number of free blocks of 1, 2, 4, ... accelerators."""
-
-    free_accelerators: int = 0
-    free_blocks: tuple[int, ...] = ()
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
-    """Functions that share one placement state; ``now`` is in seconds since 1970-01-01 UTC."""
+    """Functions that share one placement state; ``now`` is in seconds since 1970-01-01 UTC.
+
+    Attributes
+    ----------
+    short : callable
+        Returns the names of the guarantees that the hardware cannot keep.
+    """
 
     decide: typing.Callable[[float], list[decide.Decision]]
     record_config: typing.Callable[[config.Snapshot, float], None]
@@ -33,7 +31,8 @@
     record_worker_joined: typing.Callable[[worker.Worker, float], None]
     record_worker_lost: typing.Callable[[str, float], object]
     record_others: typing.Callable[[dict[str, decide.OtherCentre]], None]
-    capacity: typing.Callable[[], Capacity]
+    capacity: typing.Callable[[], fleet.Digest]
+    short: typing.Callable[[], frozenset[str]]
 
 
 def create(data_centre: str) -> Policy:
@@ -56,5 +55,6 @@
         functools.partial(decide.record_worker_joined, state),
         functools.partial(decide.record_worker_lost, state),
         others,
-        Capacity,
+        lambda: fleet.digest(state.fleet),
+        lambda: frozenset(item.guarantee for item in guarantees.short(state.ledger)),
     )
--- a/packages/daemon/tests/decide/conftest.py
+++ b/packages/daemon/tests/decide/conftest.py
@@ -121,7 +121,8 @@
         else:
             members.receive(vm.node, message, vm.clock())
         for sent in mailbox.take_all(vm.links, 100_000):
-            self.send(name, sent.peer_id, sent.message)
+            if isinstance(sent, messages.ToPeer):
+                self.send(name, sent.peer_id, sent.message)
         for asked in mailbox.take_all(vm.rows, 100_000):
             if name in ENTRIES:
                 self.ask_store(name, asked)
