--- a/packages/daemon/src/peridothatch_daemon/decide/planner.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner.py
@@ -8,7 +8,7 @@
 import typing
 
 from peridothatch_core.message import link, store
-from peridothatch_core.start import gang_state, planner_lease
+from peridothatch_core.start import gang_event, planner_lease
 from peridothatch_daemon import messages
 from peridothatch_daemon.decide import loop, planner_state, planner_store, policy
 from peridothatch_wire import mailbox, task
@@ -20,6 +20,7 @@
 
 TICK_SECONDS = 0.25
 DIGEST_SECONDS = 2.0
+DECIDE_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,7 +51,8 @@
     create_policy : callable
         Returns a placement policy with a new state; called for each epoch.
     tell_local : callable
-        Passes a ``CapacityDigest`` or ``JobChanged`` to the other tasks of this entry.
+        Passes a ``CapacityDigest``, ``JobChanged`` or ``GuaranteesShort`` to the other tasks of
+        this entry.
     """
     inbox = mailbox.create(f"planner {settings.data_centre}", 16_384)
     state = planner_state.create(
@@ -122,7 +124,7 @@
     if peer.role != "agent" or peer.data_centre != state.settings.data_centre:
         return
     if state.gangs is not None:
-        event = gang_state.FromAgent(peer.id, content, peer.incarnation)
+        event = gang_event.FromAgent(peer.id, content, peer.incarnation)
         planner_state.apply(state, event, now)
     elif isinstance(content, link.Heartbeat):
         ack = link.HeartbeatAck(
@@ -137,28 +139,29 @@
     planner_store.tick(state, now)
     if state.gangs is None:
         return
-    planner_state.apply(state, gang_state.Tick(), now)
-    state.dirty = True
+    planner_state.apply(state, gang_event.Tick(), now)
+    if now >= state.decide_due_at:
+        # Placement has deadlines of its own; changes are decided on at once.
+        state.decide_due_at = now + DECIDE_SECONDS
+        state.dirty = True
     if now >= state.digest_due_at:
         state.digest_due_at = now + DIGEST_SECONDS
         planner_state.broadcast(state, planner_state.digest(state))
+        short = messages.GuaranteesShort(state.settings.data_centre, state.policy.short())
+        state.tell_local(short)
 
 
 def _opened(state: planner_state.State, peer: link.Hello) -> None:
-    if peer.role == "entry":
-        state.entries.add(peer.id)
-        return
-    if peer.data_centre == state.settings.data_centre:
+    if peer.role == "agent" and peer.data_centre == state.settings.data_centre:
         state.agents.add(peer.id)
         planner_state.introduce(state, peer.id)
 
 
 def _closed(state: planner_state.State, peer: link.Hello, now: float) -> None:
-    state.entries.discard(peer.id)
     if peer.id in state.agents:
         state.agents.discard(peer.id)
         if state.gangs is not None:
-            planner_state.apply(state, gang_state.AgentClosed(peer.id), now)
+            planner_state.apply(state, gang_event.AgentClosed(peer.id), now)
 
 
 def _config(state: planner_state.State, snapshot: config.Snapshot, now: float) -> None:
--- a/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
@@ -9,7 +9,13 @@
 from peridothatch_core.message import link, store
 from peridothatch_core.model import config, datacentre, job, shape
 from peridothatch_core.place import decide as placing
-from peridothatch_core.start import gang_start, gang_state, planner_lease, service_proof
+from peridothatch_core.start import (
+    gang_event,
+    gang_start,
+    gang_state,
+    planner_lease,
+    service_proof,
+)
 from peridothatch_daemon import messages
 from peridothatch_daemon.decide import policy
 from peridothatch_daemon.outlet import rows
@@ -19,7 +25,8 @@
 
 Clock = typing.Callable[[], float]
 CreatePolicy = typing.Callable[[str], policy.Policy]
-TellLocal = typing.Callable[[link.CapacityDigest | link.JobChanged], None]
+Notice = link.CapacityDigest | link.JobChanged | messages.GuaranteesShort
+TellLocal = typing.Callable[[Notice], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,10 +63,9 @@
     snapshot: config.Snapshot = dataclasses.field(default_factory=config.Snapshot)
     fresh_at: float = float("-inf")
     digests: dict[str, link.CapacityDigest] = dataclasses.field(default_factory=dict)
-    entries: set[str] = dataclasses.field(default_factory=set)
     agents: set[str] = dataclasses.field(default_factory=set)
     introduced: tuple[str, int] = ("", 0)
-    attempts: dict[str, gang_state.SaveJob] = dataclasses.field(default_factory=dict)
+    attempts: dict[str, gang_event.SaveJob] = dataclasses.field(default_factory=dict)
     lease_writes: int = 0
     lease_sent: tuple[str, planner_lease.WriteRow, float] | None = None
     loading: set[str] | None = None
@@ -68,12 +74,13 @@
     listed_at: float = float("-inf")
     reread_after: str = ""
     digest_due_at: float = 0.0
+    decide_due_at: float = 0.0
     drains: list[mailbox.Reply] = dataclasses.field(default_factory=list)
     dirty: bool = False
     bad_rows: int = 0
 
 
-def tell_nobody(message: link.CapacityDigest | link.JobChanged) -> None:
+def tell_nobody(message: Notice) -> None:
     """Drop a message for the other tasks of this entry."""
 
 
@@ -100,8 +107,7 @@
 def broadcast(state: State, message: link.CapacityDigest | link.JobChanged) -> None:
     """Send a message to all entries, this one included."""
     state.tell_local(message)
-    for entry_id in sorted(state.entries):
-        to_peer(state, entry_id, message)
+    mailbox.post(state.links, messages.ToEntries(message))
 
 
 def introduce(state: State, agent_id: str) -> None:
@@ -116,16 +122,16 @@
     if state.gangs is None:
         return
     centre = state.snapshot.data_centres.get(state.settings.data_centre)
-    # A data centre without a row has never been taken out.
-    service = centre.service if centre else datacentre.Service.IN
+    # A data centre that the snapshot does not name is not in service, as placement has it.
+    service = centre.service if centre else datacentre.Service.OUT
     reading = service_proof.Reading(
         service is datacentre.Service.IN, state.snapshot.revision, state.fresh_at
     )
     vouched = service is datacentre.Service.LOST
-    apply(state, gang_state.Reading(reading, vouched), now)
+    apply(state, gang_event.Reading(reading, vouched), now)
 
 
-def apply(state: State, event: gang_state.Event, now: float) -> None:
+def apply(state: State, event: gang_event.Event, now: float) -> None:
     """Run one event through the gangs and carry its effects out."""
     if state.gangs is None:
         return
@@ -134,34 +140,34 @@
         _carry_out(state, effect, now)
 
 
-def _carry_out(state: State, effect: gang_state.Effect, now: float) -> None:
+def _carry_out(state: State, effect: gang_event.Effect, now: float) -> None:
     wall = state.wall()
     match effect:
-        case gang_state.Tell():
+        case gang_event.Tell():
             to_peer(state, effect.agent_id, effect.message)
-        case gang_state.SaveJob():
+        case gang_event.SaveJob():
             _save(state, effect)
-        case gang_state.ReadJob():
+        case gang_event.ReadJob():
             read_jobs(state, (effect.job_id,))
-        case gang_state.Waiting():
+        case gang_event.Waiting():
             state.policy.record_waiting(effect.job, wall)
-        case gang_state.Holding():
+        case gang_event.Holding():
             state.policy.record_started(effect.job, wall)
-        case gang_state.Ended():
+        case gang_event.Ended():
             state.policy.record_ended(effect.job_id, wall, effect.succeeded)
             broadcast(state, link.JobChanged(effect.job_id, state.settings.data_centre))
-        case gang_state.RunFailed():
+        case gang_event.RunFailed():
             again = state.policy.record_failed(effect.job_id, effect.workers, wall)
-            apply(state, gang_state.FailureJudged(effect.job_id, again), now)
-        case gang_state.WorkerJoined():
+            apply(state, gang_event.FailureJudged(effect.job_id, again), now)
+        case gang_event.WorkerJoined():
             state.policy.record_worker_joined(effect.worker, wall)
-        case gang_state.WorkerLost():
+        case gang_event.WorkerLost():
             state.policy.record_worker_lost(effect.worker_id, wall)
-    if not isinstance(effect, gang_state.Tell):
+    if not isinstance(effect, gang_event.Tell):
         state.dirty = True
 
 
-def _save(state: State, effect: gang_state.SaveJob) -> None:
+def _save(state: State, effect: gang_event.SaveJob) -> None:
     data_centre = state.settings.data_centre
     held = effect.job
     transaction = store.Transaction(
@@ -209,13 +215,13 @@
     for decision in state.policy.decide(state.wall()):
         match decision:
             case placing.Place():
-                event = gang_state.Place(decision.job_id, decision.cells, decision.borrowed)
+                event = gang_event.Place(decision.job_id, decision.cells, decision.borrowed)
             case placing.Preempt():
-                event = gang_state.Preempt(decision.job_id, f"for {decision.for_job}")
+                event = gang_event.Preempt(decision.job_id, f"for {decision.for_job}")
             case placing.MoveOut():
-                event = gang_state.MoveOut(decision.job_id, _other_centre(state, decision.job_id))
+                event = gang_event.MoveOut(decision.job_id, _other_centre(state, decision.job_id))
             case placing.Elsewhere():
-                event = gang_state.Elsewhere(
+                event = gang_event.Elsewhere(
                     decision.job_id, decision.data_centre, decision.reason
                 )
         apply(state, event, now)
@@ -274,6 +280,7 @@
     dumped["in_service"] = gangs.reading.in_service
     dumped["proof_age_seconds"] = service_proof.age(gangs.reading, now)
     dumped["jobs"] = len(gangs.jobs)
+    dumped["guarantees_short"] = sorted(state.policy.short())
     dumped["agents"] = len(gangs.agents)
     dumped["counters"] = dataclasses.asdict(gangs.counters)
     dumped["gangs"] = [
