--- a/packages/standins/src/peridothatch_standins/backend_server.py
+++ b/packages/standins/src/peridothatch_standins/backend_server.py
@@ -85,7 +85,7 @@
     app = applications.Starlette(
         routes=_routes(holder, backend), exception_handlers=server.HANDLERS
     )
-    return await server.start(app, port, (lambda: owner.close(holder),))
+    return await server.start(app, port, (lambda: owner.close(holder),), backend.connections)
 
 
 def _routes(holder: owner.Owner, backend: serving.Server) -> list[routing.Route]:
--- a/packages/standins/src/peridothatch_standins/server.py
+++ b/packages/standins/src/peridothatch_standins/server.py
@@ -53,6 +53,14 @@
 class _Protocol(httptools_impl.HttpToolsProtocol):
     """HTTP protocol whose scope names the transport, so that a fault can cut the connection."""
 
+    max_connections = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Accept a connection; one over the limit is closed without an answer."""
+        super().connection_made(transport)
+        if 0 < self.max_connections < len(self.connections):
+            transport.abort()
+
     def on_message_begin(self) -> None:
         """Start a request."""
         super().on_message_begin()
@@ -60,15 +68,21 @@
 
 
 async def start(
-    app: applications.Starlette, port: int = 0, closers: tuple[Closer, ...] = ()
+    app: applications.Starlette,
+    port: int = 0,
+    closers: tuple[Closer, ...] = (),
+    max_connections: int = 0,
 ) -> Running:
-    """Serve ``app`` on 127.0.0.1 and return when it accepts connections; port 0 picks one."""
+    """Serve ``app`` on 127.0.0.1 and return when it accepts connections.
+
+    Port 0 picks a free one; ``max_connections`` 0 sets no limit.
+    """
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind(("127.0.0.1", port))
     config = uvicorn.Config(
         app,
-        http=_Protocol,
+        http=type("_Limited", (_Protocol,), {"max_connections": max_connections}),
         lifespan="off",
         access_log=False,
         log_level="warning",
--- a/packages/standins/tests/test_programs.py
+++ b/packages/standins/tests/test_programs.py
@@ -82,3 +82,21 @@
     calls = [call(session, str(n), operation="slow", delay_ms=300) for n in range(3)]
     statuses = sorted(status for status, _, _ in await asyncio.gather(*calls))
     assert statuses == [200, 200, 503]
+
+
+async def test_a_connection_over_the_limit_is_closed_without_an_answer():
+    """Guards against an agent that opens more connections than its backend server takes."""
+    running = await backend_server.start(serving.Server("b", "notices", 8, 2))
+    opened = [await asyncio.open_connection("127.0.0.1", running.port) for _ in range(3)]
+    request = b"GET /v1/server HTTP/1.1\r\nHost: b\r\n\r\n"
+    answers = []
+    for reader, writer in opened:
+        writer.write(request)
+        try:
+            answers.append(await reader.read(12))
+        except ConnectionError:
+            answers.append(b"")
+    for _, writer in opened:
+        writer.close()
+    assert answers == [b"HTTP/1.1 200", b"HTTP/1.1 200", b""]
+    await server.close(running)
