--- /dev/null
+++ b/packages/core/src/peridothatch_core/route/slots.py
@@ -0,0 +1,299 @@
+"""Agent side of requests: bounded slots of one backend server, and outcomes until fetched."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import math
+import typing
+
+from peridothatch_core.message import link
+from peridothatch_core.model import request, verdict
+from peridothatch_core.route import agent_exchange, holding
+
+# A drain waits this long for an entry that has gone to fetch its answers.
+HAND_OVER_SECONDS = 10.0
+
+# An announcement that was lost is made good by a later one.
+HEARTBEATS_PER_ANNOUNCEMENT = 5
+
+Effects = list[agent_exchange.Effect]
+
+
+def step(state: holding.State, event: agent_exchange.Event, now: float) -> Effects:
+    """Handle one event; ``now`` is monotonic, in seconds."""
+    effects = _HANDLERS[type(event)](state, event, now)
+    effects += _run_timers(state, now)
+    effects += _pass_queued(state, now)
+    return effects
+
+
+def next_wake(state: holding.State) -> float | None:
+    """Return when the next ``Tick`` is due, on the clock of ``step``."""
+    return state.timers[0][0] if state.timers else None
+
+
+def idle(state: holding.State, now: float) -> bool:
+    """Return whether each request has ended and entries have fetched the outcomes."""
+    if state.queue or state.calls or state.passed:
+        return False
+    waiting = {state.records[request_id].entry_id for request_id in state.kept}
+    return not any(
+        entry_id in state.peers or now < state.lost_at.get(entry_id, -math.inf) + HAND_OVER_SECONDS
+        for entry_id in waiting
+    )
+
+
+def _received(state: holding.State, event: agent_exchange.Received, now: float) -> Effects:
+    peer, message = event.peer, event.message
+    match message:
+        case link.Dispatch():
+            return _dispatched(state, peer, message.request, now)
+        case link.Query():
+            return [agent_exchange.Send(peer.id, _queried(state, message, now))]
+        case link.AnswerAck():
+            _acknowledged(state, peer, message.request_id)
+        case link.Cancel():
+            return _cancelled(state, message.request_id)
+        case link.HeartbeatAck(announce=True):
+            return _announce(state, [peer.id])
+    return []
+
+
+def _dispatched(
+    state: holding.State, peer: link.Hello, call: request.Request, now: float
+) -> Effects:
+    known = state.records.get(call.id)
+    if known is not None:
+        holding.count(state, "second_runs_prevented")
+        answer = known.answer
+        return [agent_exchange.Send(peer.id, link.AnswerReady(answer))] if answer else []
+    if holding.was_seen(state, call.id):
+        holding.count(state, "second_runs_prevented")
+        return []
+    if len(state.records) >= state.limits.records:
+        # Without a record a duplicate of this message could run later, so nothing is certain.
+        answer = holding.may_have_run(call.id, "the agent remembers too many requests")
+        return [agent_exchange.Send(peer.id, link.AnswerReady(answer))]
+    deadline = now + call.budget_seconds
+    keep_until = deadline + holding.KEPT_AFTER_DEADLINE_SECONDS
+    record = holding.Record(
+        call, peer.id, peer.incarnation, deadline, keep_until, holding.Phase.QUEUED
+    )
+    holding.add(state, record)
+    slots = holding.slots(state)
+    if holding.leaving(state):
+        answer = _busy(call.id, "the backend server is leaving")
+    elif holding.in_flight(state) >= slots + max(1, slots // 2):
+        answer = _busy(call.id, "all slots are in use")
+    else:
+        state.queue.append(call.id)
+        return []
+    return _end(state, record, answer)
+
+
+def _queried(state: holding.State, query: link.Query, now: float) -> link.Message:
+    request_id = query.request_id
+    record = state.records.get(request_id)
+    is_lookup = not query.agent_incarnation
+    if is_lookup and (record is None or record.request.customer != query.customer):
+        return link.RequestState(request_id, "unknown")
+    if not is_lookup and query.agent_incarnation != state.own.incarnation:
+        return link.RequestState(request_id, "forgotten")
+    if record is None:
+        return link.RequestState(request_id, _refuse_for_good(state, request_id, now))
+    if record.phase is holding.Phase.REFUSED:
+        return link.RequestState(request_id, "not_run")
+    if record.answer is not None:
+        return link.AnswerReady(record.answer)
+    acknowledged = record.phase is holding.Phase.ACKNOWLEDGED
+    return link.RequestState(request_id, "forgotten" if acknowledged else "running")
+
+
+def _refuse_for_good(state: holding.State, request_id: str, now: float) -> str:
+    """Leave a tombstone, so that a delayed ``Dispatch`` of this id does not run."""
+    if holding.was_seen(state, request_id) or len(state.records) >= state.limits.records:
+        return "forgotten"
+    until = now + holding.TOMBSTONE_SECONDS
+    blank = request.Request(request_id, "", "", False, 0.0)
+    record = holding.Record(blank, "", "", until, until, holding.Phase.REFUSED)
+    holding.add(state, record)
+    return "not_run"
+
+
+def _acknowledged(state: holding.State, peer: link.Hello, request_id: str) -> None:
+    record = state.records.get(request_id)
+    if record is None or record.answer is None or record.entry_id != peer.id:
+        return
+    holding.acknowledge(state, record)
+
+
+def _cancelled(state: holding.State, request_id: str) -> Effects:
+    record = state.records.get(request_id)
+    if record is None or record.phase is not holding.Phase.QUEUED:
+        return []
+    return _end(state, record, holding.not_run(request_id, 0, "the caller is gone"))
+
+
+def _pass_queued(state: holding.State, now: float) -> Effects:
+    effects: Effects = []
+    while state.queue and holding.leaving(state):
+        request_id = state.queue[0]
+        answer = _busy(request_id, "the backend server is leaving")
+        effects += _end(state, state.records[request_id], answer)
+    while state.queue and len(state.calls) < holding.slots(state):
+        record = state.records[state.queue.pop(0)]
+        record.phase = holding.Phase.PASSED
+        state.calls.add(record.request.id)
+        state.passed.add(record.request.id)
+        effects.append(agent_exchange.Call(record.request, max(0.001, record.deadline - now)))
+    return effects
+
+
+def _served(state: holding.State, event: agent_exchange.Served, _now: float) -> Effects:
+    state.calls.discard(event.request_id)
+    if event.answered_id != event.request_id:
+        holding.count(state, "crossed_answers")
+    effects: Effects = []
+    record = state.records.get(event.answered_id)
+    if record is not None and _may_be_answered(record):
+        answer = request.Answer(
+            event.answered_id, verdict.Verdict.RAN, event.status, event.body, event.content_type
+        )
+        effects = _end(state, record, answer)
+    else:
+        holding.count(state, "answers_without_request")
+    return effects + _end_hopeless(state)
+
+
+def _may_be_answered(record: holding.Record) -> bool:
+    """Return whether the request was passed on and has no answer yet."""
+    if record.phase is holding.Phase.ENDED and record.answer is not None:
+        return record.answer.verdict is verdict.Verdict.MAY_HAVE_RUN
+    return record.phase is holding.Phase.PASSED
+
+
+def _not_served(state: holding.State, event: agent_exchange.NotServed, _now: float) -> Effects:
+    state.calls.discard(event.request_id)
+    record = state.records.get(event.request_id)
+    effects: Effects = []
+    if record is not None and record.phase is holding.Phase.PASSED:
+        if event.status:
+            answer = holding.not_run(event.request_id, event.status, event.detail)
+        else:
+            answer = holding.may_have_run(event.request_id, event.detail)
+        effects = _end(state, record, answer)
+    return effects + _end_hopeless(state)
+
+
+def _end_hopeless(state: holding.State) -> Effects:
+    """End requests whose answer can no longer arrive, because no call is open."""
+    effects: Effects = []
+    if not state.calls:
+        for request_id in sorted(state.passed):
+            answer = holding.may_have_run(request_id, "another request's answer came instead")
+            effects += _end(state, state.records[request_id], answer)
+    return effects
+
+
+def _busy(request_id: str, detail: str) -> request.Answer:
+    return holding.not_run(request_id, agent_exchange.BUSY_STATUS, detail)
+
+
+def _end(state: holding.State, record: holding.Record, answer: request.Answer) -> Effects:
+    holding.end(state, record, answer)
+    if record.entry_id not in state.peers:
+        return []
+    return [agent_exchange.Send(record.entry_id, link.AnswerReady(answer))]
+
+
+def _run_timers(state: holding.State, now: float) -> Effects:
+    effects: Effects = []
+    while state.timers and state.timers[0][0] <= now:
+        _at, _sequence, request_id = heapq.heappop(state.timers)
+        record = state.records.get(request_id)
+        if record is None:
+            continue
+        if record.phase is holding.Phase.QUEUED:
+            answer = holding.not_run(request_id, 0, "the deadline has passed")
+            effects += _end(state, record, answer)
+        if now < record.keep_until:
+            holding.set_timer(state, record.keep_until, request_id)
+        elif record.phase is not holding.Phase.PASSED:
+            holding.drop(state, record, now)
+        else:
+            # The call ends by its timeout; until then the id must stay known.
+            record.keep_until = now + holding.KEPT_AFTER_DEADLINE_SECONDS
+            holding.set_timer(state, record.keep_until, request_id)
+    return effects
+
+
+def _peer_up(state: holding.State, event: agent_exchange.PeerUp, _now: float) -> Effects:
+    peer = event.peer
+    state.peers[peer.id] = peer
+    state.lost_at.pop(peer.id, None)
+    effects = _announce(state, [peer.id])
+    for request_id in state.kept:
+        record = state.records[request_id]
+        mine = record.entry_id == peer.id and record.entry_incarnation == peer.incarnation
+        if mine and record.answer is not None:
+            effects.append(agent_exchange.Send(peer.id, link.AnswerReady(record.answer)))
+    return effects
+
+
+def _peer_down(state: holding.State, event: agent_exchange.PeerDown, now: float) -> Effects:
+    state.peers.pop(event.peer.id, None)
+    recent = now - HAND_OVER_SECONDS
+    state.lost_at = {name: at for name, at in state.lost_at.items() if at > recent}
+    state.lost_at[event.peer.id] = now
+    return []
+
+
+def _server_seen(state: holding.State, event: agent_exchange.ServerSeen, _now: float) -> Effects:
+    before = (state.server, state.reachable)
+    state.reachable = event.server is not None
+    state.server = event.server or state.server
+    if (state.server, state.reachable) == before:
+        return []
+    return _announce(state, state.peers)
+
+
+def _announce(state: holding.State, peer_ids: typing.Iterable[str]) -> Effects:
+    if state.server is None:
+        return []
+    server = dataclasses.replace(state.server, leaving=holding.leaving(state))
+    message = link.AnnounceBackend(server, state.own.incarnation, holding.in_flight(state))
+    return [agent_exchange.Send(peer_id, message) for peer_id in peer_ids]
+
+
+def _heartbeat_due(
+    state: holding.State, _event: agent_exchange.HeartbeatDue, now: float
+) -> Effects:
+    state.heartbeats += 1
+    message = link.Heartbeat(now, 0, holding.in_flight(state))
+    effects: Effects = [agent_exchange.Send(peer_id, message) for peer_id in state.peers]
+    if state.heartbeats % HEARTBEATS_PER_ANNOUNCEMENT == 0:
+        effects += _announce(state, state.peers)
+    return effects
+
+
+def _drain(state: holding.State, _event: agent_exchange.Drain, _now: float) -> Effects:
+    state.draining = True
+    return _announce(state, state.peers)
+
+
+def _tick(_state: holding.State, _event: agent_exchange.Tick, _now: float) -> Effects:
+    return []
+
+
+_HANDLERS: dict[type, typing.Callable[..., Effects]] = {
+    agent_exchange.PeerUp: _peer_up,
+    agent_exchange.PeerDown: _peer_down,
+    agent_exchange.Received: _received,
+    agent_exchange.Served: _served,
+    agent_exchange.NotServed: _not_served,
+    agent_exchange.ServerSeen: _server_seen,
+    agent_exchange.HeartbeatDue: _heartbeat_due,
+    agent_exchange.Tick: _tick,
+    agent_exchange.Drain: _drain,
+}
--- a/packages/daemon/src/peridothatch_daemon/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/messages.py
@@ -46,6 +46,13 @@
     read_sent_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntriesChanged:
+    """Which entries exist, this one included, in the order of their ids."""
+
+    entries: tuple[link.EntryAddress, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerOpened:
     """A peer connected; a second connection of one peer replaces the first."""
@@ -77,6 +84,13 @@
     message: link.Message
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToEntries:
+    """Send a message to each connected entry."""
+
+    message: link.Message
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Commit:
     """Apply a transaction; ``store.Committed`` goes to ``reply_to``."""
@@ -118,6 +132,25 @@
     reply: mailbox.Reply
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallBackend:
+    """Pass a request to the backend server.
+
+    ``Served`` or ``NotServed`` of ``route.agent_exchange`` goes to ``reply_to``.
+    """
+
+    request: request.Request
+    timeout_seconds: float
+    reply_to: mailbox.Mailbox
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchBackend:
+    """Send ``agent_exchange.ServerSeen`` to ``reply_to`` at each look at the server."""
+
+    reply_to: mailbox.Mailbox
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SubmitJob:
     """Accept a job; ``result.Result[job.Job, verdict.Refusal]`` is the reply."""
