Carry the log action of a request or job across processes

Cause: the structured log of each process began actions of its own, so a request could not be followed from the entry to the backend server. Change: requests, job rows and gang starts carry the id of the eliot action that accepted them; the agent and the planner log within it. Conclusion: one action per request and per job spans the processes.

--- a/packages/core/src/peridothatch_core/message/link.py
+++ b/packages/core/src/peridothatch_core/message/link.py
@@ -201,6 +201,7 @@
     t0: float
     proof_age_seconds: float
     revision: int
+    trace: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/model/job.py
+++ b/packages/core/src/peridothatch_core/model/job.py
@@ -55,6 +55,8 @@
         When the class's target falls due, in the same unit.
     expected_seconds : float
         The submitter's hint; 0 when absent.
+    trace : str
+        Action of the structured log that the job belongs to.
     """
 
     id: str
@@ -79,3 +81,4 @@
     results: tuple[str, ...] = ()
     detail: str = ""
     cancel_requested: bool = False
+    trace: str = ""
--- a/packages/core/src/peridothatch_core/model/request.py
+++ b/packages/core/src/peridothatch_core/model/request.py
@@ -19,6 +19,8 @@
         ``ENTRY.INCARNATION.NUMBER`` of the entry process that accepted it.
     budget_seconds : float
         Time left until the deadline when this message was sent.
+    trace : str
+        Action of the structured log that the request belongs to.
     """
 
     id: str
@@ -28,6 +30,7 @@
     budget_seconds: float
     body: bytes = b""
     content_type: str = "application/json"
+    trace: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/start/gang_launch.py
+++ b/packages/core/src/peridothatch_core/start/gang_launch.py
@@ -173,6 +173,7 @@
             party.reserved_t0,
             age,
             state.reading.revision,
+            entry.job.trace,
         )
         effects += gang_stop.tell(state, worker, message)
     return effects + reserve(state, gang, now)
--- a/packages/daemon/src/peridothatch_daemon/decide/jobs_write.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/jobs_write.py
@@ -40,7 +40,7 @@
     if isinstance(admitted, result.Err):
         mailbox.answer(ask.reply, admitted)
         return
-    accepted = admitted.ok_value
+    accepted = dataclasses.replace(admitted.ok_value, trace=ask.job.trace)
     state.pledged[centre] += shape.accelerators(accepted.shape)
     transaction = _submission(state, accepted, ask)
 
--- a/packages/daemon/src/peridothatch_daemon/decide/members.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/members.py
@@ -6,9 +6,11 @@
 import time
 import typing
 
+from peridothatch_core.message import link
 from peridothatch_core.start import gang_member, member_state
 from peridothatch_daemon import messages
 from peridothatch_daemon.decide import loop
+from peridothatch_daemon.observe import actions
 from peridothatch_wire import mailbox, task
 
 TICK_SECONDS = 1.0
@@ -87,6 +89,16 @@
     event = _event(state, message, now)
     if event is None:
         return
+    if isinstance(message, messages.FromPeer) and isinstance(message.message, link.Start):
+        start = message.message
+        with actions.resume(start.trace, "gang member start", job=start.job, run=start.run):
+            _apply(state, event, now)
+    else:
+        _apply(state, event, now)
+
+
+def _apply(state: State, event: member_state.Event, now: float) -> None:
+    """Run the decision and pass its effects on."""
     for effect in gang_member.step(state.members, event, now):
         if isinstance(effect, member_state.Tell):
             mailbox.post(state.links, messages.ToPeer(effect.entry_id, effect.message))
--- a/packages/daemon/src/peridothatch_daemon/decide/planner_store.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_store.py
@@ -11,6 +11,7 @@
 from peridothatch_core.start import gang_event, gang_start, planner_lease
 from peridothatch_daemon import messages
 from peridothatch_daemon.decide import planner_state
+from peridothatch_daemon.observe import actions
 from peridothatch_daemon.outlet import rows
 from peridothatch_wire import mailbox
 
@@ -124,11 +125,19 @@
     if rows.planner_key(state.settings.data_centre) in message.failed:
         lease_event(state, planner_lease.Fenced(), now)
         return
+    if message.outcome is store.Outcome.APPLIED:
+        _log_saved(effect.job)
     version = message.versions.get(rows.job_key(effect.job.id), 0)
     event = gang_event.Saved(effect.job.id, effect.attempt, message.outcome, version)
     planner_state.apply(state, event, now)
 
 
+def _log_saved(saved: job.Job) -> None:
+    fields = {"job": saved.id, "run": saved.run, "state": saved.state.value}
+    with actions.resume(saved.trace, "job row written", **fields):
+        pass
+
+
 def _lease_committed(state: planner_state.State, message: store.Committed, now: float) -> None:
     _, effect, sent_at = state.lease_sent
     state.lease_sent = None
--- a/packages/daemon/src/peridothatch_daemon/intake/jobs.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 import typing
 import uuid
@@ -11,6 +12,7 @@
 from peridothatch_core.model import job, verdict
 from peridothatch_daemon import messages
 from peridothatch_daemon.intake import ask, authentication, bodies, call, problem, requests, schema
+from peridothatch_daemon.observe import actions
 
 MOST_JOBS = 1000
 DEFAULT_JOBS = 100
@@ -29,12 +31,16 @@
     if isinstance(key, result.Err):
         return key
     submitted = _job(document, customer.ok_value)
-    outcome = await ask.ask(
-        state.ports.jobs,
-        lambda reply: messages.SubmitJob(submitted, key.ok_value, reply),
-        state.limits.reply_seconds,
-        verdict.Verdict.MAY_HAVE_RUN,
-    )
+    fields = {"job": submitted.id, "customer": submitted.customer}
+    with actions.begin("job submission", **fields) as action:
+        traced = dataclasses.replace(submitted, trace=actions.trace(action))
+        outcome = await ask.ask(
+            state.ports.jobs,
+            lambda reply: messages.SubmitJob(traced, key.ok_value, reply),
+            state.limits.reply_seconds,
+            verdict.Verdict.MAY_HAVE_RUN,
+        )
+        action.add_success_fields(accepted=outcome.is_ok())
     return outcome.map(lambda accepted: problem.answer(job_document(accepted), 201))
 
 
--- a/packages/daemon/src/peridothatch_daemon/intake/requests.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 import result
@@ -9,6 +10,7 @@
 from peridothatch_core.model import request, verdict
 from peridothatch_daemon import messages
 from peridothatch_daemon.intake import ask, authentication, call, problem
+from peridothatch_daemon.observe import actions
 
 # The deciding task answers at the deadline; the rest is time for its mailbox.
 GRACE_SECONDS = 1.0
@@ -30,17 +32,24 @@
     if isinstance(key, result.Err):
         return key
     asked = built.ok_value
-    outcome = await ask.ask(
-        state.ports.requests,
-        lambda reply: messages.SubmitRequest(asked, key.ok_value, reply),
-        asked.budget_seconds + GRACE_SECONDS,
-        verdict.Verdict.MAY_HAVE_RUN,
-    )
-    headers = {"Peridothatch-Request-Id": asked.id}
+    fields = {"request": asked.id, "customer": asked.customer, "service": asked.service}
+    with actions.begin("request", **fields) as action:
+        traced = dataclasses.replace(asked, trace=actions.trace(action))
+        outcome = await ask.ask(
+            state.ports.requests,
+            lambda reply: messages.SubmitRequest(traced, key.ok_value, reply),
+            asked.budget_seconds + GRACE_SECONDS,
+            verdict.Verdict.MAY_HAVE_RUN,
+        )
+        answer = _answered(outcome)
+        action.add_success_fields(verdict=answer.verdict.value, status=answer.status)
+    return result.Ok(with_headers(answer, {"Peridothatch-Request-Id": asked.id}))
+
+
+def _answered(outcome: result.Result[request.Answer, verdict.Refusal]) -> call.Answer:
     if isinstance(outcome, result.Err):
-        refused = problem.from_refusal(outcome.err_value)
-        return result.Ok(with_headers(refused, headers))
-    return result.Ok(with_headers(from_answer(outcome.ok_value), headers))
+        return problem.from_refusal(outcome.err_value)
+    return from_answer(outcome.ok_value)
 
 
 async def find(
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/observe/actions.py
@@ -0,0 +1,34 @@
+"""Actions of the structured log that are carried from process to process."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import eliot
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+@contextlib.contextmanager
+def begin(kind: str, **fields: typing.Any) -> Iterator[eliot.Action]:
+    """Log the start and the end of an action of this process."""
+    with eliot.start_action(action_type=kind, **fields) as action:
+        yield action
+
+
+def trace(action: eliot.Action) -> str:
+    """Return the text that lets another process log within the action."""
+    return action.serialize_task_id().decode()
+
+
+@contextlib.contextmanager
+def resume(carried: str, kind: str, **fields: typing.Any) -> Iterator[eliot.Action]:
+    """Log an action within that of another process; an unreadable text begins a new one."""
+    try:
+        action = eliot.Action.continue_task(task_id=carried, action_type=kind, **fields)
+    except ValueError:
+        action = eliot.start_action(action_type=kind, **fields)
+    with action:
+        yield action
--- a/packages/daemon/src/peridothatch_daemon/outlet/backend.py
+++ b/packages/daemon/src/peridothatch_daemon/outlet/backend.py
@@ -13,6 +13,7 @@
 from peridothatch_core.model import backend
 from peridothatch_core.route import agent_exchange
 from peridothatch_daemon import messages
+from peridothatch_daemon.observe import actions
 from peridothatch_wire import mailbox, task
 
 if typing.TYPE_CHECKING:
@@ -107,11 +108,14 @@
 
 
 async def _call(owned: Outlet, message: messages.CallBackend) -> None:
-    try:
-        report = await _serve(owned, message.request, message.timeout_seconds)
-    except Exception as error:
-        logger.exception("the call for request %s failed", message.request.id)
-        report = agent_exchange.NotServed(message.request.id, 0, f"internal error: {error}")
+    call = message.request
+    with actions.resume(call.trace, "backend server call", request=call.id) as action:
+        try:
+            report = await _serve(owned, call, message.timeout_seconds)
+        except Exception as error:
+            logger.exception("the call for request %s failed", call.id)
+            report = agent_exchange.NotServed(call.id, 0, f"internal error: {error}")
+        action.add_success_fields(outcome=type(report).__name__)
     await mailbox.put(message.reply_to, report)
 
 
--- a/packages/daemon/src/peridothatch_daemon/outlet/rows.py
+++ b/packages/daemon/src/peridothatch_daemon/outlet/rows.py
@@ -72,6 +72,7 @@
     results: tuple[str, ...] = ()
     detail: str = ""
     cancel_requested: bool = False
+    trace: str = ""
 
 
 class PlannerRow(pydantic.BaseModel):
--- a/packages/wire/src/peridothatch_wire/peridothatch.thrift
+++ b/packages/wire/src/peridothatch_wire/peridothatch.thrift
@@ -5,7 +5,7 @@
 struct Cell { 1: i32 task, 2: string worker, 3: list<i32> accelerators }
 struct Worker { 1: string id, 2: string data_centre, 3: string rack, 4: i32 accelerators, 5: i32 cores, 6: i32 memory_mb, 7: string incarnation }
 struct BackendServer { 1: string id, 2: string service_name, 3: string data_centre, 4: string region, 5: i32 slots, 6: i32 connections, 7: bool leaving }
-struct Request { 1: string id, 2: string customer, 3: string service_name, 4: bool idempotent, 5: double budget_seconds, 6: binary body, 7: string content_type }
+struct Request { 1: string id, 2: string customer, 3: string service_name, 4: bool idempotent, 5: double budget_seconds, 6: binary body, 7: string content_type, 8: string trace }
 struct Answer { 1: string request_id, 2: string verdict, 3: i32 status, 4: binary body, 5: string content_type, 6: string detail }
 
 struct Hello { 1: i32 protocol_version, 2: string role, 3: string id, 4: string incarnation, 5: string data_centre, 6: string region }
@@ -22,7 +22,7 @@
 struct Reserved { 1: string job, 2: i32 run, 3: double t0 }
 struct Refused { 1: string job, 2: i32 run, 3: string request, 4: string reason, 5: i64 highest_epoch }
 struct Release { 1: string job, 2: i32 run, 3: i64 epoch }
-struct Start { 1: string job, 2: i32 run, 3: i64 epoch, 4: list<string> command, 5: string checkpoint, 6: double t0, 7: double proof_age_seconds, 8: i64 revision }
+struct Start { 1: string job, 2: i32 run, 3: i64 epoch, 4: list<string> command, 5: string checkpoint, 6: double t0, 7: double proof_age_seconds, 8: i64 revision, 9: string trace }
 struct Stop { 1: string job, 2: i32 run, 3: i64 epoch, 4: bool checkpoint }
 struct Checkpoint { 1: string job, 2: i32 run, 3: i64 epoch }
 struct MemberState { 1: Member member, 2: string worker }
