Show what each guard of the gang starts prevents

Cause: the checks under faults had found no breach, and nothing showed that they could. Conclusion: the checks of gang_whole, no_start_after_out and of double runs are live.

--- a/packages/daemon/tests/decide/conftest.py
+++ b/packages/daemon/tests/decide/conftest.py
@@ -26,7 +26,7 @@
 
 
 class Vm:
-    """A process with its own clock, or a worker; ``node`` is the state of its task."""
+    """A process with its own clock; ``node`` is the state of its task."""
 
     def __init__(self, world, name, rate):
         self.world, self.name, self.rate = world, name, rate
@@ -51,7 +51,7 @@
         self.cut, self.slow, self.last_delivery, self.tasks = set(), set(), {}, {}
         self.store_mode, self.service, self.revision, self.out_at = {}, "in", 0, None
         self.partial_since, self.reserved = {}, set()
-        self.starts = 0
+        self.starts, self.trap = 0, None
         for name in ENTRIES + AGENTS:
             self.boot(name)
         self.seconds = {f"j{n}": self.random.choice((5, 20, 60, 150)) for n in range(JOBS)}
@@ -70,8 +70,6 @@
             act(*arguments)
         self.now = until
 
-    # Processes
-
     def boot(self, name):
         vm = self.vms[name]
         vm.incarnation += 1
@@ -129,8 +127,6 @@
             else:
                 self.ask_worker(name, asked)
 
-    # Network
-
     def reconnect(self, one, other):
         for name, peer in ((one, other), (other, one)):
             booted = all(hasattr(self.vms[end], "node") for end in (name, peer))
@@ -157,8 +153,6 @@
             arrived = messages.FromPeer(self.vms[sender].hello(), message)
             self.receive(receiver, ends[1], arrived)
 
-    # Table service
-
     def ask_store(self, name, asked):
         mode, vm = self.store_mode.get(name, "up"), self.vms[name]
         delay = self.random.choice((0.005, 0.02, 0.2))
@@ -182,6 +176,7 @@
             found = self.table.read(asked, sent_at)
         else:
             found = self.table.commit(asked.transaction)
+            self.spring_trap(found)
         delay = self.random.choice((0.005, 0.02, 0.2))
         self.at(self.now + delay, self.receive, name, incarnation, found)
 
@@ -199,11 +194,8 @@
 
     def counters(self):
         """Return the counters of all processes, for a failing check."""
-        found = {}
-        for name, vm in self.vms.items():
-            gangs = vm.node.gangs if name in ENTRIES else vm.node.members
-            found[name] = gangs.counters if gangs else None
-        return found
+        states = [v.node.gangs if n in ENTRIES else v.node.members for n, v in self.vms.items()]
+        return [state and state.counters for state in states]
 
     # Workers
 
@@ -216,7 +208,9 @@
             if owner == name and not item["forgotten"]:
                 left = item["lease_until"] - clock
                 shown.append(member_state.TaskStatus(*key, item["state"], left, result="r"))
-        found = worker.Worker("w" + name[1:], "dc", "k", 4, 9, 9, str(getattr(vm, "reboots", 0)))
+        found = worker.Worker(
+            "w" + name[1:], "dc", "k", 4, 64, 4096, str(getattr(vm, "reboots", 0))
+        )
         listed = member_state.WorkerListed(found, tuple(shown), clock)
         self.receive(name, incarnation, listed)
         self.at(self.now + TICK, self.list_worker, name, incarnation)
@@ -342,12 +336,16 @@
         self.at(self.now + 3 * seconds, self.store_mode.pop, "e1", None)
         self.fault_cut(1, 3 * seconds, AGENTS[target % 3])
 
-    def fault_flap(self, target, _seconds):
-        """Bring the data centre back and out again while one agent pauses."""
-        self.fault_out(0, 6)
-        moment = self.now + 6 + self.random.uniform(0.1, 1.5)
-        self.at(moment, self.fault_pause, 2 + target % 3, 8)
-        self.at(moment + 0.5, self.fault_out, 0, 20)
+    def fault_trap(self, target, _seconds):
+        """Pause an agent at the next commit of a run, and take the data centre out then."""
+        self.trap = target % 3
+
+    def spring_trap(self, found):
+        value = found.transaction.writes[0].value or {}
+        if self.trap is not None and value.get("state") == "running":
+            self.fault_pause(2 + self.trap, 8)
+            self.at(self.now + 0.5, self.fault_out, 0, 20)
+            self.trap = None
 
     def fault_cut(self, target, seconds, agent=None):
         pair = frozenset((ENTRIES[target % 2], agent or AGENTS[target % 3]))
--- a/packages/daemon/tests/decide/test_gang_faults.py
+++ b/packages/daemon/tests/decide/test_gang_faults.py
@@ -6,21 +6,24 @@
 where tasks really start and run.
 """
 
+import random
+
 import hypothesis
 from hypothesis import strategies
 
 from peridothatch_core.model import job
+from peridothatch_core.start import gang_launch, gang_member, gang_stop, service_proof
 
 FAULTS_END = 120.0
 KINDS = ["pause", "restart", "reboot", "cut", "store", "out"]
-KINDS += ["cancel", "slow", "island", "split", "flap"]
+KINDS += ["cancel", "slow", "island", "split", "trap"]
 
 FAULTS = strategies.lists(
     strategies.tuples(
         strategies.floats(0, FAULTS_END).map(lambda x: round(x, 1)),
         strategies.sampled_from(KINDS),
         strategies.integers(0, 29),
-        strategies.sampled_from((1, 4, 8, 15, 30, 70)),
+        strategies.sampled_from((1, 4, 8, 15, 30, 70, 200)),
     ),
     max_size=8,
 )
@@ -36,3 +39,54 @@
         found = world.job(name)
         allowed = {job.State.SUCCEEDED} | ({job.State.CANCELLED} if name in cancelled else set())
         assert found.state in allowed, (found, world.counters())
+
+
+def breach(simulate, monkeypatch, kinds, attempts=60):
+    """Return the first breach without a guard, in a world that has none with the guard."""
+    for seed in range(attempts):
+        draw = random.Random(seed)
+        faults = [
+            (draw.uniform(0, 90), draw.choice(kinds), draw.randrange(30), draw.choice((15, 200)))
+            for _ in range(4)
+        ]
+        try:
+            simulate(seed, faults)
+        except AssertionError as error:
+            monkeypatch.undo()
+            simulate(seed, faults)
+            return str(error)
+    return ""
+
+
+def test_without_the_wait_for_leases_an_earlier_run_goes_on(simulate, monkeypatch):
+    """Guards against a check of double runs that finds none."""
+    monkeypatch.setattr(gang_stop, "_lapse_bound", lambda *_: float("-inf"))
+    assert "starts while run" in breach(simulate, monkeypatch, ["island"])
+
+
+def test_without_the_service_proof_a_task_starts_after_a_take_out(simulate, monkeypatch):
+    """Guards against a check of late starts that finds none."""
+    monkeypatch.setattr(service_proof, "not_after", lambda *_: float("inf"))
+    assert "after take-out" in breach(simulate, monkeypatch, ["trap"])
+
+
+def test_without_all_reservations_a_gang_starts_in_part(simulate, monkeypatch):
+    """Guards against a check of whole starts that finds none."""
+    reserved = gang_launch.reserved
+
+    def first_one_counts(state, agent_id, message, now):
+        for party in (
+            state.gangs[message.job].parties.values() if message.job in state.gangs else ()
+        ):
+            party.reserved_at = max(party.reserved_at, 0.0)
+        return reserved(state, agent_id, message, now)
+
+    monkeypatch.setattr(gang_launch, "reserved", first_one_counts)
+    assert "set nothing aside" in breach(simulate, monkeypatch, ["pause"])
+
+
+def test_without_the_gang_lease_a_part_runs_alone(simulate, monkeypatch):
+    """Guards against a check of partial gangs that finds none."""
+    monkeypatch.setattr(gang_member, "GANG_LEASE_SECONDS", 600.0)
+    monkeypatch.setattr(gang_stop, "GANG_LEASE_SECONDS", 600.0)
+    assert "has run alone" in breach(simulate, monkeypatch, ["island"])
