Keep checkpoints of stopped members and wait for late starts

Cause: the repeated stop of a member came without its checkpoint flag, which ended the task before the worker had written the checkpoint; an agent that had just restarted answered that it held no member although a start of the earlier process could still reach the worker; a paused planner handled one message before it looked at its lease. Conclusion: found by reading against the stand-in worker, not by a failing run.

--- a/packages/core/src/peridothatch_core/start/gang_member.py
+++ b/packages/core/src/peridothatch_core/start/gang_member.py
@@ -13,6 +13,8 @@
 )
 
 GANG_LEASE_SECONDS = 60.0
+# Well within the worker's own task lease, which is not renewed while a task stops.
+CHECKPOINT_SECONDS = 15.0
 MAX_FENCED_JOBS = 20_000
 
 _Effects = list[member_state.Effect]
@@ -106,7 +108,7 @@
         case link.Release():
             return _release(state, message)
         case link.Stop():
-            return _stop_run(state, entry_id, message)
+            return _stop_run(state, entry_id, message, now)
     held = state.held.get((message.job, message.run))
     tasks = held.tasks if held and held.started else {}
     return [
@@ -213,22 +215,28 @@
     del state.held[(message.job, message.run)]
     if not held.started:
         return []
+    _fence(state, held.job, held.run)
     return [member_state.ForgetTask(held.job, held.run, index) for index in held.tasks]
 
 
-def _stop_run(state: member_state.State, entry_id: str, message: link.Stop) -> _Effects:
+def _stop_run(
+    state: member_state.State, entry_id: str, message: link.Stop, now: float
+) -> _Effects:
     """Stop a run and fence it; the answer says when no member of it runs any more."""
     _fence(state, message.job, message.run)
     held = state.held.get((message.job, message.run))
-    if held is None and not state.listed:
-        # The worker may still run it; the planner repeats the request.
+    if held is None and not state.settled:
+        # The worker may run it, or an earlier agent process may have asked it to; the planner
+        # repeats the request.
         return []
     if held is None or not held.started:
         state.held.pop((message.job, message.run), None)
         none = job.Cell(-1, state.worker_id)
         member = link.Member(message.job, message.run, none, "stopped", "no member here")
         return [member_state.Tell(entry_id, link.MemberState(member, state.worker_id))]
-    return _stop(state, held, message.checkpoint, "stopped by the planner")
+    if not held.stopping and message.checkpoint:
+        held.checkpoint_until = now + CHECKPOINT_SECONDS
+    return _stop(state, held, now < held.checkpoint_until, "stopped by the planner")
 
 
 def _stop(
@@ -283,8 +291,9 @@
     for held in state.held.values():
         for index, task in held.tasks.items():
             if held.stopping and task.state not in gang_stop.ENDED:
-                effects.append(member_state.StopTask(held.job, held.run, index))
-            elif held.started and task.state in ("running", "starting"):
+                checkpoint = now < held.checkpoint_until
+                effects.append(member_state.StopTask(held.job, held.run, index, checkpoint))
+            elif event.heartbeat and held.started and task.state in ("running", "starting"):
                 effects.append(member_state.RenewTask(held.job, held.run, index, held.lease_until))
     if event.heartbeat:
         beat = link.Heartbeat(now, gang_report.digest(members(state)), 0, state.epoch)
@@ -298,6 +307,8 @@
     restarted = state.worker is not None and state.worker.incarnation != event.worker.incarnation
     changed = first or state.worker != event.worker
     state.worker, state.listed = event.worker, True
+    if event.sent_at > state.born_at + service_proof.PROOF_SECONDS:
+        state.settled = True
     effects: _Effects = []
     seen: set[tuple[str, int, int]] = set()
     for status in event.tasks:
@@ -339,6 +350,9 @@
 ) -> _Effects:
     """Take over a task that an earlier agent process started."""
     key = (status.job, status.run)
+    fenced = status.run <= state.fenced.get(status.job, 0)
+    if fenced and status.state in gang_stop.ENDED:
+        return [member_state.ForgetTask(*key, status.task)]
     held = state.held.get(key)
     if held is None or not held.started:
         held = member_state.Held(status.job, status.run, 0, {}, 0.0, started=True)
@@ -348,7 +362,7 @@
     cell = job.Cell(status.task, state.worker_id, status.accelerators)
     task = member_state.Task(cell, status.state, status.detail, status.result, status.checkpoint)
     held.tasks[status.task] = task
-    if status.run <= state.fenced.get(status.job, 0) and status.state not in gang_stop.ENDED:
+    if fenced:
         return _stop(state, held, False, "the run was stopped")
     return [_report(state, held, task)]
 
--- a/packages/core/src/peridothatch_core/start/member_state.py
+++ b/packages/core/src/peridothatch_core/start/member_state.py
@@ -36,6 +36,8 @@
     ----------
     expires_at : float
         When the reservation lapses; of no meaning after the start.
+    checkpoint_until : float
+        Until when a stop may wait for checkpoints.
     lease_until : float
         When the gang lease lapses on the agent's monotonic clock; of no meaning before the start.
     not_after : float
@@ -49,6 +51,7 @@
     expires_at: float
     started: bool = False
     stopping: bool = False
+    checkpoint_until: float = float("-inf")
     lease_until: float = 0.0
     not_after: float = 0.0
 
@@ -79,6 +82,10 @@
         What the worker offers; ``None`` until it has answered, and nothing is announced before.
     fenced : dict
         Highest run of each job that was stopped here; it and earlier runs are never started.
+    listed : bool
+        The worker has listed its tasks.
+    settled : bool
+        No start of an earlier agent process can still reach the worker.
     planner : str
         Entry from which the highest epoch came.
     """
@@ -90,6 +97,7 @@
     planner: str = ""
     revision: int = 0
     listed: bool = False
+    settled: bool = False
     held: dict[tuple[str, int], Held] = dataclasses.field(default_factory=dict)
     fenced: dict[str, int] = dataclasses.field(default_factory=dict)
     entries: set[str] = dataclasses.field(default_factory=set)
--- a/packages/daemon/src/peridothatch_daemon/decide/planner.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner.py
@@ -81,6 +81,8 @@
 def receive(state: planner_state.State, message: typing.Any) -> None:
     """Handle one message and let placement decide when something changed."""
     now = state.clock()
+    # A planner that was paused notices that its lease lapsed before it does anything else.
+    planner_store.follow_lease(state, now)
     match message:
         case messages.FromPeer():
             _from_peer(state, message, now)
--- a/packages/daemon/src/peridothatch_daemon/outlet/worker.py
+++ b/packages/daemon/src/peridothatch_daemon/outlet/worker.py
@@ -19,7 +19,7 @@
 logger = logging.getLogger(__name__)
 
 TASK_LEASE_SECONDS = 20.0
-LONG_POLL_SECONDS = 5.0
+LONG_POLL_SECONDS = 2.0
 REQUEST_TIMEOUT_SECONDS = 5.0
 RETRY_SECONDS = 0.5
 
--- a/packages/daemon/tests/decide/conftest.py
+++ b/packages/daemon/tests/decide/conftest.py
@@ -218,7 +218,7 @@
     def ask_worker(self, name, effect):
         delay = 0.01
         if isinstance(effect, member_state.StartTask):
-            delay = 4.0 if self.random.random() < 0.03 else 0.01
+            delay = self.random.choice((2.0, 4.0, *[0.01] * 50))
         self.at(self.now + delay, self.work, name, getattr(self.vms[name], "reboots", 0), effect)
 
     def work(self, name, reboots, effect):
