Leave the checks of changes to the deciding task

Change: the intake's copies are gone, and its models use the pattern of admit/changes.py. The two tests of tokens and promises now run the checks of the deciding task behind the intake, with cases added for operators' tokens, guarantees and data centres, so nothing is checked less strictly. Conclusion: one place decides on changes.

--- a/packages/daemon/src/peridothatch_daemon/intake/changes.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/changes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 import typing
 
 import result
@@ -25,12 +24,7 @@
     parsed = targets.parse(document.target)
     if isinstance(parsed, result.Err):
         return parsed
-    name = received.path["name"]
-    known = state.snapshot.classes.get(name)
-    promised = (received.caller.name, time.time())
-    if known is not None and (known.target, known.urgent) == (parsed.ok_value, document.urgent):
-        promised = (known.promised_by, known.promised_at)
-    value = workclass.WorkClass(name, parsed.ok_value, document.urgent, *promised)
+    value = workclass.WorkClass(received.path["name"], parsed.ok_value, document.urgent)
     return await _change(state, received, "class", value)
 
 
@@ -40,10 +34,6 @@
     name = received.path["name"]
     known = state.snapshot.customers.get(name)
     token = document.token_sha256 or (known.token_sha256 if known else "")
-    if _token_taken(state.snapshot, name, token):
-        return result.Err(
-            verdict.invalid("token_sha256", "a token in use", "a token of this customer alone")
-        )
     value = customer.Customer(name, document.quota_accelerators, token)
     return await _change(state, received, "customer", value)
 
@@ -51,23 +41,13 @@
 async def put_guarantee(state: call.State, received: call.Call) -> Outcome:
     """Promise a shape to a customer, or change the promise."""
     document = typing.cast("schema.GuaranteeDocument", received.document)
-    name = received.path["name"]
-    terms = (
+    value = customer.Guarantee(
+        received.path["name"],
         document.customer,
         schema.gang_shape(document.shape),
         document.count,
         document.data_centre,
     )
-    known = state.snapshot.guarantees.get(name)
-    promised = (received.caller.name, time.time())
-    if known is not None and terms == (
-        known.customer,
-        known.shape,
-        known.count,
-        known.data_centre,
-    ):
-        promised = (known.promised_by, known.promised_at)
-    value = customer.Guarantee(name, *terms, *promised)
     return await _change(state, received, "guarantee", value)
 
 
@@ -85,10 +65,10 @@
 
     async def serve(state: call.State, received: call.Call) -> Outcome:
         name = received.path["name"]
-        known = state.snapshot.data_centres.get(name)
-        if known is None:
+        if name not in state.snapshot.data_centres:
             return result.Err(objects.unknown("data centre", name))
-        value = datacentre.DataCentre(name, known.region, service)
+        # The deciding task fills in the region.
+        value = datacentre.DataCentre(name, "", service)
         return await _change(state, received, "data_centre", value)
 
     return serve
@@ -151,8 +131,6 @@
 
 async def _change(state: call.State, received: call.Call, kind: str, value: typing.Any) -> Outcome:
     name = received.path["name"]
-    if schema.NAME.fullmatch(name) is None:
-        return result.Err(verdict.invalid("name", name, schema.NAME_EXPECTED))
     outcome = await ask.ask(
         state.ports.config,
         lambda reply: messages.ChangeConfig(kind, name, value, received.caller.name, reply),
@@ -162,14 +140,6 @@
     return outcome.map(lambda change: problem.answer(change_document(change)))
 
 
-def _token_taken(snapshot: config.Snapshot, name: str, token: str) -> bool:
-    """Return whether another caller already has this token, which would mix up the two."""
-    if not token:
-        return False
-    others = {item.token_sha256 for item in snapshot.customers.values() if item.name != name}
-    return token in others or token in snapshot.operator_tokens
-
-
 _LIMIT = (call.Parameter("limit", "query", f"Most changes to list; {DEFAULT_CHANGES} if absent."),)
 _OPERATOR = call.Role.OPERATOR
 ENDPOINTS: typing.Final = (
--- a/packages/daemon/src/peridothatch_daemon/intake/schema.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/schema.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-import re
 import typing
 
 import pydantic
 
+from peridothatch_core.admit import changes
 from peridothatch_core.model import shape
 
-NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
-NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
-NAME_EXPECTED = "at most 63 lower-case letters, digits and hyphens"
-Name = typing.Annotated[str, pydantic.StringConstraints(pattern=NAME_PATTERN)]
+Name = typing.Annotated[str, pydantic.StringConstraints(pattern=f"^{changes.NAME.pattern}$")]
 Argument = typing.Annotated[str, pydantic.StringConstraints(max_length=4096)]
 MAX_ACCELERATORS_PER_TASK = 64
 MAX_CORES_PER_TASK = 4096
--- a/packages/daemon/tests/intake/test_authentication.py
+++ b/packages/daemon/tests/intake/test_authentication.py
@@ -1,10 +1,11 @@
 """Guards against callers that are not known and customers that see each other's data."""
 
+import dataclasses
 import json
 
 import pytest
-import result
 
+from peridothatch_core.admit import changes
 from peridothatch_core.model import config
 from peridothatch_daemon import messages
 from peridothatch_daemon.intake import call, routes
@@ -95,7 +96,7 @@
 def test_changes_of_other_customers_are_hidden(front):
     kolar, gold = front.snapshot.customers["kolar"], front.snapshot.guarantees["gold"]
     notices = front.snapshot.classes["notices"]
-    changes = [
+    listed = [
         config.Change(5, "operator", "ama", "0" * 64, "kofi", 5.0),
         config.Change(4, "guarantee", "gold", None, "kofi", 4.0),
         config.Change(3, "guarantee", "gold", gold, "kofi", 3.0),
@@ -105,7 +106,7 @@
 
     def decide(message):
         assert isinstance(message, messages.ListChanges)
-        mailbox.answer(message.reply, changes)
+        mailbox.answer(message.reply, listed)
 
     seen = {}
     for token in (CUSTOMER, "token-kolar", OPERATOR):
@@ -123,25 +124,70 @@
         assert not [secret for secret in secrets if secret in body]
 
 
-def test_two_customers_cannot_share_a_token(front):
+def decide_change(snapshot):
+    """Check a change as the deciding task does."""
+
+    def decide(message):
+        kind, name = message.kind, message.name
+        by = message.changed_by
+        value = changes.complete(snapshot, kind, name, message.value, by, 9.0)
+        checked = changes.validate(snapshot, kind, name, value, lambda *_: "")
+        change = config.Change(8, kind, name, value, by, 9.0)
+        mailbox.answer(message.reply, checked.map(lambda _: change))
+
+    return decide
+
+
+@pytest.mark.parametrize("owner", ["customer", "operator"])
+def test_two_callers_cannot_share_a_token(front, owner):
     taken = front.snapshot.customers["kolar"].token_sha256
-    body = json.dumps({"quota_accelerators": 1, "token_sha256": taken}).encode()
-    status, document = front.refusal("PUT", "/v1/customers/adinkra", OPERATOR, body)
+    if owner == "operator":
+        [taken] = front.snapshot.operator_tokens
+    body = json.dumps({"quota_accelerators": 16, "token_sha256": taken}).encode()
+    status, document = front.refusal(
+        "PUT", "/v1/customers/adinkra", OPERATOR, body, decide=decide_change(front.snapshot)
+    )
     assert (status, document["field"]) == (400, "token_sha256")
     assert taken not in json.dumps(document)
 
 
-def test_a_promise_that_is_set_again_unchanged_keeps_its_author_and_date(front):
-    def decide(message):
-        change = config.Change(8, message.kind, message.name, message.value, "ama", 9.0)
-        mailbox.answer(message.reply, result.Ok(change))
-
-    for target, author in (("within 60s", "kofi"), ("within 61s", "ama")):
-        snapshot = front.snapshot
-        tokens = dict.fromkeys(snapshot.operator_tokens, "ama")
-        front.state.snapshot = config.Snapshot(
-            7, snapshot.customers, snapshot.guarantees, snapshot.classes, {}, tokens
-        )
-        body = json.dumps({"target": target, "urgent": True}).encode()
-        answer = front.exchange("PUT", "/v1/classes/notices", OPERATOR, body, decide=decide)
+def test_a_quota_is_changed_without_the_token(front):
+    body = json.dumps({"quota_accelerators": 32}).encode()
+    decide = decide_change(front.snapshot)
+    assert front.exchange("PUT", "/v1/customers/kolar", OPERATOR, body, decide=decide)[0] == 200
+    assert front.seen[0].value.token_sha256 == front.snapshot.customers["kolar"].token_sha256
+
+
+@pytest.mark.parametrize(
+    ("path", "document", "change"),
+    [
+        ("classes/notices", {"target": "within 60s", "urgent": True}, {"target": "within 61s"}),
+        (
+            "guarantees/gold",
+            {
+                "customer": "kolar",
+                "shape": {"tasks": 2, "task": {"accelerators": 8}},
+                "data_centre": "accra-a",
+            },
+            {"shape": {"tasks": 1, "task": {"accelerators": 8}}},
+        ),
+    ],
+)
+def test_a_promise_set_again_unchanged_keeps_its_author_and_date(front, path, document, change):
+    decide = decide_change(front.snapshot)
+    front.state.snapshot = dataclasses.replace(
+        front.snapshot, operator_tokens=dict.fromkeys(front.snapshot.operator_tokens, "ama")
+    )
+    for body, author in ((document, "kofi"), ({**document, **change}, "ama")):
+        sent = json.dumps(body).encode()
+        answer = front.exchange("PUT", f"/v1/{path}", OPERATOR, sent, decide=decide)
         assert json.loads(answer[2])["value"]["promised_by"] == author
+
+
+@pytest.mark.parametrize("verb", ["out", "in", "lost"])
+def test_a_data_centre_changes_its_service_and_keeps_its_region(front, verb):
+    path = f"/v1/data-centres/accra-a/{verb}"
+    answer = front.exchange("POST", path, OPERATOR, decide=decide_change(front.snapshot))
+    shown = json.loads(answer[2])["value"]
+    assert shown == {"name": "accra-a", "region": "gh-south", "service": verb}
+    assert front.refusal("POST", f"/v1/data-centres/nowhere/{verb}", OPERATOR)[0] == 404
