Adapt the tests of the jobs task to the shared fake table service

Change: the fakes pass on the time of the read; the request test compares the trace, too. Conclusion: the checks are as strict as before.

--- a/packages/daemon/tests/decide/test_jobs.py
+++ b/packages/daemon/tests/decide/test_jobs.py
@@ -182,8 +182,8 @@
             run = moves.pop()
             desk.put(new_job(data_centre="accra-a", run=run, detail="from the planner"))
 
-    def read_then_change(wanted):
-        found = read(wanted)
+    def read_then_change(wanted, sent_at):
+        found = read(wanted, sent_at)
         change()
         return found
 
@@ -239,8 +239,8 @@
     inbox = desk.add()
     await ask(inbox, messages.FindJob, "j1", "")
 
-    def no_rows(wanted):
-        return store.Rows(wanted.tag, False, {}, 0.0)
+    def no_rows(wanted, sent_at):
+        return store.Rows(wanted.tag, False, {}, sent_at)
 
     desk.table.read = no_rows
     desk.clock.now = asyncio.get_running_loop().time() + 40.0
@@ -325,9 +325,9 @@
     inbox, reads = desk.add(), []
     read = desk.table.read
 
-    def count(wanted):
+    def count(wanted, sent_at):
         reads.append(len(wanted.keys))
-        return read(wanted)
+        return read(wanted, sent_at)
 
     desk.table.read = count
     found = await asyncio.gather(
--- a/packages/daemon/tests/intake/test_requests.py
+++ b/packages/daemon/tests/intake/test_requests.py
@@ -32,8 +32,9 @@
     first, second = front.seen
     assert first.idempotency_key == "half-mast-7"
     assert first.request == request.Request(
-        "e1.1.1", "kolar", "notices", True, 1.5, b"body", "text/plain"
+        "e1.1.1", "kolar", "notices", True, 1.5, b"body", "text/plain", first.request.trace
     )
+    assert first.request.trace != second.request.trace
     assert (second.request.id, second.request.customer) == ("e1.1.2", "adinkra")
     assert second.request.idempotent is False
 
