--- a/packages/core/src/peridothatch_core/place/choose.py
+++ b/packages/core/src/peridothatch_core/place/choose.py
@@ -164,7 +164,9 @@
     freed = 0
 
     def counted(candidate: reclaim.Candidate) -> reclaim.Candidate:
-        size = shape.accelerators(planner.running[candidate.id].shape)
+        job_id = candidate.id.removeprefix(fleet.CLAIM)
+        holder = planner.running.get(job_id) or planner.waiting[job_id]
+        size = shape.accelerators(holder.shape)
 
         def release() -> None:
             nonlocal freed
@@ -193,7 +195,7 @@
         if plan is None:
             continue
         if own is None:
-            return Finding(plan.cells, True, plan.stop)
+            return Finding(plan.cells, True, *_split(plan.stop))
         others = _clear(planner, waiting, own)
         if others is not None and _cover(planner, waiting, own):
             jobs, claims = _split(dict.fromkeys(plan.stop + others.stop))
@@ -222,12 +224,13 @@
 ) -> list[reclaim.Candidate]:
     """Return the least losses among borrowed work and the room kept for it.
 
-    With ``owner``, only running work of this customer is returned. Room kept for a job costs
+    With ``owner``, only work of this customer is returned. Room kept for a job costs
     nothing to give up, and jobs that stop already cost nothing more.
     """
     losses: list[tuple[tuple[float, ...], str]] = []
     for job_id, claim in planner.claims.items():
-        if claim.borrowed and (entitled or claim.reserved) and not owner:
+        mine = not owner or planner.waiting[job_id].customer == owner
+        if claim.borrowed and (entitled or claim.reserved) and mine:
             losses.append(((-2.0,), fleet.CLAIM + job_id))
     for job_id, holding in planner.fleet.holdings.items():
         running = planner.running[job_id]
