Check the limits of a request in the deciding task, and let operators look up

Cause: the limits of admit/requests held only where a front end called them; an operator (empty customer) found no request; a slash in an idempotency key was ambiguous in the row key.

Change: dispatch checks each submitted request; an empty customer matches all in FindRequest and Query; the row key quotes the idempotency key, which may hold any printable ASCII as the HTTP front end allows.

Conclusion: every front end gets the same limits.

--- a/packages/core/src/peridothatch_core/admit/requests.py
+++ b/packages/core/src/peridothatch_core/admit/requests.py
@@ -14,8 +14,7 @@
 KEY_LIMIT_CHARACTERS = 200
 
 _SERVICE = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
-# A slash would let two customers' keys meet in one store row.
-_KEY = re.compile(rf"[!-.0-~]{{1,{KEY_LIMIT_CHARACTERS}}}")
+_KEY = re.compile(rf"[ -~]{{1,{KEY_LIMIT_CHARACTERS}}}")
 
 
 def check(
@@ -34,9 +33,7 @@
             verdict.invalid("Peridothatch-Deadline-Ms", f"{deadline_ms:g}", expected)
         )
     if idempotency_key and not _KEY.fullmatch(idempotency_key):
-        expected = (
-            f"1 to {KEY_LIMIT_CHARACTERS} printable ASCII characters without spaces and slashes"
-        )
+        expected = f"1 to {KEY_LIMIT_CHARACTERS} printable ASCII characters"
         return result.Err(verdict.invalid("Idempotency-Key", idempotency_key, expected))
     return result.Ok(call)
 
--- a/packages/core/src/peridothatch_core/message/link.py
+++ b/packages/core/src/peridothatch_core/message/link.py
@@ -255,8 +255,8 @@
 class Query:
     """Ask what became of a request; an unknown id is refused from then on.
 
-    With an empty ``agent_incarnation`` this is a lookup on behalf of ``customer``: an unknown
-    id is answered ``unknown`` and may still run.
+    With an empty ``agent_incarnation`` this is a lookup on behalf of ``customer`` (empty for
+    an operator): an unknown id is answered ``unknown`` and may still run.
     """
 
     request_id: str
--- a/packages/core/src/peridothatch_core/route/dispatch.py
+++ b/packages/core/src/peridothatch_core/route/dispatch.py
@@ -8,6 +8,7 @@
 
 import result
 
+from peridothatch_core.admit import requests
 from peridothatch_core.message import link
 from peridothatch_core.model import verdict
 from peridothatch_core.route import (
@@ -60,7 +61,7 @@
 
 def _submitted(state: flight.State, event: exchange.Submitted, now: float) -> Effects:
     call = event.request
-    refusal = _refusal(state, call)
+    refusal = _refusal(state, event)
     if refusal is not None:
         flight.count(state, "refused")
         return [exchange.Reply(event.tag, result.Err(refusal))]
@@ -75,7 +76,11 @@
     return []
 
 
-def _refusal(state: flight.State, call: request.Request) -> verdict.Refusal | None:
+def _refusal(state: flight.State, event: exchange.Submitted) -> verdict.Refusal | None:
+    call = event.request
+    checked = requests.check(call, event.idempotency_key)
+    if isinstance(checked, result.Err):
+        return checked.err_value
     if state.draining:
         return verdict.not_run(verdict.Code.UNAVAILABLE, "this entry is draining")
     if call.id in state.records:
--- a/packages/core/src/peridothatch_core/route/exchange.py
+++ b/packages/core/src/peridothatch_core/route/exchange.py
@@ -22,7 +22,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Find:
-    """A caller asks for the outcome of an earlier request."""
+    """A caller asks for the outcome of an earlier request; an empty customer is an operator."""
 
     tag: int
     request_id: str
--- a/packages/core/src/peridothatch_core/route/lookup.py
+++ b/packages/core/src/peridothatch_core/route/lookup.py
@@ -29,9 +29,12 @@
 
 
 def find(state: flight.State, event: exchange.Find, now: float) -> list[exchange.Effect]:
-    """Answer from memory, or ask the entry that accepted the request, or the agents."""
+    """Answer from memory, or ask the entry that accepted the request, or the agents.
+
+    An empty customer is an operator, who sees all requests.
+    """
     record = state.records.get(event.request_id)
-    if record is not None and record.request.customer == event.customer:
+    if record is not None and event.customer in ("", record.request.customer):
         found = record.outcome or _refused(verdict.Code.UNAVAILABLE, "the request is in flight")
         return [exchange.Reply(event.tag, found)]
     if record is not None or is_own(state, event.request_id):
@@ -69,7 +72,7 @@
 def asked(state: flight.State, peer: link.Hello, query: link.Query) -> list[exchange.Effect]:
     """Answer another entry that looks for a request of this one."""
     record = state.records.get(query.request_id)
-    if record is None or record.request.customer != query.customer:
+    if record is None or query.customer not in ("", record.request.customer):
         told: link.Message = link.RequestState(query.request_id, "unknown")
     elif record.outcome is None:
         told = link.RequestState(query.request_id, "running")
--- a/packages/core/src/peridothatch_core/route/slots.py
+++ b/packages/core/src/peridothatch_core/route/slots.py
@@ -96,7 +96,7 @@
     request_id = query.request_id
     record = state.records.get(request_id)
     is_lookup = not query.agent_incarnation
-    if is_lookup and (record is None or record.request.customer != query.customer):
+    if is_lookup and (record is None or query.customer not in ("", record.request.customer)):
         return link.RequestState(request_id, "unknown")
     if not is_lookup and query.agent_incarnation != state.own.incarnation:
         return link.RequestState(request_id, "forgotten")
--- a/packages/core/tests/route/test_claims_and_lookups.py
+++ b/packages/core/tests/route/test_claims_and_lookups.py
@@ -215,6 +215,7 @@
     entry.submit(1, key="")
     entry.answer(1)
     assert find(entry, "e1.i1.1", "kolar")[0].err_value.code is verdict.Code.NOT_FOUND
+    assert find(entry, "e1.i1.1", "")[0].is_ok()
     (told,) = entry.receive(hello("e9"), link.Query("e1.i1.1", "", "kolar"))
     assert told.message == link.RequestState("e1.i1.1", "unknown")
 
--- a/packages/daemon/src/peridothatch_daemon/decide/claim_row.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/claim_row.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import typing
+import urllib.parse
 
 import pydantic
 
@@ -79,8 +80,8 @@
 
 
 def row_key(customer: str, key: str) -> str:
-    """Return the key of the row."""
-    return f"idem/{customer}/{key}"
+    """Return the key of the row; a slash in ``key`` must not look like another customer."""
+    return f"idem/{customer}/{urllib.parse.quote(key, safe='')}"
 
 
 def _value(row: exchange.ClaimRow) -> dict[str, typing.Any]:
