Spread requests evenly, avoid failing servers and offer only the slots that exist

Ejection counted only failures in a row.

Change: of equally loaded servers the one that waited longest is next; recent failures count as load for 30 s; 5 failures among the last 20 requests eject, longer each time. An agent offers no more slots than its backend server has shown to give, and tries one more at each heartbeat.

--- a/packages/core/src/peridothatch_core/route/choice.py
+++ b/packages/core/src/peridothatch_core/route/choice.py
@@ -63,15 +63,16 @@
     held = group.held.get(record.request.customer, 0)
     if group.used >= group.slots or held >= _most(state, group):
         return None
-    best, lowest = None, (True, math.inf)
+    best, lowest = None, (True, math.inf, 0)
     for server in group.servers:
-        load = (len(server.open) + server.foreign) / server.backend.slots
-        rank = (pool.is_suspect(server, now), load)
-        if rank >= lowest or not _has_room(server) or server.peer_id in record.attempts:
-            continue
-        if not _may_serve(state, record, server, now):
+        if not _has_room(server) or server.peer_id in record.attempts:
             continue
-        best, lowest = server, rank
+        # A server that fails some requests is used when the others are that much busier.
+        load = (len(server.open) + server.foreign) / server.backend.slots
+        load += ejection.failure_share(state.health, server.peer_id, now)
+        rank = (pool.is_suspect(server, now), load, server.last_sent)
+        if rank < lowest and _may_serve(state, record, server, now):
+            best, lowest = server, rank
     return best
 
 
--- a/packages/core/src/peridothatch_core/route/dispatch.py
+++ b/packages/core/src/peridothatch_core/route/dispatch.py
@@ -108,7 +108,7 @@
     call, peer_id = record.request, server.peer_id
     record.phase = flight.Phase.SENT
     record.attempts[peer_id] = flight.Attempt(peer_id, server.incarnation, now)
-    pool.occupy(server, call.id, call.customer)
+    pool.occupy(state, server, call.id, call.customer)
     ejection.sent(state.health, peer_id, call.id)
     if server.distance == pool.ACROSS_THE_LINK:
         link_budget.spend(state.link, len(call.body))
--- a/packages/core/src/peridothatch_core/route/ejection.py
+++ b/packages/core/src/peridothatch_core/route/ejection.py
@@ -5,7 +5,15 @@
 import dataclasses
 from collections.abc import Collection
 
-FAILURES_IN_A_ROW = 5
+# A server that truncates three answers in ten is found within about twenty requests, and a few
+# failures among many answers do not eject.
+WINDOW = 20
+FAILURES_IN_WINDOW = 5
+
+# Failures count against a server this long after the latest one; a server that is avoided has
+# no good answers to show.
+MEMORY_SECONDS = 30.0
+
 FIRST_EJECTION_SECONDS = 5.0
 LONGEST_EJECTION_SECONDS = 60.0
 
@@ -16,9 +24,20 @@
 
 @dataclasses.dataclass(slots=True)
 class Health:
-    """Recent outcomes of one backend server; ``until`` is ``None`` while it is not ejected."""
+    """Recent outcomes of one backend server.
+
+    Attributes
+    ----------
+    failed : tuple of bool
+        Outcomes of the latest requests.
+    ejections : int
+        Each doubles the time of the next; a window without failures takes one back.
+    until : float or None
+        When an ejected server may be probed; ``None`` while it is not ejected.
+    """
 
-    failures: int = 0
+    failed: tuple[bool, ...] = ()
+    failed_at: float = 0.0
     ejections: int = 0
     until: float | None = None
     probe: str = ""
@@ -33,7 +52,17 @@
 
 def succeeded(state: State, peer_id: str) -> None:
     """Note a good answer; it ends an ejection."""
-    state.servers.pop(peer_id, None)
+    health = state.servers.get(peer_id)
+    if health is None:
+        return
+    if health.until is not None:
+        health.until, health.probe, health.failed = None, "", ()
+    health.failed = (*health.failed, False)[-WINDOW:]
+    if len(health.failed) == WINDOW and not any(health.failed):
+        health.failed = ()
+        health.ejections -= 1
+        if health.ejections < 0:
+            del state.servers[peer_id]
 
 
 def failed(state: State, peer_id: str, group: Collection[str], now: float) -> float | None:
@@ -45,10 +74,12 @@
         Peer ids of all connected backend servers of the service.
     """
     health = state.servers.setdefault(peer_id, Health())
-    health.failures += 1
+    health.failed = (*health.failed, True)[-WINDOW:]
+    health.failed_at = now
     health.probe = ""
     ejected = health.until is not None
-    if not ejected and (health.failures < FAILURES_IN_A_ROW or not _below_cap(state, group)):
+    too_many = sum(health.failed) >= FAILURES_IN_WINDOW
+    if not ejected and not (too_many and _below_cap(state, group)):
         return None
     if ejected and now < health.until:
         # A request sent before the ejection ended late; it says nothing new.
@@ -59,6 +90,14 @@
     return health.until
 
 
+def failure_share(state: State, peer_id: str, now: float) -> float:
+    """Return the share of recent requests that failed, 0 to 1."""
+    health = state.servers.get(peer_id)
+    if health is None or now > health.failed_at + MEMORY_SECONDS:
+        return 0.0
+    return sum(health.failed) / WINDOW
+
+
 def undecided(state: State, peer_id: str, request_id: str) -> None:
     """Note that a probe ended without a word on the server's health."""
     health = state.servers.get(peer_id)
@@ -97,7 +136,7 @@
     ejected.sort(key=lambda peer_id: state.servers[peer_id].until)
     for peer_id in ejected[:surplus]:
         state.servers[peer_id].until = None
-        state.servers[peer_id].failures = 0
+        state.servers[peer_id].failed = ()
 
 
 def forget(state: State, peer_id: str) -> None:
--- a/packages/core/src/peridothatch_core/route/holding.py
+++ b/packages/core/src/peridothatch_core/route/holding.py
@@ -77,6 +77,8 @@
 
     Attributes
     ----------
+    lost_slots : int
+        Slots that the backend server does not give, for example to calls that timed out.
     calls : set of str
         Ids of the requests whose HTTP calls are open.
     passed : set of str
@@ -93,6 +95,7 @@
     limits: Limits = dataclasses.field(default_factory=Limits)
     server: backend.BackendServer | None = None
     reachable: bool = False
+    lost_slots: int = 0
     records: dict[str, Record] = dataclasses.field(default_factory=dict)
     seen: set[str] = dataclasses.field(default_factory=set)
     seen_before: set[str] = dataclasses.field(default_factory=set)
@@ -117,8 +120,8 @@
 
 
 def slots(state: State) -> int:
-    """Return the number of slots of the backend server."""
-    return state.server.slots if state.server is not None else 0
+    """Return the number of slots that the backend server is thought to give."""
+    return max(0, state.server.slots - state.lost_slots) if state.server is not None else 0
 
 
 def in_flight(state: State) -> int:
--- a/packages/core/src/peridothatch_core/route/pool.py
+++ b/packages/core/src/peridothatch_core/route/pool.py
@@ -27,6 +27,9 @@
         Customer by id of the requests of this entry that the server may hold.
     foreign : int
         Slots in use by other entries, as the agent last reported.
+    last_sent : int
+        Number of the latest request sent; of equally loaded servers the one that waited longest
+        is next, or else the first would get nearly all requests of a quiet service.
     group : Group or None
         ``None`` while the server is not connected, leaves, or its data centre is out.
     """
@@ -40,6 +43,7 @@
     lost_at: float = 0.0
     open: dict[str, str] = dataclasses.field(default_factory=dict)
     foreign: int = 0
+    last_sent: int = 0
     group: Group | None = None
 
 
@@ -78,6 +82,9 @@
         if server.backend.service != service:
             continue
         server.group = None
+        # An agent whose backend server has no slot left announces none.
+        if server.backend.slots < 1:
+            continue
         away = server.backend.leaving or server.backend.data_centre in state.out
         if away or not server.connected:
             continue
@@ -100,8 +107,9 @@
     return now > server.heard_at + SUSPECT_AFTER_SECONDS
 
 
-def occupy(server: Server, request_id: str, customer: str) -> None:
+def occupy(state: flight.State, server: Server, request_id: str, customer: str) -> None:
     """Count a request that is sent to a server."""
+    server.last_sent = next(state.sequence)
     server.open[request_id] = customer
     if server.group is not None:
         _add(server.group, customer)
--- a/packages/core/src/peridothatch_core/route/slots.py
+++ b/packages/core/src/peridothatch_core/route/slots.py
@@ -182,15 +182,25 @@
     state.calls.discard(event.request_id)
     record = state.records.get(event.request_id)
     effects: Effects = []
+    if event.status == agent_exchange.BUSY_STATUS:
+        effects += _lose_slots(state)
     if record is not None and record.phase is holding.Phase.PASSED:
         if event.status:
             answer = holding.not_run(event.request_id, event.status, event.detail)
         else:
             answer = holding.may_have_run(event.request_id, event.detail)
-        effects = _end(state, record, answer)
+        effects += _end(state, record, answer)
     return effects + _end_hopeless(state)
 
 
+def _lose_slots(state: holding.State) -> Effects:
+    """Offer no more slots than the backend server has just shown to give."""
+    before = state.lost_slots
+    given = len(state.calls)
+    state.lost_slots = max(before, state.server.slots - given if state.server else 0)
+    return _announce(state, state.peers) if state.lost_slots != before else []
+
+
 def _end_hopeless(state: holding.State) -> Effects:
     """End requests whose answer can no longer arrive, because no call is open."""
     effects: Effects = []
@@ -271,7 +281,9 @@
 def _announce(state: holding.State, peer_ids: typing.Iterable[str]) -> Effects:
     if state.server is None:
         return []
-    server = dataclasses.replace(state.server, leaving=holding.leaving(state))
+    server = dataclasses.replace(
+        state.server, leaving=holding.leaving(state), slots=holding.slots(state)
+    )
     message = link.AnnounceBackend(server, state.own.incarnation, holding.in_flight(state))
     return [agent_exchange.Send(peer_id, message) for peer_id in peer_ids]
 
@@ -282,7 +294,10 @@
     state.heartbeats += 1
     message = link.Heartbeat(now, 0, holding.in_flight(state))
     effects: Effects = [agent_exchange.Send(peer_id, message) for peer_id in state.peers]
-    if state.heartbeats % HEARTBEATS_PER_ANNOUNCEMENT == 0:
+    # One lost slot is tried again at each heartbeat.
+    found = state.lost_slots > 0
+    state.lost_slots -= found
+    if found or state.heartbeats % HEARTBEATS_PER_ANNOUNCEMENT == 0:
         effects += _announce(state, state.peers)
     return effects
 
--- a/packages/core/tests/route/test_choice.py
+++ b/packages/core/tests/route/test_choice.py
@@ -7,7 +7,7 @@
 
 from peridothatch_core.message import link
 from peridothatch_core.model import backend, request, verdict
-from peridothatch_core.route import dispatch, exchange, flight
+from peridothatch_core.route import dispatch, ejection, exchange, flight
 
 SETTINGS = flight.Settings("e1", "i1", "accra-a", "gh-south", link_bytes_per_second=10_000.0)
 NEAR, REGION, FAR = ("accra-a", "gh-south"), ("tema-b", "gh-south"), ("tamale-a", "gh-north")
@@ -108,6 +108,26 @@
     assert chosen.count("a0") == chosen.count("a1") == 3
 
 
+def test_a_quiet_service_uses_all_its_servers():
+    entry = Entry([NEAR, NEAR, NEAR], seconds=0.01)
+    for number in range(30):
+        entry.submit(number, when=number * 0.05)
+    entry.run(until=2.0)
+    chosen = [peer_id for peer_id, _request in entry.dispatched]
+    assert [chosen.count(peer_id) for peer_id in ("a0", "a1", "a2")] == [10, 10, 10]
+
+
+def test_a_server_that_fails_some_requests_is_avoided_while_others_are_free():
+    entry = Entry([NEAR, NEAR])
+    ejection.failed(entry.state.health, "a0", ("a0", "a1"), 0.0)
+    for number in range(10):
+        entry.submit(number, when=1.0 + number)
+    entry.submit(10, when=40.0)
+    entry.run(until=50.0)
+    chosen = [peer_id for peer_id, _request in entry.dispatched]
+    assert chosen == ["a1"] * 10 + ["a0"]
+
+
 def test_requests_cross_the_link_only_after_waiting_and_within_the_byte_budget():
     entry = Entry([NEAR, FAR], seconds=10.0, slots=8)
     for number in range(14):
--- a/packages/core/tests/route/test_ejection.py
+++ b/packages/core/tests/route/test_ejection.py
@@ -8,7 +8,7 @@
 GROUP = ("a", "b", "c")
 
 
-def fail(state, peer_id, times=ejection.FAILURES_IN_A_ROW, group=GROUP, now=0.0):
+def fail(state, peer_id, times=ejection.FAILURES_IN_WINDOW, group=GROUP, now=0.0):
     return [ejection.failed(state, peer_id, group, now) for _ in range(times)][-1]
 
 
@@ -30,14 +30,27 @@
     assert again - until == 2 * ejection.FIRST_EJECTION_SECONDS
 
 
-def test_a_success_between_failures_prevents_ejection():
+def test_a_few_failures_among_many_answers_do_not_eject():
     state = ejection.State()
     for _ in range(10):
-        fail(state, "a", ejection.FAILURES_IN_A_ROW - 1)
-        ejection.succeeded(state, "a")
+        fail(state, "a", ejection.FAILURES_IN_WINDOW - 1)
+        for _success in range(ejection.WINDOW):
+            ejection.succeeded(state, "a")
     assert ejection.admits(state, "a", 0.0)
 
 
+def test_a_server_that_fails_three_in_ten_is_ejected_for_longer_each_time():
+    state = ejection.State()
+    untils = []
+    for number in range(200):
+        if number % 10 in (0, 3, 6):
+            untils.append(fail(state, "a", 1))
+        elif not ejection.is_ejected(state, "a") or untils[-1] is not None:
+            ejection.succeeded(state, "a")
+    lengths = sorted({until for until in untils if until is not None})
+    assert lengths[:3] == [5.0, 10.0, 20.0]
+
+
 def test_a_probe_that_says_nothing_allows_the_next_one():
     state = ejection.State()
     until = fail(state, "a")
--- a/packages/core/tests/route/test_slots.py
+++ b/packages/core/tests/route/test_slots.py
@@ -90,6 +90,19 @@
     assert calls(agent.dispatch(1)) == ["r1"]
 
 
+def test_slots_that_the_backend_server_does_not_give_are_not_offered():
+    agent = Agent(server_slots=4)
+    agent.dispatch(1)
+    agent.dispatch(2)
+    effects = agent.step(agent_exchange.NotServed("r2", agent_exchange.BUSY_STATUS, ""))
+    offered = [e.message.backend.slots for e in effects if hasattr(e.message, "backend")]
+    assert offered == [1]
+    assert [calls(agent.dispatch(number)) for number in (3, 4)] == [[], []]
+    for slots_now in (2, 3, 4):
+        agent.step(agent_exchange.HeartbeatDue())
+        assert holding.slots(agent.state) == slots_now
+
+
 def test_another_incarnation_claims_nothing():
     assert Agent().query(1, "j0") == link.RequestState("r1", "forgotten")
 
