--- a/packages/core/src/peridothatch_core/start/planner_lease.py
+++ b/packages/core/src/peridothatch_core/start/planner_lease.py
@@ -97,6 +97,8 @@
         When the last renewal that applied was sent.
     acquired_at : float
         When the write that took the lease was sent.
+    pending, pending_at : WriteRow or None, float
+        The write whose outcome is not known, and when it was first sent.
     """
 
     entry_id: str
@@ -113,6 +115,7 @@
     wrote_at: float = float("-inf")
     giving_up: bool = False
     pending: WriteRow | None = None
+    pending_at: float = 0.0
     takeovers: int = 0
     losses: int = 0
 
@@ -185,8 +188,11 @@
 
 def _write(state: State, row: LeaseRow, now: float) -> list[Effect]:
     state.wrote_at = now
-    state.pending = WriteRow(row, state.version)
-    return [state.pending]
+    write = WriteRow(row, state.version)
+    if write != state.pending:
+        # When equal writes are sent twice, the first may be the one that applied.
+        state.pending, state.pending_at = write, now
+    return [write]
 
 
 def _contend(state: State, now: float) -> list[Effect]:
@@ -208,7 +214,7 @@
     pending = state.pending
     if pending and event.version == pending.version + 1 and event.row == pending.row:
         # The answer to our write was lost; the row shows that it applied.
-        return _written(state, Written(pending.row, event.version, state.wrote_at), now)
+        return _written(state, Written(pending.row, event.version, state.pending_at), now)
     if event.version != state.version:
         state.row, state.version, state.seen_at = event.row, event.version, now
     if state.held and (event.row is None or event.row.epoch != state.epoch):
