Report store attempts that fail unexpectedly

Cause: an attempt that raised an error of another kind, such as a value without a JSON form, never reported to the store task; its message was never answered and its place was never freed. Change: any error is logged and reported as a failed attempt that may have reached the store. Conclusion: every attempt reports.

--- a/packages/daemon/src/peridothatch_daemon/outlet/store.py
+++ b/packages/daemon/src/peridothatch_daemon/outlet/store.py
@@ -184,6 +184,10 @@
         timed_out, detail = True, repr(error)
     except (aiohttp.ClientError, OSError, pydantic.ValidationError) as error:
         detail = repr(error)
+    # An attempt that never reports would hold its place for ever.
+    except Exception as error:
+        logger.exception("store attempt failed unexpectedly")
+        detail = repr(error)
     if result is None:
         result = store_queue.Failed(reached, detail, timed_out)
     await mailbox.put(owned.inbox, _Attempted(effect.number, result, owned.clock() - sent_at))
--- a/packages/daemon/tests/test_start.py
+++ b/packages/daemon/tests/test_start.py
@@ -1,5 +1,7 @@
 """Guards against tasks that do not work together when started as an entry starts them."""
 
+import asyncio
+
 import pytest
 
 from peridothatch_core.message import link
@@ -22,7 +24,7 @@
 
 async def hear(inbox, kind, accept=lambda _message: True):
     while True:
-        message = await mailbox.take(inbox)
+        message = await asyncio.wait_for(mailbox.take(inbox), 60)
         if isinstance(message, kind) and accept(message):
             return message
 
--- a/packages/daemon/tests/test_store.py
+++ b/packages/daemon/tests/test_store.py
@@ -17,6 +17,8 @@
 
 APPLIED, CONFLICT = model.Outcome.APPLIED, model.Outcome.CONFLICT
 NOT_SENT, UNKNOWN = model.Outcome.NOT_SENT, model.Outcome.UNKNOWN
+# A lost answer fails the test instead of hanging the run.
+HANG_SECONDS = 60
 
 
 @pytest.fixture
@@ -47,13 +49,13 @@
 async def commit(handle, wanted, timeout_seconds=20.0):
     inbox = mailbox.create("test")
     mailbox.post(handle.inbox, messages.Commit(wanted, inbox, timeout_seconds))
-    return await mailbox.take(inbox)
+    return await asyncio.wait_for(mailbox.take(inbox), HANG_SECONDS)
 
 
 async def read(handle, *keys, timeout_seconds=20.0):
     inbox = mailbox.create("test")
     mailbox.post(handle.inbox, messages.Read("t", keys, (), inbox, timeout_seconds))
-    return await mailbox.take(inbox)
+    return await asyncio.wait_for(mailbox.take(inbox), HANG_SECONDS)
 
 
 async def test_outcomes_of_a_store_that_is_up(handle):
@@ -68,6 +70,13 @@
     assert rows.rows == {"k": model.Row({"by": "a"}, 1, "a")}
 
 
+async def test_a_value_that_cannot_be_encoded_holds_nothing_up(handle):
+    """Guards against an attempt that never reports and keeps its place for ever."""
+    bad = model.Transaction("bad", (), (model.Write("k", {"by": object()}),))
+    assert (await commit(handle, bad, timeout_seconds=0.2)).outcome is UNKNOWN
+    assert (await commit(handle, transaction("k", "a"))).outcome is APPLIED
+
+
 async def test_a_lost_answer_is_found_out_by_sending_again(handle, table):
     """Guards against a conflict with one's own earlier attempt, and against double writes."""
     await switch(table, mode="lose_answers", probability=0.5, seed=3)
