--- a/packages/daemon/src/peridothatch_daemon/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/entry.py
@@ -62,8 +62,9 @@
     rows = store.start(str(own_settings.store.url).rstrip("/"))
     deciding = _start_deciding(own_settings, own, link_inbox, rows.inbox)
     linking = await _start_links(own_settings, own, link_inbox, deciding)
+    port = own_settings.advertised_link_port or linking.port
     address = link.EntryAddress(
-        own.id, str(own_settings.link.host), linking.port, own.data_centre, own.region
+        own.id, str(own_settings.link.host), port, own.data_centre, own.region
     )
     registering = registry.start(address, own.incarnation, rows.inbox, (link_inbox,))
     dumps = _dumps(deciding) | {
--- a/packages/daemon/src/peridothatch_daemon/settings.py
+++ b/packages/daemon/src/peridothatch_daemon/settings.py
@@ -90,6 +90,7 @@
     role: Literal["entry"]
     http: Listener
     link: Listener
+    advertised_link_port: Port | None = None
     http_tls: Tls | None = None
     store: Store
     data_centres: Annotated[list[DataCentre], pydantic.Field(min_length=1, max_length=64)]
--- a/packages/standins/src/peridothatch_standins/installation.py
+++ b/packages/standins/src/peridothatch_standins/installation.py
@@ -33,6 +33,9 @@
         Workers of one rack in each data centre.
     backend_servers : tuple of (id, service, data_centre)
         Backend servers.
+    network_paths : bool
+        Put a network path that can fail between each entry and the table service, and one in
+        front of the links of each entry.
     """
 
     data_centres: dict[str, str]
@@ -42,6 +45,7 @@
     cores: int = 64
     memory_mb: int = 262_144
     backend_servers: tuple[tuple[str, str, str], ...] = ()
+    network_paths: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,6 +92,21 @@
     return f"http://{HOST}:{installation.ports[name]}"
 
 
+def store_path(entry: str) -> str:
+    """Return the name of the network path from an entry to the table service."""
+    return f"path-{entry}-store"
+
+
+def link_path(entry: str) -> str:
+    """Return the name of the network path to the links of an entry."""
+    return f"path-{entry}-link"
+
+
+def switches_url(installation: Installation, name: str) -> str:
+    """Return the address of the switches of a stand-in."""
+    return f"http://{HOST}:{installation.ports[name]}"
+
+
 async def start(plan: Plan, folder: pathlib.Path) -> Installation:
     """Start all processes and wait until they are ready.
 
@@ -189,6 +208,8 @@
     backends = [name for name, _, _ in plan.backend_servers]
     workers = list(worker_names(plan))
     yield ["table-service", "object-store"]
+    if plan.network_paths:
+        yield [path(name) for name in entry_names(plan) for path in (store_path, link_path)]
     yield [*workers, *backends]
     yield list(entry_names(plan))
     yield [agent_name(name) for name in [*workers, *backends]]
@@ -201,6 +222,11 @@
         for name, module in (("table-service", "table_service"), ("object-store", "object_store"))
     }
     for name, data_centre in entry_names(plan).items():
+        if plan.network_paths:
+            store_port = installation.ports["table-service"]
+            link_port = installation.ports[f"{name}/link"]
+            for path, target in ((store_path(name), store_port), (link_path(name), link_port)):
+                commands[path] = _network_path(installation, path, target)
         commands[name] = _daemon(installation, name, _entry(installation, name, data_centre))
     for name, data_centre in worker_names(plan).items():
         commands[name] = _worker(installation, name)
@@ -221,6 +247,20 @@
     return [sys.executable, "-m", f"peridothatch_standins.{module}", "--port", port]
 
 
+def _network_path(installation: Installation, name: str, target_port: int) -> list[str]:
+    return [
+        *_standin(installation, name, "network_path"),
+        "--listen-port", str(installation.ports[f"{name}/link"]),
+        "--target-port", str(target_port),
+    ]  # fmt: skip
+
+
+def _reached_at(installation: Installation, direct: str, path: str) -> int:
+    """Return the port at which others reach something: its own, or that of its path."""
+    name = f"{path}/link" if installation.plan.network_paths else direct
+    return installation.ports[name]
+
+
 def _worker(installation: Installation, name: str) -> list[str]:
     plan = installation.plan
     return [
@@ -248,7 +288,10 @@
         "data_centre": data_centre,
         "region": plan.data_centres[data_centre],
         "entries": [
-            {"host": HOST, "port": installation.ports[f"{entry}/link"]}
+            {
+                "host": HOST,
+                "port": _reached_at(installation, f"{entry}/link", link_path(entry)),
+            }
             for entry in entry_names(plan)
         ],
         "debug": {"host": HOST, "port": installation.ports[agent]},
@@ -267,7 +310,11 @@
         "region": plan.data_centres[data_centre],
         "http": {"host": HOST, "port": installation.ports[name]},
         "link": {"host": HOST, "port": installation.ports[f"{name}/link"]},
-        "store": {"url": url(installation, "table-service"), "region": plan.store_region},
+        "advertised_link_port": _reached_at(installation, f"{name}/link", link_path(name)),
+        "store": {
+            "url": f"http://{HOST}:{_reached_at(installation, 'table-service', store_path(name))}",
+            "region": plan.store_region,
+        },
         "data_centres": [
             {"name": item, "region": region} for item, region in plan.data_centres.items()
         ],
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -23,10 +23,20 @@
 
 def main():
     """Run pytest and return the exit status."""
-    command = [sys.executable, "-m", "pytest", "-n", WORKERS, "-rfE", *sys.argv[1:]]
+    command = [
+        sys.executable,
+        "-m",
+        "pytest",
+        "-n",
+        WORKERS,
+        "--dist",
+        "loadgroup",
+        "-rfE",
+        *sys.argv[1:],
+    ]
     run = subprocess.run(command, cwd=ROOT, text=True, capture_output=True, check=False)
     print(run.stdout + run.stderr)
-    failed = set(re.findall(r"^(?:FAILED|ERROR) (\S+)", run.stdout, re.MULTILINE))
+    failed = set(re.findall(r"^(?:FAILED|ERROR) ([^\s@]+)", run.stdout, re.MULTILINE))
     listed = listed_failures()
     if run.returncode not in (0, 1):
         return run.returncode
