--- a/packages/core/src/peridothatch_core/place/choose.py
+++ b/packages/core/src/peridothatch_core/place/choose.py
@@ -20,6 +20,10 @@
 MOST_AWAITED = 512
 """Running jobs whose end is considered for a reservation, which bounds its search."""
 
+PAUSE_SECONDS, URGENT_PAUSE_SECONDS = 5.0, 1.0
+"""Time until work to stop is looked for again: each search tries up to 64 jobs, and with 100
+waiting jobs these searches took 0.5 s of each decision."""
+
 KEEP = (float("inf"),)
 """Loss of what must not be stopped; it sorts after all others."""
 
@@ -38,9 +42,18 @@
 
 
 def find(planner: state.State, waiting: job.Job, now: float) -> Finding | None:
-    """Return cells for a job, away from the workers on which it failed."""
+    """Return cells for a job, away from the workers on which it failed.
+
+    After a search in vain, work to stop is looked for again only after a pause; free cells are
+    looked for each time.
+    """
+    pause = URGENT_PAUSE_SECONDS if state.is_urgent(planner, waiting) else PAUSE_SECONDS
+    may_stop = now - planner.searched_at.get(waiting.id, float("-inf")) >= pause
     with _away_from_failures(planner, waiting):
-        return _find(planner, waiting, now)
+        found = _find(planner, waiting, now, may_stop=may_stop)
+    if found is None and may_stop:
+        planner.searched_at[waiting.id] = now
+    return found
 
 
 def await_cells(planner: state.State, waiting: job.Job, now: float) -> tuple[job.Cell, ...] | None:
@@ -91,22 +104,24 @@
     return avoided if possible else []
 
 
-def _find(planner: state.State, waiting: job.Job, now: float) -> Finding | None:
+def _find(planner: state.State, waiting: job.Job, now: float, *, may_stop: bool) -> Finding | None:
     own = guarantees.own_cells(planner.ledger, waiting.customer, waiting.shape)
     urgent = state.is_urgent(planner, waiting)
     if state.over_quota(planner, waiting):
-        return _make_quota(planner, waiting, own, now) if own or urgent else None
+        entitled = may_stop and (own is not None or urgent)
+        return _make_quota(planner, waiting, own, now) if entitled else None
     free = gang.place(planner.fleet, waiting.shape)
     if own is not None:
         for cells in (free, own if _is_free(planner, waiting, own) else None):
             if cells is not None and _cover(planner, waiting, cells):
                 return Finding(cells, False)
-        found = _reclaim(planner, waiting, own, now)
+        found = _reclaim(planner, waiting, own, now) if may_stop else None
         if found is not None:
             return found
     if free is not None:
         return Finding(free, True)
-    return _reclaim(planner, waiting, None, now) if own is None and urgent else None
+    search = may_stop and own is None and urgent
+    return _reclaim(planner, waiting, None, now) if search else None
 
 
 def _is_free(planner: state.State, waiting: job.Job, cells: tuple[job.Cell, ...]) -> bool:
@@ -139,10 +154,12 @@
         return cells
 
     for spare_recent in (True, False):
-        candidates = _candidates(planner, entitled=own is not None)
-        if spare_recent:
-            candidates = [c for c in candidates if not _is_recent(planner, c.id, now)]
-        plan = reclaim.choose(candidates, probe)
+        candidates = _candidates(planner, waiting, entitled=own is not None)
+        spared = [c for c in candidates if not _is_recent(planner, c.id, now)]
+        if spare_recent or len(spared) < len(candidates):
+            plan = reclaim.choose(spared if spare_recent else candidates, probe)
+        else:
+            plan = None
         if plan is None and own is not None:
             plan = _clear(planner, waiting, own)
             if plan and spare_recent and any(_is_recent(planner, i, now) for i in plan.stop):
@@ -188,7 +205,7 @@
     for spare_recent in (True, False):
         candidates = [
             counted(candidate)
-            for candidate in _candidates(planner, entitled=own is not None, owner=waiting.customer)
+            for candidate in _candidates(planner, waiting, entitled=own is not None, own_only=True)
             if not (spare_recent and _is_recent(planner, candidate.id, now))
         ]
         plan = reclaim.choose(candidates, probe)
@@ -220,22 +237,27 @@
 
 
 def _candidates(
-    planner: state.State, *, entitled: bool, owner: str = ""
+    planner: state.State, waiting: job.Job, *, entitled: bool, own_only: bool = False
 ) -> list[reclaim.Candidate]:
     """Return the least losses among borrowed work and the room kept for it.
 
-    With ``owner``, only work of this customer is returned. Room kept for a job costs
-    nothing to give up, and jobs that stop already cost nothing more.
+    With ``own_only``, only work of the same customer is returned. Jobs without accelerators are
+    left out when some are wanted, since many of them would have to stop for cores alone. Room
+    kept for a job costs nothing to give up, and jobs that stop already cost nothing more.
     """
+    accelerated = waiting.shape.task.accelerators > 0
+    owner = waiting.customer if own_only else ""
     losses: list[tuple[tuple[float, ...], str]] = []
     for job_id, claim in planner.claims.items():
         mine = not owner or planner.waiting[job_id].customer == owner
         if claim.borrowed and (entitled or claim.reserved) and mine:
             losses.append(((-2.0,), fleet.CLAIM + job_id))
     for job_id, holding in planner.fleet.holdings.items():
-        running = planner.running[job_id]
-        if owner and holding.customer != owner:
+        if (owner and holding.customer != owner) or (
+            accelerated and not holding.task.accelerators
+        ):
             continue
+        running = planner.running[job_id]
         if job_id in planner.stopping:
             losses.append(((-1.0,), job_id))
         elif holding.borrowed:
--- a/packages/core/src/peridothatch_core/place/state.py
+++ b/packages/core/src/peridothatch_core/place/state.py
@@ -58,6 +58,8 @@
         The workers with nothing on them, to tell what can never run here.
     since : dict
         When each job began to wait here.
+    searched_at : dict
+        When work to stop was last looked for in vain for each waiting job.
     stopping : dict
         Running jobs that were told to stop, and for which job; empty when they move out.
     outside : set
@@ -84,6 +86,7 @@
     stopping: dict[str, str] = dataclasses.field(default_factory=dict)
     preempted_at: dict[str, float] = dataclasses.field(default_factory=dict)
     elsewhere_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    searched_at: dict[str, float] = dataclasses.field(default_factory=dict)
     outside: set[str] = dataclasses.field(default_factory=set)
     held: dict[str, int] = dataclasses.field(default_factory=dict)
     spent: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -144,6 +147,7 @@
         count(state, running, -1)
         state.unsettled = state.unsettled or bool(state.outside)
     slack.drop(state.queue, job_id)
+    state.searched_at.pop(job_id, None)
     state.waiting.pop(job_id, None)
     state.stopping.pop(job_id, None)
     state.outside.discard(job_id)
