Keep the servers with a free slot of each group at hand

Cause: a decision of a saturated entry looked at each server and at each customer's slots in each group.

Change: a group keeps its servers with a free slot, kept up to date as slots are used and released; the random test compares them with the open requests.

Conclusion: the cost of a saturated entry no longer grows with all servers.

--- a/packages/core/src/peridothatch_core/route/choice.py
+++ b/packages/core/src/peridothatch_core/route/choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import typing
 
 from peridothatch_core.route import ejection, flight, link_budget, pool
 
@@ -24,11 +25,11 @@
 
     The customer that holds the fewest slots comes first.
     """
-    groups = [group for group in pool.groups(state, service) if group.used < group.slots]
-    if not groups:
+    groups = pool.groups(state, service)
+    if not any(group.free for group in groups):
         return None
     queues = state.queues[service]
-    for customer in sorted(queues, key=lambda name: _held(state, service, name)):
+    for customer in sorted(queues, key=_held_of(groups)):
         record = state.records[queues[customer][0]]
         server = _choose(state, record, now)
         if server is not None:
@@ -36,8 +37,12 @@
     return None
 
 
-def _held(state: flight.State, service: str, customer: str) -> int:
-    return sum(group.held.get(customer, 0) for group in pool.groups(state, service))
+def _held_of(groups: list[pool.Group]) -> typing.Callable[[str], int]:
+    """Return a function that counts the slots that a customer holds."""
+    if len(groups) == 1:
+        held = groups[0].held
+        return lambda customer: held.get(customer, 0)
+    return lambda customer: sum(group.held.get(customer, 0) for group in groups)
 
 
 def _choose(state: flight.State, record: flight.Record, now: float) -> pool.Server | None:
@@ -61,10 +66,10 @@
 ) -> pool.Server | None:
     """Return the server of the group with the smallest share of its slots in use."""
     held = group.held.get(record.request.customer, 0)
-    if group.used >= group.slots or held >= _most(state, group):
+    if held >= _most(state, group):
         return None
     best, lowest = None, (True, math.inf, 0)
-    for server in group.servers:
+    for server in group.free.values():
         if not _has_room(server) or server.peer_id in record.attempts:
             continue
         # A server that fails some requests is used when the others are that much busier.
@@ -77,10 +82,13 @@
 
 
 def _has_room(server: pool.Server) -> bool:
-    # The agent queues half as many requests as it has slots. What other entries use is known
-    # with a lag of a heartbeat, so requests may be sent into half of that queue.
+    """Return whether other entries leave a slot.
+
+    The agent queues half as many requests as it has slots. What other entries use is known with
+    a lag of a heartbeat, so requests may be sent into half of that queue.
+    """
     slots = server.backend.slots
-    return len(server.open) < slots and len(server.open) + server.foreign < slots + slots // 4
+    return len(server.open) + server.foreign < slots + slots // 4
 
 
 def _may_serve(
--- a/packages/core/src/peridothatch_core/route/pool.py
+++ b/packages/core/src/peridothatch_core/route/pool.py
@@ -49,12 +49,20 @@
 
 @dataclasses.dataclass(slots=True)
 class Group:
-    """Servers at one distance; ``held`` counts slots in use by customer of this entry."""
+    """Servers at one distance.
+
+    Attributes
+    ----------
+    free : dict of str to Server
+        By peer id, the servers with a slot that this entry does not use.
+    held : dict of str to int
+        Slots in use by customer of this entry.
+    """
 
     distance: int
     slots: int = 0
-    used: int = 0
     servers: list[Server] = dataclasses.field(default_factory=list)
+    free: dict[str, Server] = dataclasses.field(default_factory=dict)
     held: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
@@ -92,6 +100,7 @@
         group.slots += server.backend.slots
         group.servers.append(server)
         server.group = group
+        _note_room(group, server)
         for customer in server.open.values():
             _add(group, customer)
     if members:
@@ -113,6 +122,7 @@
     server.open[request_id] = customer
     if server.group is not None:
         _add(server.group, customer)
+        _note_room(server.group, server)
 
 
 def release(state: flight.State, server: Server, request_id: str) -> None:
@@ -123,12 +133,18 @@
         return
     state.stirred.add(server.backend.service)
     if group is not None:
-        group.used -= 1
+        _note_room(group, server)
         group.held[customer] -= 1
         if not group.held[customer]:
             del group.held[customer]
 
 
+def _note_room(group: Group, server: Server) -> None:
+    if len(server.open) < server.backend.slots:
+        group.free[server.peer_id] = server
+    else:
+        group.free.pop(server.peer_id, None)
+
+
 def _add(group: Group, customer: str) -> None:
-    group.used += 1
     group.held[customer] = group.held.get(customer, 0) + 1
--- a/packages/core/tests/route/test_request_property.py
+++ b/packages/core/tests/route/test_request_property.py
@@ -306,7 +306,8 @@
                 for group in groups:
                     held = [name for server in group.servers for name in server.open.values()]
                     assert group.held == collections.Counter(held)
-                    assert group.used == len(held)
+                    free = [s.peer_id for s in group.servers if len(s.open) < s.backend.slots]
+                    assert sorted(group.free) == sorted(free)
 
     def settle(self):
         """Let all faults end, after which each caller must have its outcome."""
