Keep no retry budget for services that do not exist

Cause: each service name that a caller invented left a retry budget behind.

Change: only a service with a usable backend server gets one; the test of a service without servers checks that nothing is left.

Conclusion: callers cannot grow the entry's memory with service names.

--- a/packages/core/src/peridothatch_core/route/dispatch.py
+++ b/packages/core/src/peridothatch_core/route/dispatch.py
@@ -65,7 +65,9 @@
     if refusal is not None:
         flight.count(state, "refused")
         return [exchange.Reply(event.tag, result.Err(refusal))]
-    retry_budget.deposit(flight.retries(state, call.service))
+    # Callers name services freely, so only those that exist get a budget.
+    if pool.groups(state, call.service):
+        retry_budget.deposit(flight.retries(state, call.service))
     deadline = now + call.budget_seconds
     record = flight.Record(call, deadline, event.idempotency_key, [event.tag])
     state.records[call.id] = record
--- a/packages/core/tests/route/test_choice.py
+++ b/packages/core/tests/route/test_choice.py
@@ -175,6 +175,7 @@
     entry.submit(0)
     entry.run(until=3.0)
     assert entry.outcomes[0][1].err_value.verdict is verdict.Verdict.NOT_RUN
+    assert entry.state.queues == entry.state.retries == {}
 
 
 def test_a_data_centre_that_is_out_gets_no_requests_until_it_is_back():
--- a/packages/core/tests/route/test_claims_and_lookups.py
+++ b/packages/core/tests/route/test_claims_and_lookups.py
@@ -278,20 +278,14 @@
     assert entry.verdict(1) is verdict.Verdict.NOT_RUN
 
 
-def test_a_restarted_agent_may_have_run_the_request():
-    entry = Entry()
-    entry.submit(1, key="", budget=60.0)
-    entry.step(exchange.PeerDown(AGENT))
-    entry.step(exchange.PeerUp(dataclasses.replace(AGENT, incarnation="j2")))
-    assert entry.verdict(1) is verdict.Verdict.MAY_HAVE_RUN
-
-
-def test_an_agent_that_stays_away_does_not_hold_callers_until_their_deadline():
+@pytest.mark.parametrize("returned", [True, False])
+def test_callers_of_an_agent_that_restarted_or_stays_away_need_not_wait(returned):
     entry = Entry()
     entry.submit(1, key="", budget=600.0)
     entry.step(exchange.PeerDown(AGENT))
-    entry.now += agents.LOST_SECONDS
-    entry.step(exchange.Tick())
+    entry.now += 0.0 if returned else agents.LOST_SECONDS
+    again = exchange.PeerUp(dataclasses.replace(AGENT, incarnation="j2"))
+    entry.step(again if returned else exchange.Tick())
     assert entry.verdict(1) is verdict.Verdict.MAY_HAVE_RUN
 
 
--- a/packages/core/tests/route/test_request_property.py
+++ b/packages/core/tests/route/test_request_property.py
@@ -364,26 +364,18 @@
         walk(seed)
 
 
-def _no_tombstone(_state, _request_id, _now):
-    return "not_run"
-
-
 def _nothing_ran(_state, peer, query):
     return [exchange.Send(peer.id, link.RequestState(query.request_id, "not_run"))]
 
 
-def _always_settled(*_arguments):
-    return verdict.Verdict.NOT_RUN
-
-
 @pytest.mark.parametrize(
     ("module", "guard", "replacement"),
     [
-        (slots, "_refuse_for_good", _no_tombstone),
+        (slots, "_refuse_for_good", lambda *_arguments: "not_run"),
         (holding, "leaving", lambda _state: False),
         (holding, "was_seen", lambda _state, _request_id: False),
         (lookup, "asked", _nothing_ran),
-        (flight, "verdict_of", _always_settled),
+        (flight, "verdict_of", lambda _record: verdict.Verdict.NOT_RUN),
     ],
 )
 def test_the_checks_fail_without_a_guard(monkeypatch, module, guard, replacement):
