Write the recovery of lost slots as plain arithmetic

Cause: the count was reduced by a boolean.

Change: the subtraction is written out; behaviour is the same.

Conclusion: no change in behaviour.

--- a/packages/core/src/peridothatch_core/route/slots.py
+++ b/packages/core/src/peridothatch_core/route/slots.py
@@ -296,7 +296,7 @@
     effects: Effects = [agent_exchange.Send(peer_id, message) for peer_id in state.peers]
     # One lost slot is tried again at each heartbeat.
     found = state.lost_slots > 0
-    state.lost_slots -= found
+    state.lost_slots = max(0, state.lost_slots - 1)
     if found or state.heartbeats % HEARTBEATS_PER_ANNOUNCEMENT == 0:
         effects += _announce(state, state.peers)
     return effects
