--- /dev/null
+++ b/packages/daemon/tests/outlet/test_rows.py
@@ -0,0 +1,72 @@
+"""Guards against job rows that change on their way through the store."""
+
+import json
+
+import hypothesis
+import pydantic
+import pytest
+from hypothesis import strategies
+
+from peridothatch_core.model import job, shape
+from peridothatch_daemon.outlet import rows
+
+WORDS = strategies.text(max_size=8)
+COUNTS = strategies.integers(0, 1000)
+MOMENTS = strategies.floats(0, 2e9)
+JOBS = strategies.builds(
+    job.Job,
+    id=WORDS,
+    customer=WORDS,
+    work_class=WORDS,
+    shape=strategies.builds(
+        shape.GangShape,
+        strategies.integers(1, 1024),
+        strategies.builds(shape.TaskShape, COUNTS, COUNTS, COUNTS),
+        strategies.sampled_from(shape.Adjacency),
+    ),
+    command=strategies.lists(WORDS, max_size=3).map(tuple),
+    data_centre=WORDS,
+    submitted_at=MOMENTS,
+    due_at=MOMENTS,
+    state=strategies.sampled_from(job.State),
+    run=COUNTS,
+    cells=strategies.lists(
+        strategies.builds(job.Cell, COUNTS, WORDS, strategies.lists(COUNTS).map(tuple)), max_size=3
+    ).map(tuple),
+    results=strategies.lists(WORDS, max_size=3).map(tuple),
+    cancel_requested=strategies.booleans(),
+)
+
+
+@hypothesis.settings(max_examples=100, derandomize=True, deadline=None)
+@hypothesis.given(JOBS)
+def test_a_job_survives_its_row(held):
+    """Guards against a field that the row model lacks or changes."""
+    value = json.loads(json.dumps(rows.job_value(held)))
+    assert rows.read_job(value | {"added_later": 1}) == held
+
+
+@pytest.mark.parametrize("bad", [{"run": -1}, {"state": "?"}, {"cells": [1]}, {"shape": {}}])
+def test_a_bad_row_is_refused(bad):
+    """Guards against a damaged row that reaches the decisions."""
+    gang = shape.GangShape(1, shape.TaskShape(1))
+    held = job.Job("j", "c", "k", gang, ("x",), "dc", 0.0, 1.0)
+    with pytest.raises(pydantic.ValidationError):
+        rows.read_job(rows.job_value(held) | bad)
+
+
+@pytest.mark.parametrize(
+    ("state", "data_centre", "expected"),
+    [
+        (job.State.RUNNING, "dc", {}),
+        (job.State.SUCCEEDED, "dc", {"active/dc/j": False}),
+        (job.State.WAITING, "other", {"active/dc/j": False, "active/other/j": True}),
+    ],
+)
+def test_the_index_follows_the_job(state, data_centre, expected):
+    """Guards against a job that no planner finds, or that one finds for ever."""
+    gang = shape.GangShape(1, shape.TaskShape(1))
+    held = job.Job("j", "c", "k", gang, ("x",), data_centre, 0.0, 1.0, state)
+    first, *index = rows.job_writes(held, "dc")
+    assert first.key == "job/j"
+    assert {write.key: write.value is not None for write in index} == expected
