--- a/packages/core/src/peridothatch_core/route/exchange.py
+++ b/packages/core/src/peridothatch_core/route/exchange.py
@@ -22,7 +22,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Find:
-    """A caller asks for the outcome of an earlier request."""
+    """A caller asks for the outcome of an earlier request; an empty customer is an operator."""
 
     tag: int
     request_id: str
@@ -98,9 +98,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configured:
-    """A newer configuration is in force."""
+    """A newer configuration is in force; ``out`` names data centres that are not in service."""
 
     customers: int
+    out: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/route/holding.py
+++ b/packages/core/src/peridothatch_core/route/holding.py
@@ -60,11 +60,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """Bounds on what an agent keeps in its 128 MB."""
+    """Bounds on what an agent keeps in its 128 MB.
 
-    records: int = 50_000
-    seen_ids: int = 150_000
-    kept_bytes: int = 24 * 1024 * 1024
+    A record takes about 0.5 KB and a seen id 0.2 KB, so that these bounds come to about 60 MB
+    with two periods of seen ids.
+    """
+
+    records: int = 30_000
+    seen_ids: int = 60_000
+    kept_bytes: int = 16 * 1024 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -73,6 +77,8 @@
 
     Attributes
     ----------
+    lost_slots : int
+        Slots that the backend server does not give, for example to calls that timed out.
     calls : set of str
         Ids of the requests whose HTTP calls are open.
     passed : set of str
@@ -89,6 +95,7 @@
     limits: Limits = dataclasses.field(default_factory=Limits)
     server: backend.BackendServer | None = None
     reachable: bool = False
+    lost_slots: int = 0
     records: dict[str, Record] = dataclasses.field(default_factory=dict)
     seen: set[str] = dataclasses.field(default_factory=set)
     seen_before: set[str] = dataclasses.field(default_factory=set)
@@ -113,8 +120,8 @@
 
 
 def slots(state: State) -> int:
-    """Return the number of slots of the backend server."""
-    return state.server.slots if state.server is not None else 0
+    """Return the number of slots that the backend server is thought to give."""
+    return max(0, state.server.slots - state.lost_slots) if state.server is not None else 0
 
 
 def in_flight(state: State) -> int:
@@ -197,6 +204,7 @@
         "requests": {phase.value: phases.count(phase) for phase in Phase},
         "kept_bytes": state.kept_bytes,
         "counters": dict(state.counters),
+        "breaches": {"true_not_run": state.counters.get("ran_after_not_run", 0)},
     }
 
 
--- a/packages/core/src/peridothatch_core/route/pool.py
+++ b/packages/core/src/peridothatch_core/route/pool.py
@@ -13,6 +13,9 @@
 
 ACROSS_THE_LINK = 2
 
+# An agent sends a heartbeat every 2 s, and a silent connection is closed after 6 s.
+SUSPECT_AFTER_SECONDS = 2.5
+
 
 @dataclasses.dataclass(slots=True)
 class Server:
@@ -24,8 +27,11 @@
         Customer by id of the requests of this entry that the server may hold.
     foreign : int
         Slots in use by other entries, as the agent last reported.
+    last_sent : int
+        Number of the latest request sent; of equally loaded servers the one that waited longest
+        is next, or else the first would get nearly all requests of a quiet service.
     group : Group or None
-        ``None`` while the server is not connected or leaves.
+        ``None`` while the server is not connected, leaves, or its data centre is out.
     """
 
     peer_id: str
@@ -33,9 +39,11 @@
     backend: backend.BackendServer
     distance: int
     connected: bool = True
+    heard_at: float = 0.0
     lost_at: float = 0.0
     open: dict[str, str] = dataclasses.field(default_factory=dict)
     foreign: int = 0
+    last_sent: int = 0
     group: Group | None = None
 
 
@@ -74,7 +82,11 @@
         if server.backend.service != service:
             continue
         server.group = None
-        if not server.connected or server.backend.leaving:
+        # An agent whose backend server has no slot left announces none.
+        if server.backend.slots < 1:
+            continue
+        away = server.backend.leaving or server.backend.data_centre in state.out
+        if away or not server.connected:
             continue
         group = members.setdefault(server.distance, Group(server.distance))
         group.slots += server.backend.slots
@@ -90,8 +102,14 @@
     ejection.keep_cap(state.health, [server.peer_id for server in servers(state, service)])
 
 
-def occupy(server: Server, request_id: str, customer: str) -> None:
+def is_suspect(server: Server, now: float) -> bool:
+    """Return whether the connection may have gone silent."""
+    return now > server.heard_at + SUSPECT_AFTER_SECONDS
+
+
+def occupy(state: flight.State, server: Server, request_id: str, customer: str) -> None:
     """Count a request that is sent to a server."""
+    server.last_sent = next(state.sequence)
     server.open[request_id] = customer
     if server.group is not None:
         _add(server.group, customer)
--- a/packages/core/tests/route/test_choice.py
+++ b/packages/core/tests/route/test_choice.py
@@ -7,7 +7,7 @@
 
 from peridothatch_core.message import link
 from peridothatch_core.model import backend, request, verdict
-from peridothatch_core.route import dispatch, exchange, flight
+from peridothatch_core.route import dispatch, ejection, exchange, flight
 
 SETTINGS = flight.Settings("e1", "i1", "accra-a", "gh-south", link_bytes_per_second=10_000.0)
 NEAR, REGION, FAR = ("accra-a", "gh-south"), ("tema-b", "gh-south"), ("tamale-a", "gh-north")
@@ -108,6 +108,26 @@
     assert chosen.count("a0") == chosen.count("a1") == 3
 
 
+def test_a_quiet_service_uses_all_its_servers():
+    entry = Entry([NEAR, NEAR, NEAR], seconds=0.01)
+    for number in range(30):
+        entry.submit(number, when=number * 0.05)
+    entry.run(until=2.0)
+    chosen = [peer_id for peer_id, _request in entry.dispatched]
+    assert [chosen.count(peer_id) for peer_id in ("a0", "a1", "a2")] == [10, 10, 10]
+
+
+def test_a_server_that_fails_some_requests_is_avoided_while_others_are_free():
+    entry = Entry([NEAR, NEAR])
+    ejection.failed(entry.state.health, "a0", ("a0", "a1"), 0.0)
+    for number in range(10):
+        entry.submit(number, when=1.0 + number)
+    entry.submit(10, when=40.0)
+    entry.run(until=50.0)
+    chosen = [peer_id for peer_id, _request in entry.dispatched]
+    assert chosen == ["a1"] * 10 + ["a0"]
+
+
 def test_requests_cross_the_link_only_after_waiting_and_within_the_byte_budget():
     entry = Entry([NEAR, FAR], seconds=10.0, slots=8)
     for number in range(14):
@@ -155,3 +175,30 @@
     entry.submit(0)
     entry.run(until=3.0)
     assert entry.outcomes[0][1].err_value.verdict is verdict.Verdict.NOT_RUN
+
+
+def test_a_data_centre_that_is_out_gets_no_requests_until_it_is_back():
+    entry = Entry([NEAR, REGION])
+    entry.step(exchange.Configured(4, frozenset({"accra-a"})))
+    entry.submit(0)
+    entry.run(until=0.05)
+    entry.step(exchange.Configured(4))
+    entry.submit(1)
+    entry.run(until=0.05)
+    assert [peer_id for peer_id, _request in entry.dispatched] == ["a1", "a0"]
+
+
+def test_a_silent_connection_gets_no_new_request_and_loses_an_idempotent_one():
+    entry = Entry([NEAR, NEAR], seconds=100.0)
+    entry.submit(0)
+    entry.run(until=0.0)
+    (silent, _request), other = entry.dispatched[0], {"a0": "a1", "a1": "a0"}
+    other = other[silent]
+    for when in (2.0, 4.0):
+        beat = exchange.Received(entry.peers[other], link.Heartbeat(when))
+        entry.at(when, beat)
+    for number in range(1, 4):
+        entry.submit(number, when=2.9)
+    entry.run(until=3.5)
+    assert {peer_id for peer_id, _request in entry.dispatched[1:]} == {other}
+    assert (other, "e1.i1.0") in entry.dispatched
