Wait before a refused gang is placed again

Cause: a refused reservation went back to placement at once, which chose the same cells again, as fast as messages travel, until the reservation in the way had lapsed; the planner of the data centre to which a job moved was told of it only by its next listing. Change: 0.25 s, doubled up to 8 s, before the next attempt; JobChanged names the data centre where the job is now; nothing is decided while no start is possible; settled attempts are forgotten.

--- a/packages/core/src/peridothatch_core/start/gang_event.py
+++ b/packages/core/src/peridothatch_core/start/gang_event.py
@@ -164,10 +164,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ended:
-    """Tell placement that a job has left the data centre."""
+    """Tell placement that a job has left the data centre; ``data_centre`` is where it is now."""
 
     job_id: str
     succeeded: bool
+    data_centre: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/start/gang_launch.py
+++ b/packages/core/src/peridothatch_core/start/gang_launch.py
@@ -17,6 +17,8 @@
 # The store takes several hundred writes a second for all data centres; a start costs one.
 STARTS_PER_SECOND = 30.0
 START_BURST = 60.0
+RETRY_SECONDS = 0.25
+RETRY_LIMIT_SECONDS = 8.0
 STALE_PROOF = "service proof expired"
 
 _Phase = gang_state.Phase
@@ -135,7 +137,7 @@
     if gang is None or agent is None or gang.run != message.run:
         return []
     if gang.phase is _Phase.RESERVING:
-        return abandon(state, gang)
+        return fail(state, gang, now)
     party = gang.parties.get(agent.worker.id)
     if gang.phase is not _Phase.STARTING or party is None or message.request != "start":
         return []
@@ -147,6 +149,19 @@
     return gang_stop.begin(state, gang, gang_state.Reason.NOT_STARTED, now, message.reason)
 
 
+def fail(state: gang_state.State, gang: gang_state.Gang, now: float) -> _Effects:
+    """Give up reservations that were refused or not answered; wait before the next attempt.
+
+    What is in the way, such as a reservation of an earlier planner, may last for seconds.
+    """
+    entry = state.jobs[gang.job_id]
+    delay = min(RETRY_LIMIT_SECONDS, RETRY_SECONDS * 2.0**entry.refusals)
+    entry.refusals = min(entry.refusals + 1, 10)
+    entry.cooling_until = now + delay
+    state.cooling.add(gang.job_id)
+    return abandon(state, gang)
+
+
 def abandon(state: gang_state.State, gang: gang_state.Gang) -> _Effects:
     """Give up a run that was not committed."""
     gang_stop.drop(state, gang.job_id)
--- a/packages/core/src/peridothatch_core/start/gang_start.py
+++ b/packages/core/src/peridothatch_core/start/gang_start.py
@@ -140,6 +140,7 @@
         case _Phase.COMMITTING if ours and row.epoch == state.epoch:
             gang.phase, gang.since = _Phase.STARTING, now
             state.counters.runs_started += 1
+            entry.refusals = 0
             effects: _Effects = [gang_event.Holding(row)]
             if row.cancel_requested:
                 return effects + gang_stop.begin(state, gang, gang_state.Reason.CANCELLED, now)
@@ -162,7 +163,7 @@
     row = entry.job
     if row.state is job.State.WAITING:
         if not row.cancel_requested:
-            return [gang_event.Waiting(row)]
+            return [] if row.id in state.cooling else [gang_event.Waiting(row)]
         if not state.may_decide:
             return []
         ended = dataclasses.replace(
@@ -195,9 +196,10 @@
     """Drop a job that has ended or left; stop what should not be running."""
     entry = state.jobs.pop(job_id)
     gang_save.forget(state, entry)
+    state.cooling.discard(job_id)
     gang = gang_stop.drop(state, job_id)
     succeeded = entry.job.state is job.State.SUCCEEDED
-    effects: _Effects = [gang_event.Ended(job_id, succeeded)]
+    effects: _Effects = [gang_event.Ended(job_id, succeeded, entry.job.data_centre)]
     if gang is None:
         return effects
     if gang.phase in (_Phase.RECORDING, _Phase.RESERVING, _Phase.COMMITTING):
@@ -263,6 +265,11 @@
 
 def _tick(state: gang_state.State, now: float) -> _Effects:
     effects = gang_save.retry(state, now) + gang_report.watch(state, now)
+    for job_id in sorted(state.cooling):
+        entry = state.jobs[job_id]
+        if now >= entry.cooling_until:
+            state.cooling.discard(job_id)
+            effects += _after_abandon(state, job_id, now)
     for gang in tuple(state.gangs.values()):
         if state.gangs.get(gang.job_id) is gang:
             effects += _tick_gang(state, gang, now)
@@ -273,7 +280,7 @@
     entry = state.jobs.get(gang.job_id)
     match gang.phase:
         case _Phase.RESERVING if now - gang.since > gang_launch.RESERVE_TIMEOUT_SECONDS:
-            return gang_launch.abandon(state, gang) + _after_abandon(state, gang.job_id, now)
+            return gang_launch.fail(state, gang, now)
         case _Phase.COMMITTING:
             return gang_launch.reserve(state, gang, now)
         case _Phase.STARTING if now - gang.since > gang_launch.START_TIMEOUT_SECONDS:
--- a/packages/core/src/peridothatch_core/start/gang_state.py
+++ b/packages/core/src/peridothatch_core/start/gang_state.py
@@ -148,12 +148,20 @@
 
 @dataclasses.dataclass(slots=True)
 class Entry:
-    """A job row of the data centre as it was last read or written."""
+    """A job row of the data centre as it was last read or written.
+
+    Attributes
+    ----------
+    refusals, cooling_until : int, float
+        Reservations that failed in a row, and until when the job is not placed again.
+    """
 
     job: job.Job
     version: int
     last_run: int
     saving: Saving | None = None
+    refusals: int = 0
+    cooling_until: float = float("-inf")
 
 
 @dataclasses.dataclass(slots=True)
@@ -195,6 +203,8 @@
         Jobs whose run has members on each worker.
     saving : set
         Jobs whose row is being written.
+    cooling : set
+        Jobs that wait for ``cooling_until``; placement counts their cells as taken meanwhile.
     start_tokens : float
         Starts that may begin at once, as of ``tokens_at``.
     vouched : bool
@@ -217,6 +227,7 @@
     workers: dict[str, str] = dataclasses.field(default_factory=dict)
     on_worker: dict[str, set[str]] = dataclasses.field(default_factory=dict)
     saving: set[str] = dataclasses.field(default_factory=set)
+    cooling: set[str] = dataclasses.field(default_factory=set)
     start_tokens: float = 0.0
     tokens_at: float = float("-inf")
     attempts: int = 0
--- a/packages/core/tests/start/test_gang_start.py
+++ b/packages/core/tests/start/test_gang_start.py
@@ -311,6 +311,26 @@
     assert (row.state, row.results) == (job.State.SUCCEEDED, ("one", "two"))
     effects = planner.saved(store.Outcome.APPLIED, 5.2, version=3)
     assert len(told(effects, link.Release)) == 2
-    assert gang_event.Ended("j", True) in effects
+    assert gang_event.Ended("j", True, "dc") in effects
     assert not planner.state.gangs
     assert not planner.state.jobs
+
+
+def test_a_refused_reservation_is_not_tried_again_at_once():
+    """Guards against a loop of placements while a reservation of another planner lasts."""
+    planner = Planner()
+    planner.do(gang_event.Place("j", CELLS, False), 2.0)
+    refused = link.Refused("j", 1, "reserve", "an accelerator is taken")
+    effects = planner.hear("a1", refused, 2.1)
+    assert [type(effect) for effect in effects] == [gang_event.Tell, gang_event.Tell]
+    assert planner.do(gang_event.Tick(), 2.2) == []
+    assert planner.do(gang_event.Tick(), 2.4) == [gang_event.Waiting(JOB)]
+
+
+def test_starts_after_an_outage_are_paced():
+    """Guards against a burst of starts that the store cannot take."""
+    planner = Planner()
+    planner.fresh(2.0)
+    planner.state.start_tokens, planner.state.tokens_at = 0.5, 2.0
+    assert planner.do(gang_event.Place("j", CELLS, False), 2.0) == [gang_event.Waiting(JOB)]
+    assert told(planner.do(gang_event.Place("j", CELLS, False), 2.1), link.Reserve)
--- a/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
@@ -155,7 +155,7 @@
             state.policy.record_started(effect.job, wall)
         case gang_event.Ended():
             state.policy.record_ended(effect.job_id, wall, effect.succeeded)
-            broadcast(state, link.JobChanged(effect.job_id, state.settings.data_centre))
+            broadcast(state, link.JobChanged(effect.job_id, effect.data_centre))
         case gang_event.RunFailed():
             again = state.policy.record_failed(effect.job_id, effect.workers, wall)
             apply(state, gang_event.FailureJudged(effect.job_id, again), now)
@@ -212,6 +212,10 @@
     gangs = state.gangs
     if gangs is None or not gangs.loaded or not gangs.may_decide:
         return
+    reading = gangs.reading
+    if reading.in_service and service_proof.age(reading, now) < 0:
+        # Nothing can start before the configuration is confirmed again.
+        return
     for decision in state.policy.decide(state.wall()):
         match decision:
             case placing.Place():
--- a/packages/daemon/src/peridothatch_daemon/decide/planner_store.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_store.py
@@ -130,6 +130,9 @@
     version = message.versions.get(rows.job_key(effect.job.id), 0)
     event = gang_event.Saved(effect.job.id, effect.attempt, message.outcome, version)
     planner_state.apply(state, event, now)
+    entry = state.gangs.jobs.get(effect.job.id)
+    if entry is None or entry.saving is None or entry.saving.attempt != effect.attempt:
+        state.attempts.pop(message.transaction.id, None)
 
 
 def _log_saved(saved: job.Job) -> None:
