Test following, draining and dumping planners

Cause: an entry that does not plan, a planned stop and the state dumps were untested. Change: three tests of the planner task.

--- a/packages/daemon/tests/decide/test_planner.py
+++ b/packages/daemon/tests/decide/test_planner.py
@@ -1,6 +1,7 @@
 """Guards against a planner task that does not take a job from its row to its result."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -153,3 +154,47 @@
     system.submit(waiting_job("j", cancel_requested=True))
     found = await system.ended("j")
     assert (found.state, found.run) == (job.State.CANCELLED, 0)
+
+
+async def test_an_entry_that_does_not_plan_answers_heartbeats(create_table):
+    """Guards against an agent that drops its connection, or that takes a proof from it."""
+    table, links = create_table(), mailbox.create("links")
+    row = {"holder": "e9", "epoch": 7, "counter": 1, "incarnation": "x"}
+    table.put(rows.planner_key("dc"), row)
+    settings = planner_state.Settings("e1", "i1", "dc", "other")
+    following = planner.start(settings, links, table.inbox, first_fit)
+    serving = task.start("table", table.run())
+    mailbox.post(following.mailbox, messages.PeerOpened(AGENT))
+    async with asyncio.timeout(30):
+        welcome = await mailbox.take(links)
+        beat = messages.FromPeer(AGENT, link.Heartbeat(5.0))
+        mailbox.post(following.mailbox, beat)
+        ack = await mailbox.take(links)
+    await planner.close(following)
+    await task.close(serving)
+    assert welcome == messages.ToPeer("a1", link.Welcome((), "e9", 7))
+    assert ack == messages.ToPeer("a1", link.HeartbeatAck(5.0, False, -1.0, 0, 7))
+
+
+async def test_a_drained_planner_hands_its_lease_over(system):
+    """Guards against a planned stop that leaves the data centre without a planner."""
+    system.submit(waiting_job("j"))
+    await system.ended("j")
+    reply = mailbox.Reply()
+    mailbox.post(system.planner.mailbox, messages.Drain(reply))
+    assert await mailbox.wait(reply, 30)
+    row = rows.read_planner(system.table.rows[rows.planner_key("dc")].value)
+    assert (row.holder, row.epoch) == ("", 1)
+
+
+async def test_state_dumps_are_plain_and_count_breaches(system):
+    """Guards against a dump that cannot be sent, or that lacks the counters."""
+    system.submit(waiting_job("j"))
+    await system.ended("j")
+    dumps = []
+    for inbox in (system.planner.mailbox, system.members.mailbox):
+        reply = mailbox.Reply()
+        mailbox.post(inbox, messages.DumpState(reply))
+        dumps.append(json.loads(json.dumps(await mailbox.wait(reply, 30))))
+    assert (dumps[0]["mode"], dumps[0]["counters"]["runs_started"]) == ("holding", 1)
+    assert (dumps[1]["epoch"], dumps[1]["counters"]["starts"]) == (1, 1)
