Search for silent members once a second

Cause: each tick of 0.25 s visited every member of every running gang. Change: the search runs once a second, and ticks skip gangs that run undisturbed.

--- a/packages/core/src/peridothatch_core/start/gang_report.py
+++ b/packages/core/src/peridothatch_core/start/gang_report.py
@@ -9,6 +9,8 @@
 from peridothatch_core.start import gang_event, gang_state, gang_stop, service_proof
 
 MEMBER_SILENT_SECONDS = 20.0
+# A search visits every member of every gang, and a second more or less does not matter to it.
+WATCH_SECONDS = 1.0
 _ALIVE = frozenset({"running", "succeeded"})
 _WATCHED = frozenset(
     {gang_state.Phase.STARTING, gang_state.Phase.ADOPTING, gang_state.Phase.RUNNING}
@@ -133,6 +135,9 @@
 def watch(state: gang_state.State, now: float) -> list[gang_event.Effect]:
     """Stop gangs with a member that has not been heard of for too long."""
     effects: list[gang_event.Effect] = []
+    if now - state.watched_at < WATCH_SECONDS:
+        return effects
+    state.watched_at = now
     for gang in tuple(state.gangs.values()):
         if gang.phase not in _WATCHED:
             continue
--- a/packages/core/src/peridothatch_core/start/gang_start.py
+++ b/packages/core/src/peridothatch_core/start/gang_start.py
@@ -270,7 +270,7 @@
         if now >= entry.cooling_until:
             state.cooling.discard(job_id)
             effects += _after_abandon(state, job_id, now)
-    for gang in tuple(state.gangs.values()):
+    for gang in [item for item in state.gangs.values() if item.phase is not _Phase.RUNNING]:
         if state.gangs.get(gang.job_id) is gang:
             effects += _tick_gang(state, gang, now)
     return effects
--- a/packages/core/src/peridothatch_core/start/gang_state.py
+++ b/packages/core/src/peridothatch_core/start/gang_state.py
@@ -205,6 +205,8 @@
         Jobs whose row is being written.
     cooling : set
         Jobs that wait for ``cooling_until``; placement counts their cells as taken meanwhile.
+    watched_at : float
+        When the gangs were last searched for silent members.
     start_tokens : float
         Starts that may begin at once, as of ``tokens_at``.
     vouched : bool
@@ -228,6 +230,7 @@
     on_worker: dict[str, set[str]] = dataclasses.field(default_factory=dict)
     saving: set[str] = dataclasses.field(default_factory=set)
     cooling: set[str] = dataclasses.field(default_factory=set)
+    watched_at: float = float("-inf")
     start_tokens: float = 0.0
     tokens_at: float = float("-inf")
     attempts: int = 0
