--- a/packages/daemon/src/peridothatch_daemon/intake/jobs.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/jobs.py
@@ -170,6 +170,8 @@
         "data_centre": item.data_centre,
         "shape": item.shape,
         "command": item.command,
+        "checkpointable": item.checkpointable,
+        "expected_seconds": item.expected_seconds,
         "run": item.run,
         "cells": item.cells,
         "submitted_at": item.submitted_at,
--- a/packages/daemon/tests/decide/test_jobs.py
+++ b/packages/daemon/tests/decide/test_jobs.py
@@ -182,8 +182,8 @@
             run = moves.pop()
             desk.put(new_job(data_centre="accra-a", run=run, detail="from the planner"))
 
-    def read_then_change(wanted):
-        found = read(wanted)
+    def read_then_change(*arguments):
+        found = read(*arguments)
         change()
         return found
 
@@ -239,7 +239,7 @@
     inbox = desk.add()
     await ask(inbox, messages.FindJob, "j1", "")
 
-    def no_rows(wanted):
+    def no_rows(wanted, *_):
         return store.Rows(wanted.tag, False, {}, 0.0)
 
     desk.table.read = no_rows
@@ -325,9 +325,9 @@
     inbox, reads = desk.add(), []
     read = desk.table.read
 
-    def count(wanted):
+    def count(wanted, *others):
         reads.append(len(wanted.keys))
-        return read(wanted)
+        return read(wanted, *others)
 
     desk.table.read = count
     found = await asyncio.gather(
