Let callers who wait for jobs not hold up a shutdown

Cause: the HTTP intake waits for the requests in progress when it drains, and a long poll may take 60 s; a caller that does not take its answer could hold the shutdown for 660 s. Change: on Drain the intake sends EndWaits to the jobs task, which answers those who wait and still accepts jobs in flight. Once no request is in progress, a shutdown waits at most 30 s for answers to be taken. Conclusion: a shutdown takes no longer than the requests in flight.

--- a/packages/daemon/src/peridothatch_daemon/decide/jobs.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/jobs.py
@@ -36,7 +36,7 @@
     inbox : Mailbox
         Takes the messages of the HTTP interface, ``ConfigChanged``, ``CapacityDigest`` and
         ``JobChanged`` from planners (also within ``FromPeer``), ``GuaranteesShort``,
-        ``DumpState`` and ``Drain``.
+        ``EndWaits``, ``DumpState`` and ``Drain``.
     """
 
     inbox: mailbox.Mailbox
@@ -132,8 +132,11 @@
             jobs_read.refresh_all(state)
         case messages.DumpState():
             mailbox.answer(message.reply, dump(state))
+        case messages.EndWaits():
+            state.waits_ended = True
+            jobs_read.refresh_all(state)
         case messages.Drain():
-            state.draining = True
+            state.draining = state.waits_ended = True
             state.drains.append(message.reply)
             jobs_read.refresh_all(state)
         case _:
--- a/packages/daemon/src/peridothatch_daemon/decide/jobs_read.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/jobs_read.py
@@ -154,7 +154,7 @@
 
 
 def _waits(state: jobs_state.State, item: job.Job, ask: messages.FindJob, until: float) -> bool:
-    if state.draining or state.clock() >= until or item.state in job.FINAL_STATES:
+    if state.waits_ended or state.clock() >= until or item.state in job.FINAL_STATES:
         return False
     return ask.known_state in ("", item.state.value)
 
--- a/packages/daemon/src/peridothatch_daemon/decide/jobs_state.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/jobs_state.py
@@ -108,6 +108,7 @@
     waiters: dict[str, list[Waiter]] = dataclasses.field(default_factory=dict)
     drains: list[mailbox.Reply] = dataclasses.field(default_factory=list)
     draining: bool = False
+    waits_ended: bool = False
     last_number: int = 0
 
 
--- a/packages/daemon/src/peridothatch_daemon/intake/call.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/call.py
@@ -34,6 +34,8 @@
     ----------
     drain_seconds : float
         A planned stop cuts no request, so this exceeds the longest deadline.
+    send_seconds : float
+        How long a shutdown waits for callers to take answers that are ready.
     linger_seconds : float
         How long the rest of a refused body is read and thrown away, so that the caller can
         read the refusal before the connection closes.
@@ -50,6 +52,7 @@
     longest_deadline_seconds: float = 600.0
     default_deadline_seconds: float = 30.0
     drain_seconds: float = 660.0
+    send_seconds: float = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,7 +64,8 @@
     requests : Mailbox
         Takes ``SubmitRequest`` and ``FindRequest``.
     jobs : Mailbox
-        Takes ``SubmitJob``, ``FindJob``, ``ListJobs``, ``CancelJob`` and ``ExplainJob``.
+        Takes ``SubmitJob``, ``FindJob``, ``ListJobs``, ``CancelJob``, ``ExplainJob``,
+        ``ListPromises`` and ``EndWaits``.
     config : Mailbox
         Takes ``ChangeConfig`` and ``ListChanges``.
     dumps : mapping of str to Mailbox
--- a/packages/daemon/src/peridothatch_daemon/intake/http.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/http.py
@@ -111,6 +111,8 @@
                 state.snapshot = snapshot
             case messages.Drain(reply):
                 state.draining = True
+                # A long poll would hold up the shutdown for as long as it may wait.
+                mailbox.post(state.ports.jobs, messages.EndWaits())
                 state.drained.append(reply)
                 limits.finish_drain(state)
             case _:
@@ -127,5 +129,5 @@
         ws="none",
         server_header=False,
         proxy_headers=False,
-        timeout_graceful_shutdown=int(state.limits.drain_seconds),
+        timeout_graceful_shutdown=int(state.limits.send_seconds),
     )
--- a/packages/daemon/src/peridothatch_daemon/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/messages.py
@@ -199,6 +199,11 @@
     known_state: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndWaits:
+    """Answer the callers who wait for jobs now, and let later ones not wait."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListJobs:
     """List jobs; ``result.Result[JobList, verdict.Refusal]`` is the reply.
--- a/packages/daemon/tests/decide/test_jobs.py
+++ b/packages/daemon/tests/decide/test_jobs.py
@@ -302,6 +302,17 @@
     assert len(desk.jobs()) == 1
 
 
+async def test_callers_who_wait_do_not_hold_up_a_shutdown_nor_does_it_refuse_jobs(desk):
+    desk.put(new_job(data_centre="accra-a"))
+    inbox = desk.add()
+    polling = asyncio.create_task(ask(inbox, messages.FindJob, "j1", "adinkra", wait_seconds=1e6))
+    await wait_until_waiting(inbox)
+    mailbox.post(inbox, messages.EndWaits())
+    assert (await polling).ok_value.job.state is job.State.WAITING
+    assert (await ask(inbox, messages.FindJob, "j1", "adinkra", wait_seconds=1e6)).is_ok()
+    assert (await submit(inbox, new_job(2))).is_ok()
+
+
 async def test_lists_are_selected_sorted_and_cut(desk):
     states = [job.State.RUNNING, job.State.SUCCEEDED, job.State.WAITING, job.State.WAITING]
     for number, state in enumerate(states):
