Report breaches of more invariants, and stop gracefully or say so

Cause: the counters of no_work_to_leaving and config_monotonic were always zero because nothing fed them; a drain that ran out of time ended with status 0; a change of a customer's quota could revert a token that was changed meanwhile; agents of backend servers dialled three entries only, so that a fourth could not route to them; answers of the stand-ins waited up to 40 ms for a delayed acknowledgement.

--- a/packages/core/src/peridothatch_core/admit/changes.py
+++ b/packages/core/src/peridothatch_core/admit/changes.py
@@ -58,7 +58,7 @@
     """Return the value with what the caller need not know.
 
     A promise gets its maker and its time, unless it stays as it was. A data centre without a
-    region keeps the one that it has.
+    region, and a customer without a token, keep the one that they have.
     """
     current = revisions.find(snapshot, kind, name) if kind in revisions.COLLECTIONS else None
     if isinstance(value, customer.Guarantee | workclass.WorkClass):
@@ -72,6 +72,9 @@
     if isinstance(value, datacentre.DataCentre) and not value.region:
         region = current.region if isinstance(current, datacentre.DataCentre) else ""
         return dataclasses.replace(value, region=region)
+    if isinstance(value, customer.Customer) and not value.token_sha256:
+        token = current.token_sha256 if isinstance(current, customer.Customer) else ""
+        return dataclasses.replace(value, token_sha256=token)
     return value
 
 
--- a/packages/core/src/peridothatch_core/member/entries.py
+++ b/packages/core/src/peridothatch_core/member/entries.py
@@ -10,6 +10,8 @@
 
 # The planner and two others: one may be lost while the agent waits for its replacement.
 MAX_CONNECTIONS = 3
+# Each entry routes requests itself, so the agent of a backend server is connected to all.
+MAX_CONNECTIONS_OF_BACKEND_AGENT = 64
 
 # Retries a failed address after an exponential delay, so that agents of a lost entry do not
 # dial it all the time.
@@ -31,6 +33,8 @@
         Consecutive failures and the time of the next attempt, by address.
     active : set
         Addresses that are being dialled or are connected.
+    limit : int
+        Most addresses in ``active``.
     """
 
     data_centre: str
@@ -40,6 +44,7 @@
     known: dict[str, link.EntryAddress] = dataclasses.field(default_factory=dict)
     failures: dict[tuple[str, int], tuple[int, float]] = dataclasses.field(default_factory=dict)
     active: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    limit: int = MAX_CONNECTIONS
 
 
 def learn(state: Dialing, welcome: link.Welcome) -> None:
@@ -76,13 +81,13 @@
         for address in _preferred(state)
         if address not in state.active and state.failures.get(address, (0, 0.0))[1] <= now
     ]
-    return due[: max(0, MAX_CONNECTIONS - len(state.active))]
+    return due[: max(0, state.limit - len(state.active))]
 
 
 def to_drop(state: Dialing) -> list[tuple[str, int]]:
     """Return connected addresses to give up so that the planner can be dialled."""
     entry = state.known.get(state.planner)
-    if entry is None or len(state.active) < MAX_CONNECTIONS:
+    if entry is None or len(state.active) < state.limit:
         return []
     if (entry.host, entry.port) in state.active:
         return []
--- a/packages/core/src/peridothatch_core/route/holding.py
+++ b/packages/core/src/peridothatch_core/route/holding.py
@@ -15,6 +15,8 @@
     from peridothatch_core.model import backend
 
 # An answer stays available this long after the deadline, unless it is acknowledged.
+# Time after which a leaving backend server must get no new work.
+LEAVING_SECONDS = 3.0
 KEPT_AFTER_DEADLINE_SECONDS = 60.0
 
 # Longer than any deadline (600 s), so that a delayed Dispatch finds the refusal.
@@ -111,6 +113,7 @@
     sequence: typing.Iterator[int] = dataclasses.field(default_factory=itertools.count)
     heartbeats: int = 0
     draining: bool = False
+    leaving_since: float | None = None
     counters: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
@@ -119,6 +122,21 @@
     state.counters[name] = state.counters.get(name, 0) + 1
 
 
+def note_leaving(state: State, now: float) -> None:
+    """Record since when new requests are refused."""
+    if not leaving(state):
+        state.leaving_since = None
+    elif state.leaving_since is None:
+        state.leaving_since = now
+
+
+def note_passed(state: State, now: float) -> None:
+    """Record a request that is passed on; one to a server that left is a breach."""
+    since = state.leaving_since
+    if since is not None and now - since > LEAVING_SECONDS:
+        count(state, "passed_to_leaving")
+
+
 def slots(state: State) -> int:
     """Return the number of slots that the backend server is thought to give."""
     return max(0, state.server.slots - state.lost_slots) if state.server is not None else 0
@@ -204,7 +222,10 @@
         "requests": {phase.value: phases.count(phase) for phase in Phase},
         "kept_bytes": state.kept_bytes,
         "counters": dict(state.counters),
-        "breaches": {"true_not_run": state.counters.get("ran_after_not_run", 0)},
+        "breaches": {
+            "true_not_run": state.counters.get("ran_after_not_run", 0),
+            "no_work_to_leaving": state.counters.get("passed_to_leaving", 0),
+        },
     }
 
 
--- a/packages/core/src/peridothatch_core/route/slots.py
+++ b/packages/core/src/peridothatch_core/route/slots.py
@@ -23,6 +23,7 @@
 def step(state: holding.State, event: agent_exchange.Event, now: float) -> Effects:
     """Handle one event; ``now`` is monotonic, in seconds."""
     effects = _HANDLERS[type(event)](state, event, now)
+    holding.note_leaving(state, now)
     effects += _run_timers(state, now)
     effects += _pass_queued(state, now)
     return effects
@@ -145,6 +146,7 @@
         record.phase = holding.Phase.PASSED
         state.calls.add(record.request.id)
         state.passed.add(record.request.id)
+        holding.note_passed(state, now)
         effects.append(agent_exchange.Call(record.request, max(0.001, record.deadline - now)))
     return effects
 
--- a/packages/core/tests/test_changes.py
+++ b/packages/core/tests/test_changes.py
@@ -114,3 +114,13 @@
     value = datacentre.DataCentre("tema-b", "", OUT)
     completed = changes.complete(SNAPSHOT, "data_centre", "tema-b", value, "ama", 9.0)
     assert completed == datacentre.DataCentre("tema-b", "gh-south", OUT)
+
+
+def test_a_customer_without_a_token_keeps_the_current_one():
+    """Guards against a change of the quota that reverts a token that was changed meanwhile."""
+    known = SNAPSHOT.customers[sorted(SNAPSHOT.customers)[0]]
+    current = dataclasses.replace(known, token_sha256="ab" * 32)
+    snapshot = dataclasses.replace(SNAPSHOT, customers={known.name: current})
+    value = dataclasses.replace(known, quota_accelerators=1, token_sha256="")
+    completed = changes.complete(snapshot, "customer", known.name, value, "ama", 9.0)
+    assert completed == dataclasses.replace(current, quota_accelerators=1)
--- a/packages/daemon/src/peridothatch_daemon/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/agent.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
 import logging
 import typing
 
-from peridothatch_daemon import identity, messages, settings, tls
+from peridothatch_core.member import entries
+from peridothatch_daemon import drain, identity, settings, tls
 from peridothatch_daemon.decide import members, slots
 from peridothatch_daemon.intake import debug, dialer
 from peridothatch_daemon.observe import metrics
@@ -41,6 +41,7 @@
     """Start the tasks of an agent."""
     own = identity.create(own_settings.id, "agent", own_settings.data_centre, own_settings.region)
     links = mailbox.create("dialer", dialer.INBOX_MESSAGES)
+    limit = entries.MAX_CONNECTIONS
     if own_settings.worker is not None:
         deciding, closers = _start_worker_side(own_settings, own_settings.worker, links)
     else:
@@ -50,8 +51,10 @@
         holder = slots.start(own, links, outlet.inbox)
         deciding = holder.inbox
         closers = [lambda: slots.close(holder), lambda: backend.close(outlet)]
+        limit = entries.MAX_CONNECTIONS_OF_BACKEND_AGENT
     seeds = tuple((str(item.host), item.port) for item in own_settings.entries)
-    dialing = dialer.start(own, seeds, deciding, links, tls.client(own_settings.link_tls))
+    context = tls.client(own_settings.link_tls)
+    dialing = dialer.start(own, seeds, deciding, links, context, limit)
     instruments = metrics.start(own_settings.id)
     server = debug.start(
         str(own_settings.debug.host),
@@ -70,14 +73,18 @@
     return Agent(addresses, deciding, own_settings.drain_timeout_seconds, closers)
 
 
-async def close(agent: Agent) -> None:
-    """Refuse new work, finish what is in flight within the drain timeout, then stop."""
-    reply = mailbox.Reply()
-    mailbox.post(agent.deciding, messages.Drain(reply))
-    with contextlib.suppress(TimeoutError):
-        await mailbox.wait(reply, agent.drain_timeout_seconds)
+async def close(agent: Agent) -> bool:
+    """Refuse new work, finish what is in flight within the drain timeout, then stop.
+
+    Returns
+    -------
+    bool
+        Whether all that was in flight has finished.
+    """
+    drained = await drain.wait([agent.deciding], agent.drain_timeout_seconds)
     for closer in agent.closers:
         await closer()
+    return drained
 
 
 def _start_worker_side(
--- a/packages/daemon/src/peridothatch_daemon/decide/config.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/config.py
@@ -237,6 +237,7 @@
         "reads_itself": config_state.reads_itself(state, state.clock()),
         "changes_waiting": len(state.queue) + (state.current is not None),
         "subscribers_behind": len(state.behind),
+        "breaches": {"config_monotonic": state.reverted},
         "peers": sorted(state.peers),
         "newest_change": _summary(state),
     }
--- a/packages/daemon/src/peridothatch_daemon/decide/config_state.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/config_state.py
@@ -67,6 +67,9 @@
         sent to the store, by the own monotonic clock in seconds.
     behind : set of int
         Subscribers whose mailbox was full when the snapshot changed.
+    published, reverted : int
+        Revision of the last snapshot that was published, and how often it was lower than the
+        one before.
     """
 
     own: link.Hello
@@ -80,6 +83,8 @@
     fresh_at: float = -math.inf
     own_read_at: float = -math.inf
     load_sent_at: float = -math.inf
+    published: int = 0
+    reverted: int = 0
     number: int = 0
     behind: set[int] = dataclasses.field(default_factory=set)
     queue: collections.deque[Pending] = dataclasses.field(default_factory=collections.deque)
@@ -121,7 +126,10 @@
 
 
 def publish_snapshot(state: State) -> None:
-    """Tell all subscribers of a new snapshot."""
+    """Tell all subscribers of a new snapshot; one that is older than the last is a breach."""
+    if state.replica.snapshot.revision < state.published:
+        state.reverted += 1
+    state.published = state.replica.snapshot.revision
     state.behind = set(range(len(state.ports.subscribers)))
     publish_behind(state)
 
--- a/packages/daemon/src/peridothatch_daemon/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/entry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import dataclasses
 import functools
 import typing
@@ -10,7 +9,7 @@
 from peridothatch_core.message import link
 from peridothatch_core.model import datacentre
 from peridothatch_core.route import flight
-from peridothatch_daemon import identity, messages, settings, tls
+from peridothatch_daemon import drain, identity, messages, settings, tls
 from peridothatch_daemon.decide import (
     bootstrap,
     config,
@@ -35,11 +34,16 @@
 
     Attributes
     ----------
+    draining : list of Mailbox
+        Tasks that take ``Drain`` once no new calls come in.
     closers : list
         What to close, in this order.
     """
 
     addresses: str
+    intake: http.Intake
+    draining: list[mailbox.Mailbox]
+    drain_timeout_seconds: float
     closers: list[Closer]
 
 
@@ -73,8 +77,6 @@
     instruments = metrics.start(own.id)
     intake = await _start_http(own_settings, own, deciding, dumps, instruments)
     closers: list[Closer] = [
-        lambda: http.close(intake),
-        lambda: _drain([*_draining(deciding), registering.inbox], own_settings),
         lambda: registry.close(registering),
         lambda: links.close(linking),
         *_closers(deciding),
@@ -82,13 +84,23 @@
         lambda: _close_metrics(instruments),
     ]
     addresses = f"http={own_settings.http.host}:{intake.port} link={address.host}:{address.port}"
-    return Entry(addresses, closers)
+    draining = [*_draining(deciding), registering.inbox]
+    return Entry(addresses, intake, draining, own_settings.drain_timeout_seconds, closers)
 
 
-async def close(entry: Entry) -> None:
-    """Refuse new calls, finish those in flight, hand the planner leases over, then stop."""
+async def close(entry: Entry) -> bool:
+    """Refuse new calls, finish those in flight, hand the planner leases over, then stop.
+
+    Returns
+    -------
+    bool
+        Whether all that was in flight has finished.
+    """
+    await http.close(entry.intake)
+    drained = await drain.wait(entry.draining, entry.drain_timeout_seconds)
     for closer in entry.closers:
         await closer()
+    return drained
 
 
 def _start_deciding(
@@ -232,16 +244,6 @@
     return [deciding.dispatch.inbox, deciding.jobs.inbox, deciding.config.inbox, *planners]
 
 
-async def _drain(inboxes: list[mailbox.Mailbox], own_settings: settings.Entry) -> None:
-    """Wait until the tasks have finished what is in flight, at most the drain timeout."""
-    replies = []
-    for inbox in inboxes:
-        reply = mailbox.Reply()
-        mailbox.post(inbox, messages.Drain(reply))
-        replies.append(mailbox.wait(reply, own_settings.drain_timeout_seconds))
-    await asyncio.gather(*replies, return_exceptions=True)
-
-
 async def _close_metrics(instruments: metrics.Metrics) -> None:
     metrics.close(instruments)
 
--- a/packages/daemon/src/peridothatch_daemon/intake/changes.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/changes.py
@@ -32,9 +32,7 @@
     """Create a customer, or change its quota or token."""
     document = typing.cast("schema.CustomerDocument", received.document)
     name = received.path["name"]
-    known = state.snapshot.customers.get(name)
-    token = document.token_sha256 or (known.token_sha256 if known else "")
-    value = customer.Customer(name, document.quota_accelerators, token)
+    value = customer.Customer(name, document.quota_accelerators, document.token_sha256)
     return await _change(state, received, "customer", value)
 
 
--- a/packages/daemon/src/peridothatch_daemon/intake/dialer.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/dialer.py
@@ -65,6 +65,7 @@
     target: mailbox.Mailbox,
     inbox: mailbox.Mailbox,
     context: ssl.SSLContext | None = None,
+    limit: int = entries.MAX_CONNECTIONS,
 ) -> Dialer:
     """Keep connections open and pass what comes in to ``target``.
 
@@ -76,6 +77,7 @@
         Mailbox of the new task, made beforehand because ``target`` needs it too.
     """
     dialer = Dialer(own, seeds, target, inbox, context)
+    dialer._state.limit = limit
     body = loop.run(inbox, lambda message: _handle(dialer, message))
     dialer._main = task.start("dialer", body)
     timer = task.every(TICK_SECONDS, inbox, messages.Tick())
--- a/packages/daemon/src/peridothatch_daemon/main.py
+++ b/packages/daemon/src/peridothatch_daemon/main.py
@@ -14,6 +14,7 @@
 from peridothatch_daemon import agent, entry, settings
 from peridothatch_daemon.observe import logs
 
+EXIT_NOT_DRAINED = 1
 EXIT_BAD_SETTINGS = 2
 
 application = typer.Typer(
@@ -67,13 +68,15 @@
         raise typer.Exit(EXIT_BAD_SETTINGS)
     stream = logs.start(loaded.log.path)
     try:
-        uvloop.run(_serve(loaded, start, close))
+        drained = uvloop.run(_serve(loaded, start, close))
     finally:
         logs.close(stream)
+    if not drained:
+        raise typer.Exit(EXIT_NOT_DRAINED)
 
 
-async def _serve(loaded: typing.Any, start: typing.Any, close: typing.Any) -> None:
-    """Run until SIGTERM or SIGINT, then drain and close."""
+async def _serve(loaded: typing.Any, start: typing.Any, close: typing.Any) -> bool:
+    """Run until SIGTERM or SIGINT, then drain and close; return whether all had finished."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -81,4 +84,4 @@
     process = await start(loaded)
     typer.echo(f"{loaded.role} {loaded.id} ready {process.addresses}")
     await stopped.wait()
-    await close(process)
+    return await close(process)
--- a/packages/standins/src/peridothatch_standins/server.py
+++ b/packages/standins/src/peridothatch_standins/server.py
@@ -77,7 +77,9 @@
 
     Port 0 picks a free one; ``max_connections`` 0 sets no limit.
     """
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # asyncio sets TCP_NODELAY only on sockets that name their protocol; without it an answer
+    # waits up to 40 ms for a delayed acknowledgement.
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind(("127.0.0.1", port))
     config = uvicorn.Config(
