--- a/packages/core/tests/place/test_gang.py
+++ b/packages/core/tests/place/test_gang.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies
 
 from peridothatch_core.model import job, shape, worker
-from peridothatch_core.place import block, fleet, gang
+from peridothatch_core.place import block, fleet, fragmentation, gang
 
 SETTINGS = hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
 TASKS = strategies.builds(
@@ -147,3 +147,15 @@
     fleet.give_back(state, "small")
     fleet.drop_claim(state, "large")
     assert fleet.digest(state) == fleet.Digest(8, (0, 0, 0, 1))
+
+
+def test_fragmentation_counts_blocks_too_small_for_the_largest_task():
+    """Guards against a measure that calls room usable which no waiting task can use."""
+    state = build([(8, 16), (8, 16)])
+    one = shape.TaskShape(1)
+    fleet.take(state, "a", (job.Cell(0, "w1", (0,)),), one, True, "c")
+    digest = fleet.digest(state)
+    assert digest == fleet.Digest(15, (1, 1, 1, 1))
+    assert fragmentation.share(digest, [shape.GangShape(2, shape.TaskShape(5))]) == 7 / 15
+    assert fragmentation.share(digest, [shape.GangShape(2, one)]) == 0.0
+    assert fragmentation.share(digest, []) == 0.0
