Give up members whose worker does not answer

Cause: an agent went on reporting members as running after its worker had stopped answering, so their gang was renewed; and a member that was stopping did not stop the others. Change: after 8 heartbeats without a listing the agent stops and reports the members and refuses reservations; a planner stops a gang as soon as a member is stopping. Conclusion: found by reading against the worker's modes.

--- a/packages/core/src/peridothatch_core/start/gang_member.py
+++ b/packages/core/src/peridothatch_core/start/gang_member.py
@@ -8,6 +8,7 @@
     gang_launch,
     gang_report,
     gang_stop,
+    member_report,
     member_state,
     service_proof,
 )
@@ -15,7 +16,9 @@
 GANG_LEASE_SECONDS = 60.0
 # Well within the worker's own task lease, which is not renewed while a task stops.
 CHECKPOINT_SECONDS = 15.0
-MAX_FENCED_JOBS = 20_000
+# In heartbeats of 2 s and not in seconds, so that a pause of the agent does not count. The worker
+# stops tasks whose lease has not been renewed for 20 s.
+SILENT_BEATS = 8
 
 _Effects = list[member_state.Effect]
 
@@ -41,7 +44,7 @@
             effects += _start_refused(state, event)
         case member_state.EntryOpened():
             state.entries.add(event.entry_id)
-            effects += _announce(state, event.entry_id)
+            effects += member_report.announce(state, event.entry_id)
         case member_state.EntryClosed():
             state.entries.discard(event.entry_id)
         case member_state.Tick():
@@ -49,35 +52,23 @@
     return effects
 
 
-def members(state: member_state.State) -> tuple[link.Member, ...]:
-    """Return all members as they are announced."""
-    return tuple(
-        _member(held, task) for held in state.held.values() for task in held.tasks.values()
-    )
-
-
-def _member(held: member_state.Held, task: member_state.Task) -> link.Member:
-    return link.Member(
-        held.job, held.run, task.cell, task.state, task.detail, task.result, task.checkpoint
-    )
-
-
 def _lapse(state: member_state.State, now: float) -> _Effects:
     effects: _Effects = []
     for key, held in tuple(state.held.items()):
         if not held.started and now >= held.expires_at:
             state.counters.lapsed_reservations += 1
             del state.held[key]
-        elif held.started and not held.stopping and now >= held.lease_until and _active(held):
+        elif (
+            held.started
+            and not held.stopping
+            and now >= held.lease_until
+            and member_report.active(held)
+        ):
             state.counters.lapsed_leases += 1
-            effects += _stop(state, held, False, "gang lease lapsed")
+            effects += member_report.stop(state, held, False, "gang lease lapsed")
     return effects
 
 
-def _active(held: member_state.Held) -> bool:
-    return any(task.state not in gang_stop.ENDED for task in held.tasks.values())
-
-
 def _from_entry(
     state: member_state.State, entry_id: str, message: link.Message, now: float
 ) -> _Effects:
@@ -144,8 +135,8 @@
 
 def _reservation_obstacle(state: member_state.State, message: link.Reserve) -> str:
     """Return why cells cannot be set aside, or nothing."""
-    if state.worker is None or not state.listed:
-        return "the worker has not answered yet"
+    if state.worker is None or not state.listed or state.unlisted_beats > SILENT_BEATS:
+        return "the worker does not answer"
     if message.run <= state.fenced.get(message.job, 0):
         state.counters.refused_runs += 1
         return "a later run is known"
@@ -166,7 +157,7 @@
 def _start(state: member_state.State, entry_id: str, message: link.Start, now: float) -> _Effects:
     held = state.held.get((message.job, message.run))
     if held is not None and held.started:
-        return [_report(state, held, task) for task in held.tasks.values()]
+        return [member_report.report(state, held, task) for task in held.tasks.values()]
     if message.run <= state.fenced.get(message.job, 0):
         state.counters.refused_runs += 1
         return [_refuse(state, entry_id, message, "the run was stopped")]
@@ -201,21 +192,14 @@
     return effects
 
 
-def _report(
-    state: member_state.State, held: member_state.Held, task: member_state.Task
-) -> member_state.Tell:
-    message = link.MemberState(_member(held, task), state.worker_id)
-    return member_state.Tell(state.planner, message)
-
-
 def _release(state: member_state.State, message: link.Release) -> _Effects:
     held = state.held.get((message.job, message.run))
-    if held is None or (held.started and _active(held)):
+    if held is None or (held.started and member_report.active(held)):
         return []
     del state.held[(message.job, message.run)]
     if not held.started:
         return []
-    _fence(state, held.job, held.run)
+    member_report.fence(state, held.job, held.run)
     return [member_state.ForgetTask(held.job, held.run, index) for index in held.tasks]
 
 
@@ -223,7 +207,7 @@
     state: member_state.State, entry_id: str, message: link.Stop, now: float
 ) -> _Effects:
     """Stop a run and fence it; the answer says when no member of it runs any more."""
-    _fence(state, message.job, message.run)
+    member_report.fence(state, message.job, message.run)
     held = state.held.get((message.job, message.run))
     if held is None and not state.settled:
         # The worker may run it, or an earlier agent process may have asked it to; the planner
@@ -236,35 +220,13 @@
         return [member_state.Tell(entry_id, link.MemberState(member, state.worker_id))]
     if not held.stopping and message.checkpoint:
         held.checkpoint_until = now + CHECKPOINT_SECONDS
-    return _stop(state, held, now < held.checkpoint_until, "stopped by the planner")
-
-
-def _stop(
-    state: member_state.State, held: member_state.Held, checkpoint: bool, detail: str
-) -> _Effects:
-    held.stopping = True
-    _fence(state, held.job, held.run)
-    effects: _Effects = []
-    for index, task in held.tasks.items():
-        if task.state not in gang_stop.ENDED:
-            if task.state != "stopping":
-                task.state, task.detail = "stopping", detail
-            effects.append(member_state.StopTask(held.job, held.run, index, checkpoint))
-        effects.append(_report(state, held, task))
-    return effects
-
-
-def _fence(state: member_state.State, job_id: str, run: int) -> None:
-    state.fenced[job_id] = max(run, state.fenced.pop(job_id, 0))
-    if len(state.fenced) > MAX_FENCED_JOBS:
-        # The oldest entries lie far behind any message that may still be on its way.
-        del state.fenced[next(iter(state.fenced))]
+    return member_report.stop(state, held, now < held.checkpoint_until, "stopped by the planner")
 
 
 def _acknowledged(
     state: member_state.State, entry_id: str, message: link.HeartbeatAck
 ) -> _Effects:
-    effects = _announce(state, entry_id) if message.announce else []
+    effects = member_report.announce(state, entry_id) if message.announce else []
     if not message.planner:
         return effects
     if message.epoch < state.epoch:
@@ -280,12 +242,6 @@
     return effects
 
 
-def _announce(state: member_state.State, entry_id: str) -> _Effects:
-    if state.worker is None or not state.listed:
-        return []
-    return [member_state.Tell(entry_id, link.AnnounceWorker(state.worker, members(state)))]
-
-
 def _tick(state: member_state.State, event: member_state.Tick, now: float) -> _Effects:
     effects: _Effects = []
     for held in state.held.values():
@@ -296,17 +252,33 @@
             elif event.heartbeat and held.started and task.state in ("running", "starting"):
                 effects.append(member_state.RenewTask(held.job, held.run, index, held.lease_until))
     if event.heartbeat:
-        beat = link.Heartbeat(now, gang_report.digest(members(state)), 0, state.epoch)
+        effects += _watch_worker(state)
+        beat = link.Heartbeat(
+            now, gang_report.digest(member_report.members(state)), 0, state.epoch
+        )
         effects += [member_state.Tell(entry_id, beat) for entry_id in sorted(state.entries)]
     return effects
 
 
+def _watch_worker(state: member_state.State) -> _Effects:
+    """Give members up whose worker does not answer, so that the rest of the gang stops, too."""
+    state.unlisted_beats += 1
+    if state.unlisted_beats != SILENT_BEATS + 1:
+        return []
+    state.counters.silent_worker += 1
+    effects: _Effects = []
+    for held in state.held.values():
+        if held.started and not held.stopping and member_report.active(held):
+            effects += member_report.stop(state, held, False, "the worker does not answer")
+    return effects
+
+
 def _listed(state: member_state.State, event: member_state.WorkerListed) -> _Effects:
     """Compare the worker's tasks with the members held."""
     first = not state.listed
     restarted = state.worker is not None and state.worker.incarnation != event.worker.incarnation
     changed = first or state.worker != event.worker
-    state.worker, state.listed = event.worker, True
+    state.worker, state.listed, state.unlisted_beats = event.worker, True, 0
     if event.sent_at > state.born_at + service_proof.PROOF_SECONDS:
         state.settled = True
     effects: _Effects = []
@@ -324,10 +296,10 @@
             gone = (held.job, held.run, index) not in seen
             if held.started and gone and _certainly_gone(task, held, restarted, event):
                 task.state, task.detail = "stopped", "the worker does not hold it"
-                effects.append(_report(state, held, task))
+                effects.append(member_report.report(state, held, task))
     if changed:
         for entry_id in sorted(state.entries):
-            effects += _announce(state, entry_id)
+            effects += member_report.announce(state, entry_id)
     return effects
 
 
@@ -363,8 +335,8 @@
     task = member_state.Task(cell, status.state, status.detail, status.result, status.checkpoint)
     held.tasks[status.task] = task
     if fenced:
-        return _stop(state, held, False, "the run was stopped")
-    return [_report(state, held, task)]
+        return member_report.stop(state, held, False, "the run was stopped")
+    return [member_report.report(state, held, task)]
 
 
 def _update(
@@ -383,7 +355,7 @@
         task.state = "running"
     if (task.state, task.checkpoint) == reported:
         return []
-    return [_report(state, held, task)]
+    return [member_report.report(state, held, task)]
 
 
 def _start_refused(state: member_state.State, event: member_state.StartRefused) -> _Effects:
@@ -392,4 +364,4 @@
     if held is None or task is None or task.state in gang_stop.ENDED:
         return []
     task.state, task.detail = "stopped", event.reason
-    return [_report(state, held, task)]
+    return [member_report.report(state, held, task)]
--- a/packages/core/src/peridothatch_core/start/gang_report.py
+++ b/packages/core/src/peridothatch_core/start/gang_report.py
@@ -163,13 +163,14 @@
     if gang.tally.get("failed"):
         failed = _first(gang, "failed")
         return gang_stop.begin(state, gang, gang_state.Reason.FAILED, now, failed.detail)
-    if gang.tally.get("stopped"):
+    lost = next((word for word in ("stopped", "stopping") if gang.tally.get(word)), "")
+    if lost:
         reason = gang_state.Reason.MEMBER_LOST
         if gang.phase is gang_state.Phase.STARTING:
             reason = gang_state.Reason.NOT_STARTED
         else:
             state.counters.members_lost += 1
-        return gang_stop.begin(state, gang, reason, now, _first(gang, "stopped").detail)
+        return gang_stop.begin(state, gang, reason, now, _first(gang, lost).detail)
     if gang_stop.succeeded(gang):
         return gang_stop.record(state, gang, now)
     if gang.phase is not gang_state.Phase.RUNNING and gang_stop.whole(gang):
--- a/packages/core/src/peridothatch_core/start/member_state.py
+++ b/packages/core/src/peridothatch_core/start/member_state.py
@@ -68,6 +68,7 @@
     lapsed_reservations: int = 0
     lapsed_leases: int = 0
     taken_over: int = 0
+    silent_worker: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,6 +87,8 @@
         The worker has listed its tasks.
     settled : bool
         No start of an earlier agent process can still reach the worker.
+    unlisted_beats : int
+        Heartbeats since the worker last listed its tasks.
     planner : str
         Entry from which the highest epoch came.
     """
@@ -98,6 +101,7 @@
     revision: int = 0
     listed: bool = False
     settled: bool = False
+    unlisted_beats: int = 0
     held: dict[tuple[str, int], Held] = dataclasses.field(default_factory=dict)
     fenced: dict[str, int] = dataclasses.field(default_factory=dict)
     entries: set[str] = dataclasses.field(default_factory=set)
--- a/packages/core/tests/start/test_gang_member.py
+++ b/packages/core/tests/start/test_gang_member.py
@@ -195,3 +195,16 @@
     agent.tell(link.Reserve("j", 1, 1, cells, TASK, 10.0), 110.0)
     effects = agent.tell(start(t0=110.0, checkpoint="a\nb\nc"), 110.0)
     assert [(e.cell.task, e.checkpoint) for e in effects] == [(0, "a"), (2, "c")]
+
+
+def test_members_of_a_silent_worker_are_given_up_but_not_for_a_pause():
+    """Guards against a gang that is renewed although a worker is gone, or stopped needlessly."""
+    agent = Agent()
+    agent.run()
+    effects = agent.step(member_state.Tick(heartbeat=True), 140.0)
+    assert member_state.StopTask not in kinds(effects)
+    for beat in range(8):
+        effects = agent.step(member_state.Tick(heartbeat=True), 142.0 + beat)
+    assert [m.member.state for m in sent(effects, link.MemberState)] == ["stopping"]
+    refused = agent.tell(reserve(name="other", indices=(3,)), 151.0)
+    assert sent(refused, link.Refused)[0].reason == "the worker does not answer"
--- a/packages/core/tests/start/test_gang_start.py
+++ b/packages/core/tests/start/test_gang_start.py
@@ -334,3 +334,12 @@
     planner.state.start_tokens, planner.state.tokens_at = 0.5, 2.0
     assert planner.do(gang_event.Place("j", CELLS, False), 2.0) == [gang_event.Waiting(JOB)]
     assert told(planner.do(gang_event.Place("j", CELLS, False), 2.1), link.Reserve)
+
+
+@pytest.mark.parametrize("word", ["stopping", "stopped"])
+def test_one_member_that_stops_stops_the_others_at_once(word):
+    """Guards against the rest of a gang that goes on while a member ends early."""
+    planner = Planner()
+    planner.run()
+    effects = planner.member(0, word, 5.0)
+    assert "a2" in [e.agent_id for e in effects if isinstance(e.message, link.Stop)]
--- a/packages/daemon/tests/decide/conftest.py
+++ b/packages/daemon/tests/decide/conftest.py
@@ -387,8 +387,8 @@
 
 @pytest.fixture(scope="session")
 def simulate(create_table, spread_policy):
-    def run(seed, faults):
-        world = World(create_table(), spread_policy, seed, faults)
+    def run(seed, faults, create_policy=spread_policy):
+        world = World(create_table(), create_policy, seed, faults)
         world.at(0.0, world.watch)
         while world.now < HORIZON and not (world.now > FAULTS_END and world.all_ended()):
             world.run(world.now + 20.0)
--- a/packages/daemon/tests/decide/test_gang_faults.py
+++ b/packages/daemon/tests/decide/test_gang_faults.py
@@ -13,6 +13,7 @@
 
 from peridothatch_core.model import job
 from peridothatch_core.start import gang_launch, gang_member, gang_stop, service_proof
+from peridothatch_daemon.decide import policy
 
 FAULTS_END = 120.0
 KINDS = ["pause", "restart", "reboot", "cut", "store", "out"]
@@ -41,6 +42,14 @@
         assert found.state in allowed, (found, world.counters())
 
 
+@hypothesis.settings(max_examples=20, derandomize=True, deadline=None)
+@hypothesis.given(strategies.integers(0, 2**32), FAULTS)
+def test_the_job_decisions_and_the_gangs_agree(simulate, seed, faults):
+    """Guards against cells that placement gives twice or never gives back."""
+    world = simulate(seed, faults, policy.create)
+    assert world.all_ended(), world.counters()
+
+
 def breach(simulate, monkeypatch, kinds, attempts=60):
     """Return the first breach without a guard, in a world that has none with the guard."""
     for seed in range(attempts):
