--- a/packages/client/src/peridothatch_client/configuration.py
+++ b/packages/client/src/peridothatch_client/configuration.py
@@ -122,7 +122,7 @@
             item["customer"],
             formats.gang(item["shape"]),
             item["count"],
-            item["data_centre"] or "any",
+            formats.home(item),
             item["promised_by"],
             formats.moment(item["promised_at"]),
         ),
--- a/packages/client/src/peridothatch_client/formats.py
+++ b/packages/client/src/peridothatch_client/formats.py
@@ -53,6 +53,13 @@
     return str(item["state"])
 
 
+def home(item: Document) -> str:
+    """Return where a guarantee is kept, and whether an operator chose that."""
+    if not item["data_centre"]:
+        return "not chosen yet"
+    return f"{item['data_centre']}{' (pinned)' if item['pinned'] else ''}"
+
+
 def job_lines(item: Document) -> list[tuple[str, session.Cell]]:
     """Return the fields of a job that people look for."""
     workers = sorted({cell["worker"] for cell in item["cells"]})
--- a/packages/client/src/peridothatch_client/reports.py
+++ b/packages/client/src/peridothatch_client/reports.py
@@ -143,7 +143,7 @@
                 item["name"],
                 formats.gang(item["shape"]),
                 item["count"],
-                item["data_centre"] or "any",
+                formats.home(item),
                 item["promised_by"],
                 formats.moment(item["promised_at"]),
                 item["state"],
--- a/packages/core/src/peridothatch_core/admit/changes.py
+++ b/packages/core/src/peridothatch_core/admit/changes.py
@@ -32,24 +32,25 @@
     "operator": str,
 }
 
-# Returns what hardware would be needed, or an empty text when the guarantee fits.
-Fits = typing.Callable[[config.Snapshot, customer.Guarantee], str]
+# Returns the guarantee with the data centre where it is kept, or why it can be kept nowhere.
+Settle = typing.Callable[
+    [config.Snapshot, customer.Guarantee], result.Result[customer.Guarantee, verdict.Refusal]
+]
 Refused = verdict.Refusal | None
 
 
 def validate(
-    snapshot: config.Snapshot, kind: str, name: str, value: typing.Any, fits: Fits
-) -> result.Result[None, verdict.Refusal]:
-    """Accept or refuse a change of one object; ``value`` None deletes it."""
+    snapshot: config.Snapshot, kind: str, name: str, value: typing.Any, settle: Settle
+) -> result.Result[typing.Any, verdict.Refusal]:
+    """Return the value to store, or refuse a change; ``value`` None deletes the object."""
     refusal = _check_head(kind, name, value)
     if refusal is None and value is None:
         refusal = _check_deletion(snapshot, kind, name)
     elif refusal is None:
         refusal = _CHECKS[kind](snapshot, name, value)
-    if refusal is None and isinstance(value, customer.Guarantee):
-        needed = fits(snapshot, value)
-        refusal = verdict.invalid("shape", _shape_text(value), needed) if needed else None
-    return result.Ok(None) if refusal is None else result.Err(refusal)
+    if refusal is not None:
+        return result.Err(refusal)
+    return settle(snapshot, value) if isinstance(value, customer.Guarantee) else result.Ok(value)
 
 
 def complete(
@@ -57,8 +58,8 @@
 ) -> typing.Any:
     """Return the value with what the caller need not know.
 
-    A promise gets its maker and its time, unless it stays as it was. A data centre without a
-    region keeps the one that it has.
+    A promise gets its maker and its time, unless it stays as it was; the home that the system
+    chose is no part of it. A data centre without a region keeps the one that it has.
     """
     current = revisions.find(snapshot, kind, name) if kind in revisions.COLLECTIONS else None
     if isinstance(value, customer.Guarantee | workclass.WorkClass):
@@ -68,6 +69,10 @@
             )
             if kept == current:
                 return current
+            if isinstance(value, customer.Guarantee) and not (value.pinned or current.pinned):
+                moved = dataclasses.replace(kept, data_centre=current.data_centre)
+                if moved == current:
+                    return kept
         return dataclasses.replace(value, promised_by=by, promised_at=at)
     if isinstance(value, datacentre.DataCentre) and not value.region:
         region = current.region if isinstance(current, datacentre.DataCentre) else ""
@@ -180,10 +185,17 @@
         or _check_known("customer", value.customer, snapshot.customers)
         or (_check_known("data_centre", value.data_centre, snapshot.data_centres)
             if value.data_centre else None)
+        or _check_pinned(value)
         or _check_within_quota(snapshot, name, value)
     )  # fmt: skip
 
 
+def _check_pinned(value: customer.Guarantee) -> Refused:
+    if value.data_centre or not value.pinned:
+        return None
+    return verdict.invalid("data_centre", "", "a data centre for a guarantee that is pinned")
+
+
 def _check_shape(gang: shape.GangShape) -> Refused:
     task = gang.task
     return (
@@ -239,12 +251,6 @@
     )
 
 
-def _shape_text(value: customer.Guarantee) -> str:
-    task, gang = value.shape.task, value.shape
-    place = value.data_centre or "any data centre"
-    return f"{value.count} x {gang.tasks} tasks of {task.accelerators} accelerators in {place}"
-
-
 _CHECKS: dict[str, typing.Callable[[config.Snapshot, str, typing.Any], Refused]] = {
     "customer": _check_customer,
     "guarantee": _check_guarantee,
--- a/packages/core/src/peridothatch_core/admit/jobs.py
+++ b/packages/core/src/peridothatch_core/admit/jobs.py
@@ -62,8 +62,8 @@
     Parameters
     ----------
     hardware : mapping of str to Hardware
-        The racks of the data centres that are known. While none is known, no shape is refused
-        as too large, because an entry that has just started knows no worker.
+        The racks of the data centres that are known. While one is not known, no shape is refused
+        as too large, because it may fit there.
     data_centre : str
         The data centre that is to plan the job.
     now : float
@@ -111,8 +111,16 @@
 
 
 def _usable(hardware: Mapping[str, Hardware], snapshot: config.Snapshot) -> list[Hardware]:
-    """Return the hardware that is there; a data centre that is out comes back, a lost one not."""
+    """Return the hardware that is there; a data centre that is out comes back, a lost one not.
+
+    It is empty while that of a data centre is not known.
+    """
     centres = snapshot.data_centres
+    if any(
+        name not in hardware and one.service is not datacentre.Service.LOST
+        for name, one in centres.items()
+    ):
+        return []
     return [
         racks
         for name, racks in hardware.items()
--- a/packages/core/src/peridothatch_core/message/link.py
+++ b/packages/core/src/peridothatch_core/message/link.py
@@ -305,6 +305,32 @@
     in_service: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerKind:
+    """A number of workers that offer the same when nothing runs on them."""
+
+    accelerators: int
+    cores: int
+    memory_mb: int
+    workers: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RackHardware:
+    """The workers of one rack."""
+
+    kinds: tuple[WorkerKind, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HardwareDigest:
+    """The workers of a data centre as its planner knows them, whatever runs on them."""
+
+    data_centre: str
+    epoch: int
+    racks: tuple[RackHardware, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigRevision:
     """One accepted change, or the state of the sender's replica when ``change`` is empty.
@@ -349,5 +375,5 @@
     Hello | Rejected | Welcome | AnnounceWorker | AnnounceBackend | Heartbeat | HeartbeatAck
     | Reserve | Reserved | Refused | Release | Start | Stop | Checkpoint | MemberState
     | Dispatch | AnswerReady | AnswerAck | Query | RequestState | Cancel
-    | CapacityDigest | ConfigRevision | RevisionsWanted | JobChanged
+    | CapacityDigest | ConfigRevision | RevisionsWanted | JobChanged | HardwareDigest
 )  # fmt: skip
--- a/packages/core/src/peridothatch_core/model/customer.py
+++ b/packages/core/src/peridothatch_core/model/customer.py
@@ -35,9 +35,11 @@
     Attributes
     ----------
     data_centre : str
-        Where the guarantee is kept; empty lets the system choose.
+        Where the guarantee is kept; empty until the system has chosen.
     promised_by, promised_at : str, float
         Operator and time in seconds since 1970-01-01 UTC.
+    pinned : bool
+        An operator named the data centre, so the system does not choose another.
     """
 
     name: str
@@ -47,3 +49,4 @@
     data_centre: str = ""
     promised_by: str = ""
     promised_at: float = 0.0
+    pinned: bool = False
--- a/packages/core/src/peridothatch_core/place/decide.py
+++ b/packages/core/src/peridothatch_core/place/decide.py
@@ -195,6 +195,17 @@
     return held
 
 
+def workers(state: State) -> list[worker.Worker]:
+    """Return the workers that are there, ejected ones included."""
+    return [
+        worker.Worker(
+            one.id, state.data_centre, one.rack,
+            one.total.mask.bit_count(), one.total.cores, one.total.memory_mb,
+        )
+        for one in state.hardware.machines.values()
+    ]  # fmt: skip
+
+
 def _withdraw(state: State, worker_id: str) -> None:
     """Take a worker out of promises and claims."""
     for job_id, wanted in list(state.fleet.wants.items()):
--- a/packages/core/src/peridothatch_core/report/promises.py
+++ b/packages/core/src/peridothatch_core/report/promises.py
@@ -7,6 +7,7 @@
 
 from peridothatch_core.configure import targets
 from peridothatch_core.model import customer, job
+from peridothatch_core.place import homes
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -68,6 +69,7 @@
     promised_by: str
     promised_at: float
     state: str
+    pinned: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,7 +117,12 @@
 def guarantee_state(
     item: customer.Guarantee, snapshot: config.Snapshot, short: Mapping[str, frozenset[str]]
 ) -> str:
-    """Return whether a guarantee is whole, by the reports of the planners concerned."""
+    """Return whether a guarantee is whole, by the reports of the planners concerned.
+
+    While its data centre is not in service nothing starts there, so it is short.
+    """
+    if item.data_centre and not homes.is_in_service(snapshot, item.data_centre):
+        return SHORT
     places = [item.data_centre] if item.data_centre else list(snapshot.data_centres)
     if any(item.name in short.get(place, ()) for place in places):
         return SHORT
@@ -175,4 +182,5 @@
         item.promised_by,
         item.promised_at,
         state,
+        item.pinned,
     )
--- a/packages/core/src/peridothatch_core/start/planner_lease.py
+++ b/packages/core/src/peridothatch_core/start/planner_lease.py
@@ -140,6 +140,15 @@
     return Mode.HOLDING
 
 
+def acts(state: State, now: float) -> bool:
+    """Return whether the entry acts for the data centre in what needs no fencing.
+
+    It does while it holds the lease, and when the lease has been vacant for so long that it
+    would take it.
+    """
+    return mode(state, now) is Mode.HOLDING or (not state.held and _is_vacant(state, now))
+
+
 def holder(state: State) -> str:
     """Return the entry that holds the lease as far as this entry knows."""
     return state.row.holder if state.row else ""
@@ -195,14 +204,19 @@
     return [write]
 
 
-def _contend(state: State, now: float) -> list[Effect]:
-    if state.held or state.giving_up or state.version < 0:
-        return []
+def _is_vacant(state: State, now: float) -> bool:
+    """Return whether this entry may take the lease, after its delay by locality."""
+    if state.giving_up or state.version < 0:
+        return False
     wait = state.delay_seconds
     if state.row is not None and state.row.holder:
         wait += LEASE_SECONDS * DRIFT
+    return now - state.seen_at >= wait
+
+
+def _contend(state: State, now: float) -> list[Effect]:
     # One write per renewal period, whatever becomes of it.
-    if now - state.seen_at < wait or now - state.wrote_at < RENEW_SECONDS:
+    if state.held or not _is_vacant(state, now) or now - state.wrote_at < RENEW_SECONDS:
         return []
     epoch = state.row.epoch + 1 if state.row else 1
     return _write(state, LeaseRow(state.entry_id, epoch, 0, state.incarnation), now)
--- a/packages/core/tests/admit/test_jobs.py
+++ b/packages/core/tests/admit/test_jobs.py
@@ -2,10 +2,15 @@
 
 import dataclasses
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
-from peridothatch_core.admit import jobs
+from peridothatch_core.admit import hardware, jobs
+from peridothatch_core.message import link
 from peridothatch_core.model import config, customer, datacentre, shape, verdict, workclass, worker
+from peridothatch_core.place import fleet
+from peridothatch_core.place import gang as placing
 
 SNAPSHOT = config.Snapshot(
     customers={"a": customer.Customer("a", 40)},
@@ -68,3 +73,40 @@
 def test_unknown_hardware_refuses_nothing():
     """Guards against an entry that has just started and refuses all jobs."""
     assert admit(hardware={}, shape=gang(1, 16)).is_ok()
+    assert admit(hardware={"y": HARDWARE["y"]}, shape=gang(1, 32)).is_ok()
+
+
+kinds = strategies.builds(
+    worker.Worker,
+    strategies.uuids().map(str),
+    strategies.just("x"),
+    strategies.sampled_from(["r1", "r2"]),
+    strategies.sampled_from([0, 3, 8]),
+    strategies.integers(1, 9),
+    strategies.just(4096),
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(
+    strategies.lists(kinds, min_size=1, max_size=5),
+    strategies.integers(1, 9),
+    strategies.integers(0, 4),
+    strategies.integers(1, 4),
+    strategies.sampled_from(list(shape.Adjacency)),
+)
+def test_a_gang_is_refused_exactly_when_empty_hardware_cannot_hold_it(
+    workers, tasks, accelerators, cores, adjacency
+):
+    """Guards against a shape that can never run, and against one refused although it fits."""
+    known = {}
+    assert hardware.record(known, link.HardwareDigest("x", 2, hardware.racks_of(workers)))
+    assert not hardware.record(known, link.HardwareDigest("x", 1, ()))
+    empty = fleet.Fleet()
+    for one in workers:
+        fleet.add_worker(empty, one)
+    wanted = gang(tasks, accelerators, adjacency, cores)
+    answer = admit(hardware=hardware.for_admission(known), shape=wanted)
+    placed = placing.place(empty, wanted) is not None
+    assert answer.is_ok() == placed
+    assert placed or answer.unwrap_err().code is verdict.Code.NEVER_FITS
--- /dev/null
+++ b/packages/core/tests/place/test_homes.py
@@ -0,0 +1,134 @@
+"""Guards against guarantees that are kept nowhere, or accepted where they cannot be kept."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from peridothatch_core.message import link
+from peridothatch_core.model import config, customer, datacentre, shape, verdict
+from peridothatch_core.place import guarantees, homes
+
+FIXED = hypothesis.settings(derandomize=True, deadline=None)
+NAMES = ("accra-a", "tamale-a", "tema-b")
+IN, OUT, LOST = datacentre.Service
+
+
+def guarantee(name="g", tasks=1, accelerators=8, count=1, data_centre="", pinned=False):
+    gang = shape.GangShape(tasks, shape.TaskShape(accelerators), shape.Adjacency.RACK)
+    return customer.Guarantee(name, "ges", gang, count, data_centre, pinned=pinned)
+
+
+def digest(name, *racks):
+    """Return the hardware of racks with this many workers of 8 accelerators each."""
+    kinds = (link.WorkerKind(8, 64, 256_000, count) for count in racks)
+    return link.HardwareDigest(name, 1, tuple(link.RackHardware((kind,)) for kind in kinds))
+
+
+def world(racks, kept=(), services=(IN, IN, IN)):
+    centres = {
+        name: datacentre.DataCentre(name, "r", service)
+        for name, service in zip(NAMES, services, strict=True)
+    }
+    hardware = {name: digest(name, *counts) for name, counts in racks.items()}
+    held = {item.name: item for item in kept}
+    return homes.State(hardware), config.Snapshot(1, {}, held, {}, centres)
+
+
+def settle(known, snapshot, wanted):
+    return homes.settle(known, snapshot, wanted)
+
+
+def test_the_data_centre_with_the_most_room_left_is_chosen():
+    """Guards against a guarantee without a data centre, which no planner keeps."""
+    known, snapshot = world(
+        {"accra-a": (2,), "tamale-a": (3,), "tema-b": (3,)},
+        [guarantee("other", data_centre="tamale-a")],
+    )
+    assert settle(known, snapshot, guarantee()).unwrap().data_centre == "tema-b"
+
+
+def test_nothing_is_promised_on_unknown_hardware():
+    """Guards against a promise that an entry made before it knew a worker."""
+    known, snapshot = world({"accra-a": (1,)})
+    for wanted in (guarantee(tasks=2), guarantee(data_centre="tema-b", pinned=True)):
+        refusal = settle(known, snapshot, wanted).unwrap_err()
+        assert (refusal.code, refusal.verdict) == (
+            verdict.Code.UNAVAILABLE,
+            verdict.Verdict.NOT_RUN,
+        )
+
+
+def test_a_shape_that_fits_nowhere_is_refused_with_what_fits():
+    """Guards against a promise that can never be kept."""
+    known, snapshot = world(dict.fromkeys(NAMES, (3, 3)))
+    refusal = settle(known, snapshot, guarantee(tasks=4)).unwrap_err()
+    assert refusal.code is verdict.Code.NEVER_FITS
+    assert "3" in refusal.expected
+
+
+def test_a_returning_worker_still_holds_what_was_promised_on_it():
+    """Guards against a promise on the room that a short one needs when its hardware is back."""
+    known, snapshot = world({"accra-a": (1,)}, [guarantee("pair", 2, data_centre="accra-a")])
+    refusal = settle(known, snapshot, guarantee(data_centre="accra-a", pinned=True)).unwrap_err()
+    assert refusal.code is verdict.Code.UNAVAILABLE
+    assert "pair" in refusal.detail
+
+
+def test_a_guarantee_that_asks_for_less_is_always_accepted():
+    """Guards against an operator who cannot reduce a promise while hardware is missing."""
+    kept = guarantee(count=5, data_centre="tema-b")
+    known, snapshot = world({}, [kept])
+    less = dataclasses.replace(kept, count=2, data_centre="")
+    assert settle(known, snapshot, less).unwrap().data_centre == "tema-b"
+    known, snapshot = world({"accra-a": (2,)}, [kept], (IN, OUT, LOST))
+    assert settle(known, snapshot, less).unwrap().data_centre == "accra-a"
+
+
+def test_only_guarantees_that_are_not_pinned_leave_a_data_centre_that_is_out():
+    """Guards against a promise that stays where it cannot be kept, or moves against an order."""
+    kept = [
+        guarantee("stays", data_centre="accra-a", pinned=True),
+        guarantee("moves", data_centre="accra-a"),
+        guarantee("elsewhere", data_centre="tema-b"),
+        guarantee("nowhere"),
+    ]
+    _, snapshot = world({}, kept, (OUT, IN, IN))
+    due = [item.name for item in homes.due(snapshot, "accra-a", {}, 0.0)]
+    assert due == ["moves", "nowhere"]
+    assert homes.due(snapshot, "accra-a", {"moves": 0.0, "nowhere": 0.0}, 9.0) == ()
+    assert homes.due(snapshot, "tema-b", {}, 0.0) == ()
+    assert homes.out_of_service(snapshot, "accra-a") == {"moves", "stays", "nowhere"}
+
+
+racks = strategies.lists(strategies.integers(1, 3), max_size=2).map(tuple)
+wishes = strategies.builds(
+    guarantee,
+    strategies.sampled_from("abcd"),
+    strategies.integers(1, 3),
+    strategies.sampled_from([0, 3, 4, 8]),
+    strategies.integers(1, 2),
+)
+
+
+@FIXED
+@hypothesis.given(
+    strategies.dictionaries(strategies.sampled_from(NAMES), racks),
+    strategies.lists(strategies.sampled_from(list(datacentre.Service)), min_size=3, max_size=3),
+    strategies.lists(wishes, max_size=6),
+)
+def test_accepted_guarantees_are_kept_in_service_beside_the_others(hardware, services, wanted):
+    """Guards against two promises on the same room, and a home where nothing starts."""
+    known, snapshot = world(hardware, (), services)
+    for item in wanted:
+        settled = settle(known, snapshot, item)
+        if settled.is_err():
+            assert settled.unwrap_err().verdict is verdict.Verdict.NOT_RUN
+            continue
+        home = settled.unwrap().data_centre
+        assert homes.is_in_service(snapshot, home)
+        held = {**snapshot.guarantees, item.name: settled.unwrap()}
+        snapshot = dataclasses.replace(snapshot, guarantees=held)
+        fresh = homes._ledger(known, snapshot, known.hardware[home], "")
+        assert guarantees.short(fresh) == ()
+        assert guarantees.breaches(fresh, fresh.promised) == []
--- a/packages/core/tests/report/test_promises.py
+++ b/packages/core/tests/report/test_promises.py
@@ -1,5 +1,7 @@
 """Guards against promises that are left out, or reported as kept when they are not."""
 
+import dataclasses
+
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -85,6 +87,14 @@
     assert {one.name: one.state for one in found} == {"gold": gold, "free": free}
 
 
+def test_a_guarantee_whose_data_centre_is_out_is_short():
+    """Guards against a promise shown as whole where nothing can start."""
+    out = {"hala": datacentre.DataCentre("hala", "brno", datacentre.Service.OUT)}
+    moved = dataclasses.replace(SNAPSHOT, data_centres=CENTRES | out)
+    found = promises.report(moved, [], {"hala": frozenset()}, 9.0, "kolar").guarantees
+    assert {one.name: one.state for one in found}["gold"] == "short"
+
+
 @FIXED
 @hypothesis.given(
     strategies.lists(
--- a/packages/core/tests/test_changes.py
+++ b/packages/core/tests/test_changes.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import pytest
+import result
 
 from peridothatch_core.admit import changes
 from peridothatch_core.model import config, customer, datacentre, shape, verdict, workclass
@@ -25,8 +26,12 @@
 )
 
 
-def check(kind, name, value, fits=lambda _snapshot, _guarantee: ""):
-    return changes.validate(SNAPSHOT, kind, name, value, fits)
+def anywhere(_snapshot, wanted):
+    return result.Ok(wanted)
+
+
+def check(kind, name, value, settle=anywhere):
+    return changes.validate(SNAPSHOT, kind, name, value, settle)
 
 
 def guarantee(**fields):
@@ -62,6 +67,7 @@
     ("customer", "absent", None, ""),
     ("guarantee", "g", guarantee(customer="nobody"), "customer"),
     ("guarantee", "g", guarantee(data_centre="nowhere"), "data_centre"),
+    ("guarantee", "g", guarantee(data_centre="", pinned=True), "data_centre"),
     ("guarantee", "g", guarantee(count=0), "count"),
     ("guarantee", "g", guarantee(count=4), "count"),
     ("guarantee", "h", guarantee(name="h", count=2), "count"),
@@ -96,7 +102,8 @@
 
 
 def test_a_guarantee_that_does_not_fit_the_hardware_is_refused():
-    refusal = check("guarantee", "g", GUARANTEE, lambda *_: "at most 1 rack").unwrap_err()
+    wanted = verdict.invalid("shape", "4 racks", "at most 1 rack")
+    refusal = check("guarantee", "g", GUARANTEE, lambda *_: result.Err(wanted)).unwrap_err()
     assert (refusal.field, refusal.expected) == ("shape", "at most 1 rack")
 
 
@@ -109,6 +116,16 @@
     assert (changed.promised_by, changed.promised_at) == ("ama", 9.0)
 
 
+def test_a_move_keeps_the_maker_of_the_promise():
+    """Guards against a promise that seems to have been made by the system when it moved."""
+    kept = guarantee(promised_by="kofi", promised_at=5.0)
+    held = dataclasses.replace(SNAPSHOT, guarantees={"g": kept})
+    moved = changes.complete(held, "guarantee", "g", guarantee(data_centre=""), "system", 9.0)
+    assert moved == dataclasses.replace(kept, data_centre="")
+    grown = changes.complete(held, "guarantee", "g", guarantee(count=3), "ama", 9.0)
+    assert grown.promised_by == "ama"
+
+
 def test_a_data_centre_taken_out_keeps_its_region():
     """Guards against a take-out that loses the region."""
     value = datacentre.DataCentre("tema-b", "", OUT)
--- a/packages/daemon/src/peridothatch_daemon/decide/config.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/config.py
@@ -1,8 +1,8 @@
 """The task that owns the replica of the configuration.
 
 It takes ``ChangeConfig``, ``ListChanges``, ``PeerOpened``, ``PeerClosed``, ``FromPeer``,
-``DumpState``, ``Drain`` and the store's outcomes, and tells subscribers by ``ConfigChanged`` and
-``ConfigFresh``.
+``HardwareDigest``, ``DumpState``, ``Drain`` and the store's outcomes, and tells subscribers by
+``ConfigChanged`` and ``ConfigFresh``.
 
 ``ConfigFresh.read_sent_at`` is a time of the own monotonic clock at which the store had nothing
 newer than the snapshot. For an own read it is when the answered read was sent. For an answer of
@@ -19,8 +19,10 @@
 import time
 import typing
 
+from peridothatch_core.admit import hardware
 from peridothatch_core.configure import revisions
 from peridothatch_core.message import link, store
+from peridothatch_core.place import homes
 from peridothatch_daemon import messages
 from peridothatch_daemon.decide import (
     config_changes,
@@ -53,12 +55,20 @@
     own: link.Hello,
     store_in_region: bool,
     ports: config_state.Ports,
-    fits: changes.Fits,
+    settle: changes.Settle | None = None,
     clock: config_state.Clock = time.monotonic,
     wall: config_state.Clock = time.time,
 ) -> config_state.State:
-    """Return the state of an entry that has read nothing yet."""
-    return config_state.State(own, store_in_region, ports, fits, clock, wall)
+    """Return the state of an entry that has read nothing yet.
+
+    Parameters
+    ----------
+    settle : callable or None
+        Returns where a guarantee is kept; chosen by the hardware that planners report by default.
+    """
+    known = homes.State()
+    settle = settle or functools.partial(homes.settle, known)
+    return config_state.State(own, store_in_region, ports, settle, known, clock, wall)
 
 
 def start(
@@ -67,7 +77,6 @@
     store_inbox: mailbox.Mailbox,
     links: mailbox.Mailbox,
     subscribers: tuple[mailbox.Mailbox, ...],
-    fits: changes.Fits,
 ) -> Handle:
     """Start the task.
 
@@ -79,12 +88,10 @@
         Whether every entry of the region reads the store for itself.
     store_inbox, links : mailbox.Mailbox
         Of the store task, and of the task that takes ``ToPeer``.
-    fits : function
-        Returns what a guarantee would need, or an empty text when the hardware holds it.
     """
     inbox = mailbox.create("config")
     ports = config_state.Ports(inbox, store_inbox, links, subscribers)
-    state = create(own, store_in_region, ports, fits)
+    state = create(own, store_in_region, ports)
     running = task.start("config", loop.run(inbox, functools.partial(handle, state)))
     timer = task.start("config timer", task.every(PERIOD_SECONDS, inbox, messages.Tick()))
     return Handle(inbox, (timer, running))
@@ -115,6 +122,8 @@
         state.peers.pop(message.peer.id, None)
     elif isinstance(message, messages.FromPeer):
         _take_peer_message(state, message.peer.id, message.message)
+    elif isinstance(message, link.HardwareDigest):
+        hardware.record(state.homes.hardware, message)
     elif isinstance(message, messages.ListChanges):
         _list(state, message)
     elif isinstance(message, messages.DumpState):
@@ -186,7 +195,9 @@
 
 
 def _take_peer_message(state: config_state.State, peer_id: str, message: link.Message) -> None:
-    if isinstance(message, link.RevisionsWanted):
+    if isinstance(message, link.HardwareDigest):
+        hardware.record(state.homes.hardware, message)
+    elif isinstance(message, link.RevisionsWanted):
         config_relay.serve(state, peer_id, message)
     elif isinstance(message, link.ConfigRevision) and not message.change:
         config_relay.take_status(state, message)
@@ -238,6 +249,7 @@
         "changes_waiting": len(state.queue) + (state.current is not None),
         "subscribers_behind": len(state.behind),
         "peers": sorted(state.peers),
+        "hardware_epochs": {name: one.epoch for name, one in state.homes.hardware.items()},
         "newest_change": _summary(state),
     }
 
--- a/packages/daemon/src/peridothatch_daemon/decide/config_changes.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/config_changes.py
@@ -99,15 +99,16 @@
     message, snapshot = pending.message, state.replica.snapshot
     kind, name, wall = message.kind, message.name, state.wall()
     value = changes.complete(snapshot, kind, name, message.value, message.changed_by, wall)
-    checked = changes.validate(snapshot, kind, name, value, state.fits)
+    checked = changes.validate(snapshot, kind, name, value, state.settle)
     known = kind in revisions.COLLECTIONS
     current = revisions.find(snapshot, kind, name) if known else None
-    if pending.conflicts and current not in (pending.before, value):
+    changed = message.expected not in (None, current)
+    if changed or (pending.conflicts and current not in (pending.before, value)):
         refusal = verdict.not_run(verdict.Code.CONFLICT, _describe_other(state, kind, name))
         _finish(state, result.Err(refusal))
     elif isinstance(checked, result.Ok):
         pending.before = pending.before if pending.conflicts else current
-        _commit(state, pending, value, wall)
+        _commit(state, pending, checked.ok_value, wall)
     elif pending.refreshed:
         _finish(state, checked)
     else:
--- a/packages/daemon/src/peridothatch_daemon/decide/config_state.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/config_state.py
@@ -15,6 +15,7 @@
     from peridothatch_core.admit import changes
     from peridothatch_core.message import link
     from peridothatch_core.model import config
+    from peridothatch_core.place import homes
 
 # A region's reader that has confirmed nothing for this long is taken to be cut off.
 READER_SILENCE_SECONDS = 2.0
@@ -72,7 +73,8 @@
     own: link.Hello
     store_in_region: bool
     ports: Ports
-    fits: changes.Fits
+    settle: changes.Settle
+    homes: homes.State
     clock: Clock
     wall: Clock
     replica: revisions.Replica = dataclasses.field(default_factory=revisions.Replica)
--- a/packages/daemon/src/peridothatch_daemon/decide/jobs.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/jobs.py
@@ -8,6 +8,7 @@
 import typing
 from collections.abc import Mapping
 
+from peridothatch_core.admit import hardware
 from peridothatch_core.admit import jobs as admission
 from peridothatch_core.message import link, store
 from peridothatch_daemon import messages
@@ -34,8 +35,9 @@
     Attributes
     ----------
     inbox : Mailbox
-        Takes the messages of the HTTP interface, ``ConfigChanged``, ``CapacityDigest`` and
-        ``JobChanged`` from planners (also within ``FromPeer``), ``GuaranteesShort``,
+        Takes the messages of the HTTP interface, ``ConfigChanged``, ``CapacityDigest``,
+        ``HardwareDigest`` and ``JobChanged`` from planners (also within ``FromPeer``),
+        ``GuaranteesShort``,
         ``DumpState`` and ``Drain``.
     """
 
@@ -60,10 +62,13 @@
     notify : callable
         Passes ``JobChanged`` to the planner of the named data centre.
     admit : callable or None
-        Accepts or refuses a job for a data centre; ``admit_with`` without hardware by default.
+        Accepts or refuses a job for a data centre; by default ``admit_with`` the hardware that
+        planners report.
     """
     inbox = mailbox.create("jobs", 16_384)
-    state = jobs_state.State(settings, inbox, rows, admit or admit_with(dict), notify, clock, wall)
+    known: dict[str, link.HardwareDigest] = {}
+    admit = admit or admit_with(lambda: hardware.for_admission(known))
+    state = jobs_state.State(settings, inbox, rows, admit, notify, clock, wall, hardware=known)
 
     def handle(message: typing.Any) -> None:
         receive(state, message)
@@ -84,12 +89,12 @@
         await task.close(item)
 
 
-def admit_with(hardware: Hardware) -> jobs_state.Admit:
+def admit_with(known: Hardware) -> jobs_state.Admit:
     """Return the admission that refuses shapes which no known hardware can ever hold.
 
     Parameters
     ----------
-    hardware : callable
+    known : callable
         Returns the racks of each data centre that is known at the moment.
     """
 
@@ -104,7 +109,7 @@
             submitted.checkpointable,
             submitted.expected_seconds,
         )
-        return admission.admit(submission, snapshot, hardware(), submitted.id, data_centre, now)
+        return admission.admit(submission, snapshot, known(), submitted.id, data_centre, now)
 
     return admit
 
@@ -153,6 +158,7 @@
         "draining": state.draining,
         "pledged_accelerators": dict(state.pledged),
         "capacity": {name: dataclasses.asdict(one) for name, one in state.digests.items()},
+        "hardware_epochs": {name: one.epoch for name, one in state.hardware.items()},
         "guarantees_short": {name: sorted(names) for name, names in state.short.items()},
         "mailbox": {"waiting": state.inbox.depth, "dropped": state.inbox.dropped},
     }
@@ -170,6 +176,8 @@
             if known is None or message.epoch >= known.epoch:
                 state.digests[message.data_centre] = message
                 state.pledged.pop(message.data_centre, None)
+        case link.HardwareDigest():
+            hardware.record(state.hardware, message)
         case link.JobChanged():
             jobs_read.refresh(state, message.job_id)
         case messages.GuaranteesShort():
--- a/packages/daemon/src/peridothatch_daemon/decide/jobs_state.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/jobs_state.py
@@ -97,6 +97,7 @@
     snapshot: config.Snapshot = dataclasses.field(default_factory=config.Snapshot)
     digests: dict[str, link.CapacityDigest] = dataclasses.field(default_factory=dict)
     pledged: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
+    hardware: dict[str, link.HardwareDigest] = dataclasses.field(default_factory=dict)
     short: dict[str, frozenset[str]] = dataclasses.field(default_factory=dict)
     cache: collections.OrderedDict[str, Held] = dataclasses.field(
         default_factory=collections.OrderedDict
--- a/packages/daemon/src/peridothatch_daemon/decide/planner.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner.py
@@ -8,9 +8,9 @@
 import typing
 
 from peridothatch_core.message import link, store
-from peridothatch_core.start import gang_event, planner_lease
+from peridothatch_core.start import gang_event, planner_lease, run_watch
 from peridothatch_daemon import messages
-from peridothatch_daemon.decide import loop, planner_state, planner_store, policy
+from peridothatch_daemon.decide import loop, planner_reports, planner_state, planner_store, policy
 from peridothatch_wire import mailbox, task
 
 if typing.TYPE_CHECKING:
@@ -19,7 +19,6 @@
 logger = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.25
-DIGEST_SECONDS = 2.0
 DECIDE_SECONDS = 1.0
 
 
@@ -51,8 +50,7 @@
     create_policy : callable
         Returns a placement policy with a new state; called for each epoch.
     tell_local : callable
-        Passes a ``CapacityDigest``, ``JobChanged`` or ``GuaranteesShort`` to the other tasks of
-        this entry.
+        Passes a ``planner_state.Notice`` to the other tasks of this entry.
     """
     inbox = mailbox.create(f"planner {settings.data_centre}", 16_384)
     state = planner_state.create(
@@ -98,6 +96,8 @@
             planner_store.rows_read(state, message, now)
         case link.JobChanged():
             planner_store.job_changed(state, message)
+        case link.CapacityDigest():
+            _capacity(state, message)
         case messages.ConfigChanged():
             _config(state, message.snapshot, now)
         case messages.ConfigFresh():
@@ -116,15 +116,14 @@
 def _from_peer(state: planner_state.State, message: messages.FromPeer, now: float) -> None:
     peer, content = message.peer, message.message
     if isinstance(content, link.CapacityDigest):
-        if content.data_centre != state.settings.data_centre:
-            state.digests[content.data_centre] = content
-            planner_state.pass_digests(state)
+        _capacity(state, content)
         return
     if isinstance(content, link.JobChanged):
         planner_store.job_changed(state, content)
         return
     if peer.role != "agent" or peer.data_centre != state.settings.data_centre:
         return
+    planner_reports.watch_runs(state, peer.id, content)
     if state.gangs is not None:
         event = gang_event.FromAgent(peer.id, content, peer.incarnation)
         planner_state.apply(state, event, now)
@@ -135,10 +134,17 @@
         planner_state.to_peer(state, peer.id, ack)
 
 
+def _capacity(state: planner_state.State, digest: link.CapacityDigest) -> None:
+    if digest.data_centre != state.settings.data_centre:
+        state.digests[digest.data_centre] = digest
+        planner_state.pass_digests(state)
+
+
 def _tick(state: planner_state.State, now: float) -> None:
     planner_store.lease_event(state, planner_lease.Tick(), now)
     planner_store.follow_lease(state, now)
     planner_store.tick(state, now)
+    planner_reports.rehome(state, now)
     if state.gangs is None:
         return
     planner_state.apply(state, gang_event.Tick(), now)
@@ -146,11 +152,8 @@
         # Placement has deadlines of its own; changes are decided on at once.
         state.decide_due_at = now + DECIDE_SECONDS
         state.dirty = True
-    if now >= state.digest_due_at:
-        state.digest_due_at = now + DIGEST_SECONDS
-        planner_state.broadcast(state, planner_state.digest(state))
-        short = messages.GuaranteesShort(state.settings.data_centre, state.policy.short())
-        state.tell_local(short)
+    planner_reports.capacity(state, now)
+    planner_reports.workers(state, now)
 
 
 def _opened(state: planner_state.State, peer: link.Hello) -> None:
@@ -162,6 +165,7 @@
 def _closed(state: planner_state.State, peer: link.Hello, now: float) -> None:
     if peer.id in state.agents:
         state.agents.discard(peer.id)
+        run_watch.closed(state.breaches.runs, peer.id)
         if state.gangs is not None:
             planner_state.apply(state, gang_event.AgentClosed(peer.id), now)
 
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_reports.py
@@ -0,0 +1,92 @@
+"""What the planner task tells other tasks besides its decisions on jobs."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import typing
+
+from peridothatch_core.admit import hardware
+from peridothatch_core.message import link
+from peridothatch_core.place import homes
+from peridothatch_core.start import planner_lease, run_watch
+from peridothatch_daemon import messages
+from peridothatch_daemon.decide import planner_state
+from peridothatch_wire import mailbox
+
+logger = logging.getLogger(__name__)
+
+CAPACITY_SECONDS = 2.0
+# A digest of 330 racks has some 10 kB, so it is sent seldom while nothing changes, and changes
+# of a rack that restarts are sent together.
+HARDWARE_SECONDS = 30.0
+HARDWARE_CHANGE_SECONDS = 5.0
+# Agents dial a new planner within this time. An earlier digest would lack workers, and shapes
+# that fit would be refused for good.
+HARDWARE_SETTLE_SECONDS = 10.0
+REHOME_SECONDS = 1.0
+
+
+def capacity(state: planner_state.State, now: float) -> None:
+    """Report free capacity and short guarantees when it is time."""
+    if state.gangs is None or now < state.digest_due_at:
+        return
+    state.digest_due_at = now + CAPACITY_SECONDS
+    planner_state.broadcast(state, planner_state.digest(state))
+    name = state.settings.data_centre
+    state.tell_local(messages.GuaranteesShort(name, planner_state.short(state)))
+
+
+def workers(state: planner_state.State, now: float) -> None:
+    """Report the hardware when it changed or was last reported a while ago."""
+    if state.gangs is None or not state.gangs.loaded:
+        return
+    report = state.hardware
+    settling = now - state.lease.acquired_at < HARDWARE_SETTLE_SECONDS
+    if settling or now - report.at < HARDWARE_CHANGE_SECONDS:
+        return
+    racks = hardware.racks_of(state.policy.workers())
+    digest = link.HardwareDigest(state.settings.data_centre, state.gangs.epoch, racks)
+    if digest != report.digest or now - report.at >= HARDWARE_SECONDS:
+        state.hardware = planner_state.HardwareReport(digest, now)
+        planner_state.broadcast(state, digest)
+
+
+def rehome(state: planner_state.State, now: float) -> None:
+    """Ask for new homes for guarantees of this data centre while it is not in service.
+
+    The entry that holds the lease does so, or one to which the lease seems vacant. Two entries
+    that do so at once are harmless: the second change no longer finds what it expects.
+    """
+    if now < state.rehome_due_at or not planner_lease.acts(state.lease, now):
+        return
+    state.rehome_due_at = now + REHOME_SECONDS
+    name = state.settings.data_centre
+    for item in homes.due(state.snapshot, name, state.rehomed, now):
+        state.rehomed[item.name] = now
+        logger.info("%s: guarantee %s needs another data centre", name, item.name)
+        wanted = dataclasses.replace(item, data_centre="")
+        state.tell_local(
+            messages.ChangeConfig(
+                "guarantee", item.name, wanted, homes.SYSTEM, mailbox.Reply(), expected=item
+            )
+        )
+    state.rehomed = {
+        key: at for key, at in state.rehomed.items() if key in state.snapshot.guarantees
+    }
+
+
+def watch_runs(state: planner_state.State, peer_id: str, message: typing.Any) -> None:
+    """Record what an agent reports as running.
+
+    Agents tell a planner that lost its lease nothing new, so its reports are forgotten.
+    """
+    gangs, runs = state.gangs, state.breaches.runs
+    if gangs is None or not gangs.may_decide or gangs.outranked:
+        run_watch.reset(runs)
+        return
+    match message:
+        case link.AnnounceWorker():
+            run_watch.announced(runs, peer_id, message.members)
+        case link.MemberState():
+            run_watch.changed(runs, peer_id, message.member)
--- a/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
@@ -9,11 +9,13 @@
 from peridothatch_core.message import link, store
 from peridothatch_core.model import config, datacentre, job, shape
 from peridothatch_core.place import decide as placing
+from peridothatch_core.place import homes
 from peridothatch_core.start import (
     gang_event,
     gang_start,
     gang_state,
     planner_lease,
+    run_watch,
     service_proof,
 )
 from peridothatch_daemon import messages
@@ -25,7 +27,13 @@
 
 Clock = typing.Callable[[], float]
 CreatePolicy = typing.Callable[[str], policy.Policy]
-Notice = link.CapacityDigest | link.JobChanged | messages.GuaranteesShort
+Notice = (
+    link.CapacityDigest
+    | link.HardwareDigest
+    | link.JobChanged
+    | messages.GuaranteesShort
+    | messages.ChangeConfig
+)
 TellLocal = typing.Callable[[Notice], None]
 
 
@@ -45,9 +53,42 @@
     locality: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HardwareReport:
+    """The hardware that was last reported, and when."""
+
+    digest: link.HardwareDigest | None = None
+    at: float = float("-inf")
+
+
+@dataclasses.dataclass(slots=True)
+class Breaches:
+    """Breaches of invariants that this planner has seen.
+
+    Attributes
+    ----------
+    guarantees : int
+        Breaches of ``guarantee_reclaimable``, each counted when it appears.
+    present : frozenset of str
+        Those that the last decision had.
+    runs : State
+        Counts breaches of ``gang_whole`` by what agents report.
+    """
+
+    guarantees: int = 0
+    present: frozenset[str] = frozenset()
+    runs: run_watch.State = dataclasses.field(default_factory=run_watch.State)
+
+
 @dataclasses.dataclass(slots=True)
 class State:
-    """State that the planner task owns."""
+    """State that the planner task owns.
+
+    Attributes
+    ----------
+    rehomed : dict of str to float
+        When a new home was last asked for each guarantee, on the monotonic clock, in seconds.
+    """
 
     settings: Settings
     inbox: mailbox.Mailbox
@@ -75,6 +116,10 @@
     reread_after: str = ""
     digest_due_at: float = 0.0
     decide_due_at: float = 0.0
+    hardware: HardwareReport = dataclasses.field(default_factory=HardwareReport)
+    rehome_due_at: float = 0.0
+    rehomed: dict[str, float] = dataclasses.field(default_factory=dict)
+    breaches: Breaches = dataclasses.field(default_factory=Breaches)
     drains: list[mailbox.Reply] = dataclasses.field(default_factory=list)
     dirty: bool = False
     bad_rows: int = 0
@@ -104,7 +149,9 @@
     mailbox.post(state.links, messages.ToPeer(peer_id, message))
 
 
-def broadcast(state: State, message: link.CapacityDigest | link.JobChanged) -> None:
+def broadcast(
+    state: State, message: link.CapacityDigest | link.HardwareDigest | link.JobChanged
+) -> None:
     """Send a message to all entries, this one included."""
     state.tell_local(message)
     mailbox.post(state.links, messages.ToEntries(message))
@@ -227,6 +274,16 @@
         apply(state, event, now)
     # What placement recorded while its own decisions were carried out can wait for a tick.
     state.dirty = False
+    _count_breaches(state)
+
+
+def _count_breaches(state: State) -> None:
+    """Count the breaches of guarantees that the decision before did not have."""
+    found = frozenset(state.policy.breaches())
+    for one in sorted(found - state.breaches.present):
+        state.breaches.guarantees += 1
+        logger.error("%s: guarantee_reclaimable: %s", state.settings.data_centre, one)
+    state.breaches.present = found
 
 
 def _other_centre(state: State, job_id: str) -> str:
@@ -260,6 +317,12 @@
     )
 
 
+def short(state: State) -> frozenset[str]:
+    """Return the guarantees that lack hardware, or all while the data centre is out."""
+    lacking = state.policy.short() if state.policy is not None else frozenset()
+    return lacking | homes.out_of_service(state.snapshot, state.settings.data_centre)
+
+
 def dump(state: State, now: float) -> dict[str, typing.Any]:
     """Return the state as plain JSON types."""
     lease = state.lease
@@ -273,6 +336,11 @@
         "losses": lease.losses,
         "revision": state.snapshot.revision,
         "bad_rows": state.bad_rows,
+        "guarantees_short": sorted(short(state)),
+        "breaches": {
+            "guarantee_reclaimable": state.breaches.guarantees,
+            "gang_whole": state.breaches.runs.breaches,
+        },
     }
     if gangs is None:
         return dumped
@@ -280,7 +348,6 @@
     dumped["in_service"] = gangs.reading.in_service
     dumped["proof_age_seconds"] = service_proof.age(gangs.reading, now)
     dumped["jobs"] = len(gangs.jobs)
-    dumped["guarantees_short"] = sorted(state.policy.short())
     dumped["agents"] = len(gangs.agents)
     dumped["counters"] = dataclasses.asdict(gangs.counters)
     dumped["gangs"] = [
--- a/packages/daemon/src/peridothatch_daemon/decide/policy.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/policy.py
@@ -20,6 +20,10 @@
     ----------
     short : callable
         Returns the names of the guarantees that the hardware cannot keep.
+    workers : callable
+        Returns the workers that are there, ejected ones included.
+    breaches : callable
+        Returns how ``guarantee_reclaimable`` is broken.
     """
 
     decide: typing.Callable[[float], list[decide.Decision]]
@@ -33,6 +37,8 @@
     record_others: typing.Callable[[dict[str, decide.OtherCentre]], None]
     capacity: typing.Callable[[], fleet.Digest]
     short: typing.Callable[[], frozenset[str]]
+    workers: typing.Callable[[], list[worker.Worker]] = list
+    breaches: typing.Callable[[], list[str]] = list
 
 
 def create(data_centre: str) -> Policy:
@@ -57,4 +63,6 @@
         others,
         lambda: fleet.digest(state.fleet),
         lambda: frozenset(item.guarantee for item in guarantees.short(state.ledger)),
+        functools.partial(decide.workers, state),
+        lambda: guarantees.breaches(state.ledger, state.fleet),
     )
--- a/packages/daemon/src/peridothatch_daemon/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/entry.py
@@ -107,17 +107,12 @@
     here = datacentre.DataCentre(own.data_centre, own.region)
     serving = jobs.start(jobs_state.Settings(own.id, own.incarnation, here), rows, notify)
 
-    def tell_local(message: link.CapacityDigest | link.JobChanged) -> None:
+    started: list[mailbox.Mailbox] = []
+
+    def tell_local(message: planner_state.Notice) -> None:
         """Pass a planner's message to the other tasks of this entry."""
-        mailbox.post(serving.inbox, message)
-        if isinstance(message, link.JobChanged):
-            if message.data_centre in planners:
-                mailbox.post(planners[message.data_centre].mailbox, message)
-            return
-        digest = messages.FromPeer(own, message)
-        for name, item in planners.items():
-            if name != message.data_centre:
-                mailbox.post(item.mailbox, digest)
+        for inbox in _local_readers(message, serving.inbox, started, planners):
+            mailbox.post(inbox, message)
 
     for item in own_settings.data_centres:
         where = planner_state.Settings(own.id, own.incarnation, item.name, _locality(own, item))
@@ -128,18 +123,35 @@
         link_inbox,
         rows,
     )
-    return Deciding(
-        routing,
-        serving,
-        planners,
-        *_start_config(
-            own_settings,
-            own,
-            link_inbox,
-            rows,
-            (routing.inbox, serving.inbox, *(item.mailbox for item in planners.values())),
-        ),
-    )
+    subscribers = (routing.inbox, serving.inbox, *(item.mailbox for item in planners.values()))
+    configuring = _start_config(own_settings, own, link_inbox, rows, subscribers)
+    started.append(configuring[0].inbox)
+    return Deciding(routing, serving, planners, *configuring)
+
+
+def _local_readers(
+    message: planner_state.Notice,
+    serving: mailbox.Mailbox,
+    configuring: list[mailbox.Mailbox],
+    planners: dict[str, planner.Planner],
+) -> list[mailbox.Mailbox]:
+    """Return the tasks that take a message of a planner of the same entry.
+
+    ``configuring`` is empty until the configuration task has started, after the planners.
+    """
+    match message:
+        case messages.ChangeConfig():
+            return configuring
+        case link.HardwareDigest():
+            return [serving, *configuring]
+        case link.JobChanged():
+            here = planners.get(message.data_centre)
+            return [serving, here.mailbox] if here else [serving]
+        case link.CapacityDigest():
+            others = [one.mailbox for name, one in planners.items() if name != message.data_centre]
+            return [serving, *others]
+        case _:
+            return [serving]
 
 
 def _start_config(
@@ -157,7 +169,6 @@
         rows,
         link_inbox,
         (*subscribers, http_inbox, bootstrap_inbox),
-        _fits,
     )
     starting = bootstrap.start(own_settings, bootstrap_inbox, configuring.inbox)
     return configuring, starting, http_inbox
@@ -249,7 +260,3 @@
     if item.name == own.data_centre:
         return "data_centre"
     return "region" if item.region == own.region else "other"
-
-
-def _fits(_guarantee: typing.Any, _snapshot: typing.Any) -> str:
-    return ""
--- a/packages/daemon/src/peridothatch_daemon/intake/changes.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/changes.py
@@ -47,6 +47,7 @@
         schema.gang_shape(document.shape),
         document.count,
         document.data_centre,
+        pinned=bool(document.data_centre),
     )
     return await _change(state, received, "guarantee", value)
 
--- a/packages/daemon/src/peridothatch_daemon/intake/objects.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/objects.py
@@ -83,6 +83,7 @@
                 "shape": item.shape,
                 "count": item.count,
                 "data_centre": item.data_centre,
+                "pinned": item.pinned,
                 "promised_by": item.promised_by,
                 "promised_at": item.promised_at,
             }
--- a/packages/daemon/src/peridothatch_daemon/intake/peer_routes.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/peer_routes.py
@@ -36,6 +36,8 @@
             return [routes.config]
         case link.CapacityDigest():
             return [routes.jobs, *routes.planners.values()]
+        case link.HardwareDigest():
+            return [routes.jobs, routes.config]
         case link.JobChanged():
             return _planner(routes, message.data_centre)
         case _:
--- a/packages/daemon/src/peridothatch_daemon/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/messages.py
@@ -263,6 +263,12 @@
     """Make a change; ``result.Result[config.Change, verdict.Refusal]`` is the reply.
 
     ``value`` is the data class of ``kind``, or ``None`` to delete.
+
+    Attributes
+    ----------
+    expected : object or None
+        The change is refused unless the object is still this, so that a change that the system
+        derived from an older configuration cannot undo what an operator changed since.
     """
 
     kind: str
@@ -270,6 +276,7 @@
     value: Any
     changed_by: str
     reply: mailbox.Reply
+    expected: Any = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/peridothatch_daemon/outlet/config_rows.py
+++ b/packages/daemon/src/peridothatch_daemon/outlet/config_rows.py
@@ -45,6 +45,8 @@
     data_centre: str = ""
     promised_by: str = ""
     promised_at: float = 0.0
+    # Absent in rows of earlier versions, in which only operators named a data centre.
+    pinned: bool | None = None
 
 
 class _Within(_Model):
@@ -162,7 +164,8 @@
     row = _Guarantee.model_validate(value)
     task = shape.TaskShape(**dict(row.shape.task))
     gang = shape.GangShape(row.shape.tasks, task, row.shape.adjacency)
-    return customer.Guarantee(**(dict(row) | {"shape": gang}))
+    pinned = bool(row.data_centre) if row.pinned is None else row.pinned
+    return customer.Guarantee(**(dict(row) | {"shape": gang, "pinned": pinned}))
 
 
 def _parse_class(value: typing.Any) -> workclass.WorkClass:
--- a/packages/daemon/tests/config_harness.py
+++ b/packages/daemon/tests/config_harness.py
@@ -4,6 +4,8 @@
 import dataclasses
 import itertools
 
+import result
+
 from peridothatch_core.message import link, store
 from peridothatch_daemon import messages
 from peridothatch_daemon.decide import config, config_state
@@ -20,10 +22,19 @@
     links: collections.deque = dataclasses.field(default_factory=collections.deque)
 
 
+def anywhere(_snapshot, wanted):
+    return result.Ok(wanted)
+
+
 class Harness:
     """Entries ``(id, region)``; the store is in region ``r1``."""
 
-    def __init__(self, *entries, fits=lambda *_: "", subscriber_messages=4096):
+    def __init__(
+        self,
+        *entries,
+        settle=lambda _snapshot, wanted: result.Ok(wanted),
+        subscriber_messages=4096,
+    ):
         self.now = 1000.0
         self.table = rows.Table()
         self.heads = []
@@ -31,18 +42,18 @@
         self.entries = {}
         for number, (key, region) in enumerate(entries):
             self.entries[key] = self._create(
-                key, region, 100.0 * number, fits, subscriber_messages
+                key, region, 100.0 * number, settle, subscriber_messages
             )
         for one, other in itertools.permutations(self.entries.values(), 2):
             config.handle(one.state, messages.PeerOpened(other.state.own))
 
-    def _create(self, key, region, offset, fits, subscriber_messages):
+    def _create(self, key, region, offset, settle, subscriber_messages):
         own = link.Hello(1, "entry", key, "i", "dc", region)
         boxes = [mailbox.create(name) for name in ("config", "store", "links")]
         boxes.append(mailbox.create("subscriber", subscriber_messages))
         ports = config_state.Ports(*boxes[:3], (boxes[3],))
         clock = lambda: self.now + offset  # noqa: E731
-        state = config.create(own, region == "r1", ports, fits, clock, lambda: self.now)
+        state = config.create(own, region == "r1", ports, settle, clock, lambda: self.now)
         return Entry(state, boxes[3], offset)
 
     def tick(self, key):
--- a/packages/daemon/tests/intake/conftest.py
+++ b/packages/daemon/tests/intake/conftest.py
@@ -22,7 +22,7 @@
 SNAPSHOT = config.Snapshot(
     7,
     {name: customer.Customer(name, 16, digest(f"token-{name}")) for name in ("adinkra", "kolar")},
-    {"gold": customer.Guarantee("gold", "kolar", GANG, 1, "accra-a", "kofi", 1.0)},
+    {"gold": customer.Guarantee("gold", "kolar", GANG, 1, "accra-a", "kofi", 1.0, pinned=True)},
     {"notices": workclass.WorkClass("notices", workclass.Within(60.0), True, "kofi", 1.0)},
     {"accra-a": datacentre.DataCentre("accra-a", "gh-south")},
     {digest("token-operator"): "kofi"},
--- a/packages/daemon/tests/intake/test_authentication.py
+++ b/packages/daemon/tests/intake/test_authentication.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+import result
 
 from peridothatch_core.admit import changes
 from peridothatch_core.model import config
@@ -131,7 +132,9 @@
         kind, name = message.kind, message.name
         by = message.changed_by
         value = changes.complete(snapshot, kind, name, message.value, by, 9.0)
-        checked = changes.validate(snapshot, kind, name, value, lambda *_: "")
+        checked = changes.validate(
+            snapshot, kind, name, value, lambda _, wanted: result.Ok(wanted)
+        )
         change = config.Change(8, kind, name, value, by, 9.0)
         mailbox.answer(message.reply, checked.map(lambda _: change))
 
--- a/packages/daemon/tests/test_config.py
+++ b/packages/daemon/tests/test_config.py
@@ -235,6 +235,7 @@
 VALUES = [
     ("customer", customer.Customer("x", 8, "a" * 64)),
     ("guarantee", customer.Guarantee("x", "c", GANG, 2, "dc", "ama", 5.0)),
+    ("guarantee", customer.Guarantee("x", "c", GANG, 2, "dc", "ama", 5.0, pinned=True)),
     ("class", workclass.WorkClass("x", workclass.Within(3600.0), True, "ama", 5.0)),
     ("class", workclass.WorkClass("x", workclass.ByTime(6, 30, "Africa/Accra"))),
     ("data_centre", datacentre.DataCentre("x", "r", datacentre.Service.OUT)),
@@ -254,6 +255,28 @@
             assert parsed == (kind, "x", value)
 
 
+def test_a_named_data_centre_in_an_older_row_stays_pinned():
+    """Guards against a guarantee that moves although an operator named its data centre."""
+    change = config_rows.config.Change(7, "guarantee", "x", VALUES[2][1], "ama", 9.0)
+    row = config_rows.change_value(change)
+    del row["value"]["pinned"]
+    assert config_rows.parse_change(row).value.pinned
+
+
+async def test_a_change_that_expects_an_older_object_is_refused():
+    """Guards against a move by the system that undoes an operator's change."""
+    made = harness()
+    made.change("a", "customer", "x", team("x", 2))
+    made.settle()
+    reply = mailbox.Reply()
+    stale = messages.ChangeConfig("customer", "x", team("x", 3), "system", reply, team("x", 1))
+    config.handle(made.entries["a"].state, stale)
+    made.settle()
+    refusal = (await outcome(reply)).unwrap_err()
+    assert (refusal.verdict, refusal.code) == (verdict.Verdict.NOT_RUN, verdict.Code.CONFLICT)
+    assert made.entries["a"].state.replica.snapshot.customers["x"].quota_accelerators == 2
+
+
 def test_a_bad_message_of_another_entry_is_ignored():
     """Guards against a peer that stops the task."""
     made = harness()
--- a/packages/daemon/tests/test_start.py
+++ b/packages/daemon/tests/test_start.py
@@ -35,7 +35,7 @@
         own = link.Hello(1, "entry", key, "i", "dc", "r")
         inboxes.append(mailbox.create(f"subscriber {key}"))
         links, subscribers = mailbox.create("links"), (inboxes[-1],)
-        started.append(config.start(own, True, outlet.inbox, links, subscribers, lambda *_: ""))
+        started.append(config.start(own, True, outlet.inbox, links, subscribers))
         await hear(inboxes[-1], messages.ConfigFresh)
     reply = mailbox.Reply()
     value = customer.Customer("ges", 8)
--- a/packages/wire/src/peridothatch_wire/peridothatch.thrift
+++ b/packages/wire/src/peridothatch_wire/peridothatch.thrift
@@ -36,6 +36,9 @@
 struct ConfigRevision { 1: i64 revision, 2: string change, 3: double t0, 4: double read_age_seconds }
 struct RevisionsWanted { 1: i64 after, 2: double t0 }
 struct JobChanged { 1: string job_id, 2: string data_centre }
+struct WorkerKind { 1: i32 accelerators, 2: i32 cores, 3: i32 memory_mb, 4: i32 workers }
+struct RackHardware { 1: list<WorkerKind> kinds }
+struct HardwareDigest { 1: string data_centre, 2: i64 epoch, 3: list<RackHardware> racks }
 
 struct Envelope {
   1: optional Hello hello
@@ -63,4 +66,5 @@
   23: optional ConfigRevision config_revision
   24: optional RevisionsWanted revisions_wanted
   25: optional JobChanged job_changed
+  26: optional HardwareDigest hardware_digest
 }
