Generate the settings and metrics pages from the code

Cause: settings and metrics had no reference, and a page written by hand would fall behind the code without notice.

Change: scripts/generate_references.py writes docs/use/settings.md from the settings models and docs/use/metrics.md from the exported counters and gauges and the texts in observe/metric_texts.py. A setting, counter or gauge without a text makes it fail. `make docs` writes the pages; `make lint` checks them. The setting http_tls is described as not in effect, because nothing reads it.

Before: 38 setting fields without a description, no metric with a text. After: all 38 setting fields and all 37 metrics have a text.

Conclusion: a new setting or metric cannot be merged without its text. The full test suite was not run for this change.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
 	$(VENV)/bin/lint-imports --no-cache
+	$(PYTHON) scripts/generate_references.py --check
 
 format: setup
 	$(PYTHON) -m ruff format .
@@ -36,6 +37,9 @@
 
 test: lint check
 
+docs: setup
+	$(PYTHON) scripts/generate_references.py
+
 demo: setup
 	$(PYTHON) scripts/demo.py
 
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -0,0 +1,181 @@
+"""What each metric means and what an operator does when it moves."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Text:
+    """The text of one metric."""
+
+    meaning: str
+    action: str
+
+
+FIXED: typing.Final = {
+    "peridothatch_invariant_breaches_total": Text(
+        "Breaches of each invariant, with the label `invariant`; must read zero.",
+        "Keep the state dump and the logs of the process and report a fault.",
+    ),
+    "peridothatch_resident_bytes": Text(
+        "Resident memory of the process in bytes.",
+        "Compare with the budget of the process; a steady rise is a fault to report.",
+    ),
+    "peridothatch_cpu_seconds_total": Text(
+        "Processor time of the process in seconds.",
+        "When the rate nears one core, add entries.",
+    ),
+}
+
+_HTTP = {
+    "accepted": Text("Calls that were accepted for handling.", "None; shows the load."),
+    "refused": Text(
+        "Calls that were refused before handling.",
+        "Look for callers that send oversized or invalid calls, or add entries.",
+    ),
+    "in_progress": Text(
+        "Calls that are being handled now.", "A value that stays high shows slow answers behind."
+    ),
+}
+
+_DISPATCH = {
+    "refused": Text(
+        "Requests that were refused on arrival as not run.",
+        "Check in the state dump whether the service has servers and whether queues are full.",
+    ),
+    "retries": Text(
+        "Requests that were queued again after an attempt without an answer.",
+        "Look for backend servers that fail or leave.",
+    ),
+    "retries_refused": Text(
+        "Retries that the retry budget did not allow.",
+        "Many attempts fail: look for ejected or failing backend servers of the service.",
+    ),
+    "answers_not_asked_for": Text(
+        "Answers from an agent that was not sent the request; counts as a breach of `own_answer`.",
+        "Keep the state dump and report a fault.",
+    ),
+    "contradictions": Text(
+        "An agent said both that a request ran and that it did not; counts as a breach of "
+        "`true_not_run`.",
+        "Take the backend server out of use, keep the state dump and report a fault.",
+    ),
+    "second_runs": Text(
+        "Second whole answers to a non-idempotent request; counts as a breach of `at_most_once`.",
+        "Keep the state dump and report a fault; check the work of that service for duplicates.",
+    ),
+    "outcomes_not_recorded": Text(
+        "Outcomes of keyed requests that the store did not take before they were forgotten; a "
+        "later call with the key gets `may_have_run`.",
+        "Check the table service.",
+    ),
+    "outcomes_dropped_early": Text(
+        "Answers dropped before their time to save memory.",
+        "Callers fetch late or answers are large; add entries.",
+    ),
+}
+
+_SLOTS = {
+    "second_runs_prevented": Text(
+        "Dispatches of a request id that the agent had seen; nothing was run again.",
+        "None; rises when connections break.",
+    ),
+    "crossed_answers": Text(
+        "Answers that the backend server sent on the connection of another request.",
+        "The answers were delivered by request id; have the backend server repaired.",
+    ),
+    "ran_after_not_run": Text(
+        "Answers to a request that was reported as not run; counts as a breach of `true_not_run`.",
+        "Keep the state dump and report a fault.",
+    ),
+    "answers_without_request": Text(
+        "Answers of the backend server that belong to no open request.",
+        "Have the backend server repaired when it rises without restarts.",
+    ),
+    "answers_dropped_early": Text(
+        "Kept answers dropped to save memory; they became `may_have_run`.",
+        "Entries do not acknowledge answers; check the connections to them.",
+    ),
+    "ids_dropped_early": Text(
+        "Request ids forgotten before their time to save memory.",
+        "The agent handles more requests than planned; add backend servers.",
+    ),
+}
+
+_PLANNER = {
+    "runs_started": Text("Runs that were committed and started.", "None; shows the work."),
+    "runs_stopped": Text(
+        "Runs that were stopped before all members succeeded.",
+        "Look at the reason of the jobs with `peridothatch explain JOB`.",
+    ),
+    "members_lost": Text(
+        "Members that vanished or went silent.",
+        "Look for failed workers, racks and switches.",
+    ),
+    "stale_members_stopped": Text(
+        "Members of runs that the job rows do not know, which were told to stop.",
+        "None after a takeover; a steady rise is a fault to report.",
+    ),
+    "starts_without_proof": Text(
+        "Starts that an agent refused because the service proof was too old.",
+        "Check the latency of the table service and of the connections to the agents.",
+    ),
+    "conflicts": Text(
+        "Writes of a job row that met another version; the row is read again.",
+        "None while rare; a steady rise means that two planners compete.",
+    ),
+    "unknown_outcomes": Text(
+        "Writes of a job row whose outcome was not known at once.", "Check the table service."
+    ),
+    "start_timeouts": Text(
+        "Runs whose members did not all confirm the start within 5 s.",
+        "Look for slow or paused workers.",
+    ),
+    "waits_for_lapse": Text(
+        "Members that counted as ended only because their lease had certainly lapsed.",
+        "Look for workers that are out of reach.",
+    ),
+}
+
+_MEMBERS = {
+    "starts": Text("Starts that the agent accepted.", "None; shows the work."),
+    "refused_epochs": Text(
+        "Messages of a planner with a lower epoch, which were refused.",
+        "None after a takeover; a steady rise means that a paused entry keeps sending.",
+    ),
+    "refused_runs": Text(
+        "Reservations or starts of a run that had been stopped here.",
+        "None while rare.",
+    ),
+    "refused_proofs": Text(
+        "Starts refused because the service proof was too old or of an older revision.",
+        "Check the latency of the table service and of the connections to the entries.",
+    ),
+    "refused_reservations": Text(
+        "Reservations refused, or starts without a reservation.",
+        "None while rare; a steady rise means that the planner and the worker differ about what "
+        "is free.",
+    ),
+    "lapsed_reservations": Text(
+        "Reservations that ended without a start.",
+        "Check the table service: commits take longer than 10 s.",
+    ),
+    "lapsed_leases": Text(
+        "Gang leases that lapsed, after which the agent stopped its members.",
+        "Check the connections to the entries and whether the data centre has a planner.",
+    ),
+    "taken_over": Text(
+        "Tasks taken over from an earlier agent process.", "None; rises when an agent restarts."
+    ),
+}
+
+# By the name of the task in the state dump; ``planner`` is the planner of each data centre.
+TASKS: typing.Final = {
+    "http": _HTTP,
+    "dispatch": _DISPATCH,
+    "planner": _PLANNER,
+    "slots": _SLOTS,
+    "members": _MEMBERS,
+}
--- a/packages/daemon/src/peridothatch_daemon/settings.py
+++ b/packages/daemon/src/peridothatch_daemon/settings.py
@@ -27,75 +27,111 @@
 class Listener(Model):
     """An address to listen on; port 0 takes a free one."""
 
-    host: pydantic.IPvAnyAddress
-    port: Port
+    host: pydantic.IPvAnyAddress = pydantic.Field(description="IP number to listen on.")
+    port: Port = pydantic.Field(description="Port; 0 takes a free one.")
 
 
 class Endpoint(Model):
     """An address to dial."""
 
-    host: pydantic.IPvAnyAddress
-    port: Annotated[int, pydantic.Field(ge=1, le=65535)]
+    host: pydantic.IPvAnyAddress = pydantic.Field(description="IP number to dial.")
+    port: Annotated[int, pydantic.Field(ge=1, le=65535, description="Port to dial.")]
 
 
 class Tls(Model):
     """Certificate files in PEM form; the authority signs both ends."""
 
-    certificate_path: pathlib.Path = pydantic.Field(strict=False)
-    key_path: pathlib.Path = pydantic.Field(strict=False)
-    authority_path: pathlib.Path = pydantic.Field(strict=False)
+    certificate_path: pathlib.Path = pydantic.Field(
+        strict=False, description="Certificate that this process shows."
+    )
+    key_path: pathlib.Path = pydantic.Field(
+        strict=False, description="Private key of the certificate."
+    )
+    authority_path: pathlib.Path = pydantic.Field(
+        strict=False, description="Authority that must have signed the peer's certificate."
+    )
 
 
 class Store(Model):
     """The table service and the region that it is in."""
 
-    url: pydantic.HttpUrl
-    region: Name
+    url: pydantic.HttpUrl = pydantic.Field(description="Base address of the table service.")
+    region: Name = pydantic.Field(description="Region that the table service is in.")
 
 
 class DataCentre(Model):
     """A data centre that this installation has."""
 
-    name: Name
-    region: Name
+    name: Name = pydantic.Field(description="Its name.")
+    region: Name = pydantic.Field(description="The region that it is in.")
 
 
 class Bootstrap(Model):
     """What the first entry writes when the store holds no configuration."""
 
-    operator_name: Name = "operator"
-    operator_token_sha256: Annotated[str, pydantic.Field(pattern=SHA256_PATTERN)]
+    operator_name: Name = pydantic.Field("operator", description="Name of the first operator.")
+    operator_token_sha256: Annotated[str, pydantic.Field(pattern=SHA256_PATTERN)] = pydantic.Field(
+        description="SHA-256 of the operator's bearer token, in hexadecimal; used only while the "
+        "store holds no operator."
+    )
 
 
 class Log(Model):
     """Where the structured log goes; ``-`` is standard output."""
 
-    path: str = "-"
+    path: str = pydantic.Field(
+        "-", description="File that is appended to; `-` is standard output."
+    )
 
 
 class Process(Model):
     """What every process knows of itself."""
 
-    id: Name
-    data_centre: Name
-    region: Name
-    log: Log = Log()
-    link_tls: Tls | None = None
-    drain_timeout_seconds: Annotated[float, pydantic.Field(gt=0, le=600)] = 30.0
+    id: Name = pydantic.Field(
+        description="Name of this process; no two running processes may share one."
+    )
+    data_centre: Name = pydantic.Field(description="Data centre that the process is in.")
+    region: Name = pydantic.Field(description="Region of that data centre.")
+    log: Log = pydantic.Field(Log(), description="The structured log.")
+    link_tls: Tls | None = pydantic.Field(
+        None, description="TLS of connections between our processes; without it they are plain."
+    )
+    drain_timeout_seconds: Annotated[float, pydantic.Field(gt=0, le=600)] = pydantic.Field(
+        30.0, description="How long a planned stop waits for the work in flight."
+    )
 
 
 class Entry(Process):
     """Settings of an entry."""
 
-    role: Literal["entry"]
-    http: Listener
-    link: Listener
-    advertised_link_port: Port | None = None
-    http_tls: Tls | None = None
-    store: Store
-    data_centres: Annotated[list[DataCentre], pydantic.Field(min_length=1, max_length=64)]
-    bootstrap: Bootstrap | None = None
-    cross_region_bytes_per_second: Annotated[int, pydantic.Field(ge=0)] = 500_000
+    role: Literal["entry"] = pydantic.Field(description="The kind of process.")
+    http: Listener = pydantic.Field(description="Where callers and operators connect.")
+    link: Listener = pydantic.Field(description="Where agents and other entries connect.")
+    advertised_link_port: Port | None = pydantic.Field(
+        None,
+        description="Port that others are told to dial in place of the port of `link`, for a "
+        "forwarder in front of this process.",
+    )
+    http_tls: Tls | None = pydantic.Field(
+        None,
+        description="TLS of callers and operators. Not in effect: this version accepts the "
+        "setting and serves plain HTTP.",
+    )
+    store: Store = pydantic.Field(description="The table service.")
+    data_centres: Annotated[list[DataCentre], pydantic.Field(min_length=1, max_length=64)] = (
+        pydantic.Field(
+            description="All data centres of the installation, that of this process included; "
+            "those that the store lacks are created."
+        )
+    )
+    bootstrap: Bootstrap | None = pydantic.Field(
+        None, description="The first operator; ignored once the store holds an operator."
+    )
+    cross_region_bytes_per_second: Annotated[int, pydantic.Field(ge=0)] = pydantic.Field(
+        500_000,
+        description="Rate at which this entry sends request bodies to another region; the "
+        "entries of a region share one link.",
+    )
 
     @pydantic.model_validator(mode="after")
     def _data_centre_is_listed(self) -> Entry:
@@ -111,25 +147,34 @@
 class Worker(Model):
     """The worker beside an agent."""
 
-    id: Name
-    url: pydantic.HttpUrl
-    rack: Name
+    id: Name = pydantic.Field(description="Name of the worker.")
+    url: pydantic.HttpUrl = pydantic.Field(description="Base address of the worker.")
+    rack: Name = pydantic.Field(description="Rack that the worker is in.")
 
 
 class BackendServer(Model):
     """The backend server beside an agent."""
 
-    url: pydantic.HttpUrl
+    url: pydantic.HttpUrl = pydantic.Field(description="Base address of the backend server.")
 
 
 class Agent(Process):
     """Settings of an agent; it stands beside one worker or one backend server."""
 
-    role: Literal["agent"]
-    entries: Annotated[list[Endpoint], pydantic.Field(min_length=1, max_length=64)]
-    debug: Listener
-    worker: Worker | None = None
-    backend_server: BackendServer | None = None
+    role: Literal["agent"] = pydantic.Field(description="The kind of process.")
+    entries: Annotated[list[Endpoint], pydantic.Field(min_length=1, max_length=64)] = (
+        pydantic.Field(description="Entries to dial first; they tell of the others.")
+    )
+    debug: Listener = pydantic.Field(
+        description="Where `/debug/state` and `/metrics` are served, without a token; keep it on "
+        "an address that only operators reach."
+    )
+    worker: Worker | None = pydantic.Field(
+        None, description="The worker beside the agent; this or `backend_server`."
+    )
+    backend_server: BackendServer | None = pydantic.Field(
+        None, description="The backend server beside the agent; this or `worker`."
+    )
 
     @pydantic.model_validator(mode="after")
     def _stands_beside_one(self) -> Agent:
