--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(SOURCES),$(CURDIR)/packages/$(p)/src))
 
-.PHONY: setup test lint check format demo bench soak docs clean
+.PHONY: setup test lint check format demo capacity bench soak docs clean
 
 ifeq ($(VENV),.venv)
 setup: $(VENV)/installed
@@ -39,5 +39,11 @@
 demo: setup
 	$(PYTHON) scripts/demo.py
 
+capacity: setup
+	$(PYTHON) scripts/measure_capacity.py
+
+bench: capacity
+	$(PYTHON) scripts/bench_placement.py
+
 clean:
 	rm -rf .venv .pytest_cache .ruff_cache .hypothesis
