Pause only searches that took place, and end the pause when slots free up

Change: the pause starts with a search, ends when guaranteed work leaves, and a paused job no longer rules out others of its shape.

--- a/packages/core/src/peridothatch_core/place/choose.py
+++ b/packages/core/src/peridothatch_core/place/choose.py
@@ -47,15 +47,19 @@
     After a search in vain, work to stop is looked for again only after a pause; free cells are
     looked for each time.
     """
-    pause = URGENT_PAUSE_SECONDS if state.is_urgent(planner, waiting) else PAUSE_SECONDS
-    may_stop = now - planner.searched_at.get(waiting.id, float("-inf")) >= pause
     with _away_from_failures(planner, waiting):
-        found = _find(planner, waiting, now, may_stop=may_stop)
-    if found is None and may_stop:
-        planner.searched_at[waiting.id] = now
+        found = _find(planner, waiting, now)
+    if found is not None:
+        planner.searched_at.pop(waiting.id, None)
     return found
 
 
+def is_paused(planner: state.State, waiting: job.Job, now: float) -> bool:
+    """Return whether work to stop was looked for in vain too recently to look again."""
+    pause = URGENT_PAUSE_SECONDS if state.is_urgent(planner, waiting) else PAUSE_SECONDS
+    return now - planner.searched_at.get(waiting.id, float("-inf")) < pause
+
+
 def await_cells(planner: state.State, waiting: job.Job, now: float) -> tuple[job.Cell, ...] | None:
     """Return the cells that running jobs are expected to free the soonest."""
     candidates = []
@@ -104,12 +108,12 @@
     return avoided if possible else []
 
 
-def _find(planner: state.State, waiting: job.Job, now: float, *, may_stop: bool) -> Finding | None:
+def _find(planner: state.State, waiting: job.Job, now: float) -> Finding | None:
     own = guarantees.own_cells(planner.ledger, waiting.customer, waiting.shape)
-    urgent = state.is_urgent(planner, waiting)
+    may_stop = own is not None or state.is_urgent(planner, waiting)
+    may_stop = may_stop and not is_paused(planner, waiting, now)
     if state.over_quota(planner, waiting):
-        entitled = may_stop and (own is not None or urgent)
-        return _make_quota(planner, waiting, own, now) if entitled else None
+        return _make_quota(planner, waiting, own, now) if may_stop else None
     free = gang.place(planner.fleet, waiting.shape)
     if own is not None:
         for cells in (free, own if _is_free(planner, waiting, own) else None):
@@ -120,8 +124,7 @@
             return found
     if free is not None:
         return Finding(free, True)
-    search = may_stop and own is None and urgent
-    return _reclaim(planner, waiting, None, now) if search else None
+    return _reclaim(planner, waiting, None, now) if may_stop and own is None else None
 
 
 def _is_free(planner: state.State, waiting: job.Job, cells: tuple[job.Cell, ...]) -> bool:
@@ -153,6 +156,7 @@
         guarantees.uncover(planner.ledger, waiting.id, waiting.customer)
         return cells
 
+    planner.searched_at[waiting.id] = now
     for spare_recent in (True, False):
         candidates = _candidates(planner, waiting, entitled=own is not None)
         spared = [c for c in candidates if not _is_recent(planner, c.id, now)]
@@ -177,6 +181,7 @@
 
     Borrowed work of the customer must not keep its urgent or guaranteed work waiting.
     """
+    planner.searched_at[waiting.id] = now
     excess = state.excess(planner, waiting)
     freed = 0
 
--- a/packages/core/src/peridothatch_core/place/decide.py
+++ b/packages/core/src/peridothatch_core/place/decide.py
@@ -235,13 +235,15 @@
 def _place_waiting(state: State, now: float) -> list[Decision]:
     """Find cells for waiting jobs in order; jobs behind one that finds none may go first."""
     decisions: list[Decision] = []
-    failed: set[tuple[str, shape.GangShape, bool]] = set()
+    failed: set[tuple[str, shape.GangShape, bool, bool]] = set()
     saving = _saving_quota(state, now)
     searches = 0
     for job_id in list(slack.in_order(state.queue, now)):
         waiting = state.waiting[job_id]
         claim = state.claims.get(job_id)
-        key = (waiting.customer, waiting.shape, planner_state.is_urgent(state, waiting))
+        urgent = planner_state.is_urgent(state, waiting)
+        paused = choose.is_paused(state, waiting, now)
+        key = (waiting.customer, waiting.shape, urgent, paused)
         if key in failed or (claim is not None and not claim.reserved):
             continue
         if saving.get(waiting.customer, job_id) != job_id and not _is_entitled(state, waiting):
--- a/packages/core/src/peridothatch_core/place/state.py
+++ b/packages/core/src/peridothatch_core/place/state.py
@@ -145,6 +145,9 @@
         fleets.give_back(state.fleet, job_id)
         guarantees.uncover(state.ledger, job_id, running.customer)
         count(state, running, -1)
+        if not running.borrowed:
+            # The customer's slots have room again, so a search may succeed now.
+            state.searched_at.clear()
         state.unsettled = state.unsettled or bool(state.outside)
     slack.drop(state.queue, job_id)
     state.searched_at.pop(job_id, None)
--- a/packages/core/tests/place/test_decide.py
+++ b/packages/core/tests/place/test_decide.py
@@ -305,3 +305,19 @@
     reason = "the workers of the data centre can never hold this gang"
     assert planner.decide() == [decide.Elsewhere("big", reason)]
     assert planner.decide() == []
+
+
+def test_a_guaranteed_shape_starts_as_soon_as_its_slot_is_idle():
+    """Guards against the pause after a search in vain that holds up a job which now fits."""
+    planner = history.Planner()
+    first = planner.submit("a", "batch", history.SHAPES[0])
+    planner.decide()
+    borrowed = planner.submit("a", "batch", history.SHAPES[4])
+    planner.decide()
+    planner.submit("a", "batch", history.SHAPES[4])
+    planner.decide()
+    decide.record_ended(planner.state, first, planner.now, succeeded=True)
+    assert preempted(planner.decide()) == [borrowed]
+    planner.let_stop()
+    planner.decide()
+    planner.check_reclaimable()
