--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -86,6 +86,10 @@
         "Answers that the backend server sent on the connection of another request.",
         "The answers were delivered by request id; have the backend server repaired.",
     ),
+    "passed_to_leaving": Text(
+        "requests passed on more than 3 s after the backend server began to leave",
+        "A breach of no_work_to_leaving: keep the state dumps and report it.",
+    ),
     "ran_after_not_run": Text(
         "Answers to a request that was reported as not run; counts as a breach of `true_not_run`.",
         "Keep the state dump and report a fault.",
