Describe the counter of silent workers

Cause: the metrics page had no text for it, so the check of the pages failed. Conclusion: the check of the pages passes.

--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -149,6 +149,10 @@
         "Messages of a planner with a lower epoch, which were refused.",
         "None after a takeover; a steady rise means that a paused entry keeps sending.",
     ),
+    "silent_worker": Text(
+        "Times that the worker had not listed its tasks for so long that their leases lapsed.",
+        "Look at the worker; its runs are started again elsewhere.",
+    ),
     "refused_runs": Text(
         "Reservations or starts of a run that had been stopped here.",
         "None while rare.",
