Look at data centres by room, group equal racks, and reserve the name system

Cause: choosing a home built the ledger of each of 9 data centres, and a hardware digest listed each rack. An operator could have the name under which the system moves guarantees.

Change: data centres are looked at in the order of the accelerators left, which needs no ledger, and the first that holds is the home. Equal racks are sent once with their number. A guarantee that found no home is tried again after 60 s. Operators cannot be named system.

Conclusion: a guarantee is checked without stopping an entry for long, except that one which fits nowhere still builds every ledger.

--- a/packages/core/src/peridothatch_core/admit/changes.py
+++ b/packages/core/src/peridothatch_core/admit/changes.py
@@ -135,6 +135,8 @@
 
 
 def _check_operator(snapshot: config.Snapshot, name: str, value: str) -> Refused:
+    if name == config.SYSTEM:
+        return verdict.invalid("name", name, "another name; this one marks changes by the system")
     return _check_token(snapshot, "operator", name, value, "token_sha256")
 
 
--- a/packages/core/src/peridothatch_core/admit/hardware.py
+++ b/packages/core/src/peridothatch_core/admit/hardware.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import dataclasses
 from collections.abc import Iterable, Mapping, MutableMapping
 from typing import TYPE_CHECKING
 
@@ -17,19 +19,15 @@
 
 def racks_of(workers: Iterable[worker.Worker]) -> tuple[link.RackHardware, ...]:
     """Return the racks of one data centre, equal for equal workers in any order."""
-    named: dict[str, list[worker.Worker]] = {}
-    for one in workers:
-        named.setdefault(one.rack, []).append(one)
-    return tuple(
-        link.RackHardware(
-            tuple(
-                link.WorkerKind(kind.accelerators, kind.cores, kind.memory_mb, count)
-                for rack in jobs.hardware_of(named[name])
-                for kind, count in sorted(rack.items(), key=lambda item: _key(item[0]))
-            )
-        )
-        for name in sorted(named)
-    )
+    racks: collections.Counter[tuple[link.WorkerKind, ...]] = collections.Counter()
+    for rack in jobs.hardware_of(workers):
+        kinds = [
+            link.WorkerKind(kind.accelerators, kind.cores, kind.memory_mb, count)
+            for kind, count in rack.items()
+        ]
+        racks[tuple(sorted(kinds, key=dataclasses.astuple))] += 1
+    ordered = sorted(racks.items(), key=lambda item: [dataclasses.astuple(k) for k in item[0]])
+    return tuple(link.RackHardware(kinds, count) for kinds, count in ordered)
 
 
 def record(known: Known, digest: link.HardwareDigest) -> bool:
@@ -50,10 +48,7 @@
                 for kind in rack.kinds
             }
             for rack in digest.racks
+            for _ in range(rack.racks)
         )
         for name, digest in known.items()
     }
-
-
-def _key(kind: jobs.Kind) -> tuple[int, int, int]:
-    return kind.accelerators, kind.cores, kind.memory_mb
--- a/packages/core/src/peridothatch_core/message/link.py
+++ b/packages/core/src/peridothatch_core/message/link.py
@@ -317,9 +317,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RackHardware:
-    """The workers of one rack."""
+    """The workers of one rack, and the number of racks that are equal to it."""
 
     kinds: tuple[WorkerKind, ...]
+    racks: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/model/config.py
+++ b/packages/core/src/peridothatch_core/model/config.py
@@ -9,6 +9,9 @@
 if TYPE_CHECKING:
     from peridothatch_core.model import customer, datacentre, workclass
 
+SYSTEM = "system"
+"""Author of changes that no operator made; no operator has this name."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
--- a/packages/core/src/peridothatch_core/place/homes.py
+++ b/packages/core/src/peridothatch_core/place/homes.py
@@ -14,15 +14,13 @@
 if TYPE_CHECKING:
     from peridothatch_core.message import link
 
-RETRY_SECONDS = 10.0
-"""A guarantee that found no home is tried again after this, since hardware may have come."""
+RETRY_SECONDS = 60.0
+"""A guarantee that found no home is tried again after this, since hardware may have come. Trying
+one in all data centres takes the entry some 0.1 s at the largest size."""
 
 MOST_MOVES = 32
 """Guarantees moved at a time, so that the queue of changes has room for operators' changes."""
 
-SYSTEM = "system"
-"""Author of changes that no operator made."""
-
 Kept = result.Result[customer.Guarantee, verdict.Refusal]
 
 
@@ -53,7 +51,7 @@
     if current is not None and _asks_no_more(snapshot, current, wanted):
         return result.Ok(dataclasses.replace(wanted, data_centre=current.data_centre))
     if wanted.data_centre:
-        return holds(state, snapshot, wanted, wanted.data_centre).map(lambda _: wanted)
+        return holds(state, snapshot, wanted, wanted.data_centre)
     if current is not None and is_in_service(snapshot, current.data_centre):
         here = dataclasses.replace(wanted, data_centre=current.data_centre)
         if holds(state, snapshot, here, current.data_centre).is_ok():
@@ -61,10 +59,8 @@
     return _choose(state, snapshot, wanted)
 
 
-def holds(
-    state: State, snapshot: config.Snapshot, wanted: customer.Guarantee, name: str
-) -> result.Result[int, verdict.Refusal]:
-    """Return how many accelerators a data centre has left after a guarantee, or a refusal.
+def holds(state: State, snapshot: config.Snapshot, wanted: customer.Guarantee, name: str) -> Kept:
+    """Return a guarantee that a data centre can keep, or a refusal.
 
     The refusal is ``unavailable`` while nothing is known of the hardware, and while another
     guarantee there is short: its room must be found again before more is promised.
@@ -80,11 +76,20 @@
     if lacking:
         detail = f"data centre {name} lacks hardware for guarantees {', '.join(lacking[:5])}"
         return result.Err(verdict.not_run(verdict.Code.UNAVAILABLE, detail))
-    held = guarantees.would_hold(ledger, wanted)
-    if held.is_err():
-        return result.Err(held.unwrap_err())
-    used = wanted.count * shape.accelerators(wanted.shape)
-    return result.Ok(ledger.promised.free_accelerators - used)
+    return guarantees.would_hold(ledger, wanted).map(lambda _: wanted)
+
+
+def room(state: State, snapshot: config.Snapshot, name: str, without: str = "") -> int:
+    """Return the accelerators of a data centre that are promised to no other guarantee."""
+    digest = state.hardware.get(name)
+    total = sum(
+        rack.racks * kind.workers * kind.accelerators
+        for rack in (digest.racks if digest else ())
+        for kind in rack.kinds
+    )
+    return total - sum(
+        item.count * shape.accelerators(item.shape) for item in _others(snapshot, name, without)
+    )
 
 
 def is_in_service(snapshot: config.Snapshot, name: str) -> bool:
@@ -155,20 +160,17 @@
 
 
 def _choose(state: State, snapshot: config.Snapshot, wanted: customer.Guarantee) -> Kept:
-    """Choose the data centre in service that has the most accelerators left afterwards."""
-    best: tuple[int, str] | None = None
+    """Choose the data centre in service that has the most accelerators left afterwards.
+
+    They are looked at in that order, so that few ledgers are built.
+    """
+    usable = [name for name in snapshot.data_centres if is_in_service(snapshot, name)]
     refusals: list[verdict.Refusal] = []
-    for name in sorted(snapshot.data_centres):
-        if not is_in_service(snapshot, name):
-            continue
-        here = dataclasses.replace(wanted, data_centre=name)
-        found = holds(state, snapshot, here, name)
-        if isinstance(found, result.Err):
-            refusals.append(found.err_value)
-        elif best is None or found.ok_value > best[0]:
-            best = found.ok_value, name
-    if best is not None:
-        return result.Ok(dataclasses.replace(wanted, data_centre=best[1]))
+    for name in sorted(usable, key=lambda name: (-room(state, snapshot, name, wanted.name), name)):
+        found = holds(state, snapshot, dataclasses.replace(wanted, data_centre=name), name)
+        if isinstance(found, result.Ok):
+            return found
+        refusals.append(found.err_value)
     # What may fit where nothing is known yet, or where hardware is missing, is not refused for
     # good.
     passing = [item for item in refusals if item.code is verdict.Code.UNAVAILABLE]
@@ -181,26 +183,36 @@
     state: State, snapshot: config.Snapshot, digest: link.HardwareDigest, without: str
 ) -> slots.Ledger:
     """Return the room of a data centre with its other guarantees bound."""
-    others = tuple(
-        item
-        for _, item in sorted(snapshot.guarantees.items())
-        if item.data_centre == digest.data_centre and item.name != without
-    )
+    others = _others(snapshot, digest.data_centre, without)
     held = state.built.get(digest.data_centre)
     if held is not None and (held.hardware, held.others) == (digest, others):
         return held.ledger
     ledger = slots.Ledger()
-    for rack, hardware in enumerate(digest.racks):
-        for index, kind in enumerate(hardware.kinds):
-            for number in range(kind.workers):
-                guarantees.add_worker(
-                    ledger,
-                    worker.Worker(
-                        f"{rack}/{index}/{number}", digest.data_centre, str(rack),
-                        kind.accelerators, kind.cores, kind.memory_mb,
-                    ),
-                )  # fmt: skip
+    for one in _workers(digest):
+        guarantees.add_worker(ledger, one)
     guarantees.set_guarantees(ledger, others)
     guarantees.bind_all(ledger)
     state.built[digest.data_centre] = Built(digest, others, ledger)
     return ledger
+
+
+def _others(snapshot: config.Snapshot, name: str, without: str) -> tuple[customer.Guarantee, ...]:
+    return tuple(
+        item
+        for _, item in sorted(snapshot.guarantees.items())
+        if item.data_centre == name and item.name != without
+    )
+
+
+def _workers(digest: link.HardwareDigest) -> list[worker.Worker]:
+    """Return workers as in a digest, under names made up for this ledger."""
+    racks = [rack.kinds for rack in digest.racks for _ in range(rack.racks)]
+    return [
+        worker.Worker(
+            f"{rack}/{index}/{number}", digest.data_centre, str(rack),
+            kind.accelerators, kind.cores, kind.memory_mb,
+        )
+        for rack, kinds in enumerate(racks)
+        for index, kind in enumerate(kinds)
+        for number in range(kind.workers)
+    ]  # fmt: skip
--- a/packages/core/tests/place/test_homes.py
+++ b/packages/core/tests/place/test_homes.py
@@ -35,34 +35,27 @@
     return homes.State(hardware), config.Snapshot(1, {}, held, {}, centres)
 
 
-def settle(known, snapshot, wanted):
-    return homes.settle(known, snapshot, wanted)
-
-
 def test_the_data_centre_with_the_most_room_left_is_chosen():
     """Guards against a guarantee without a data centre, which no planner keeps."""
     known, snapshot = world(
         {"accra-a": (2,), "tamale-a": (3,), "tema-b": (3,)},
         [guarantee("other", data_centre="tamale-a")],
     )
-    assert settle(known, snapshot, guarantee()).unwrap().data_centre == "tema-b"
+    assert homes.settle(known, snapshot, guarantee()).unwrap().data_centre == "tema-b"
 
 
 def test_nothing_is_promised_on_unknown_hardware():
     """Guards against a promise that an entry made before it knew a worker."""
     known, snapshot = world({"accra-a": (1,)})
     for wanted in (guarantee(tasks=2), guarantee(data_centre="tema-b", pinned=True)):
-        refusal = settle(known, snapshot, wanted).unwrap_err()
-        assert (refusal.code, refusal.verdict) == (
-            verdict.Code.UNAVAILABLE,
-            verdict.Verdict.NOT_RUN,
-        )
+        refusal = homes.settle(known, snapshot, wanted).unwrap_err()
+        assert (refusal.code, refusal.verdict) == ("unavailable", "not_run")
 
 
 def test_a_shape_that_fits_nowhere_is_refused_with_what_fits():
     """Guards against a promise that can never be kept."""
     known, snapshot = world(dict.fromkeys(NAMES, (3, 3)))
-    refusal = settle(known, snapshot, guarantee(tasks=4)).unwrap_err()
+    refusal = homes.settle(known, snapshot, guarantee(tasks=4)).unwrap_err()
     assert refusal.code is verdict.Code.NEVER_FITS
     assert "3" in refusal.expected
 
@@ -70,7 +63,9 @@
 def test_a_returning_worker_still_holds_what_was_promised_on_it():
     """Guards against a promise on the room that a short one needs when its hardware is back."""
     known, snapshot = world({"accra-a": (1,)}, [guarantee("pair", 2, data_centre="accra-a")])
-    refusal = settle(known, snapshot, guarantee(data_centre="accra-a", pinned=True)).unwrap_err()
+    refusal = homes.settle(
+        known, snapshot, guarantee(data_centre="accra-a", pinned=True)
+    ).unwrap_err()
     assert refusal.code is verdict.Code.UNAVAILABLE
     assert "pair" in refusal.detail
 
@@ -80,9 +75,9 @@
     kept = guarantee(count=5, data_centre="tema-b")
     known, snapshot = world({}, [kept])
     less = dataclasses.replace(kept, count=2, data_centre="")
-    assert settle(known, snapshot, less).unwrap().data_centre == "tema-b"
+    assert homes.settle(known, snapshot, less).unwrap().data_centre == "tema-b"
     known, snapshot = world({"accra-a": (2,)}, [kept], (IN, OUT, LOST))
-    assert settle(known, snapshot, less).unwrap().data_centre == "accra-a"
+    assert homes.settle(known, snapshot, less).unwrap().data_centre == "accra-a"
 
 
 def test_only_guarantees_that_are_not_pinned_leave_a_data_centre_that_is_out():
@@ -121,12 +116,20 @@
     """Guards against two promises on the same room, and a home where nothing starts."""
     known, snapshot = world(hardware, (), services)
     for item in wanted:
-        settled = settle(known, snapshot, item)
+        settled = homes.settle(known, snapshot, item)
         if settled.is_err():
             assert settled.unwrap_err().verdict is verdict.Verdict.NOT_RUN
             continue
         home = settled.unwrap().data_centre
         assert homes.is_in_service(snapshot, home)
+        left = homes.room(known, snapshot, home, item.name)
+        for name in NAMES if item.name not in snapshot.guarantees else ():
+            here = dataclasses.replace(item, data_centre=name)
+            if (
+                homes.is_in_service(snapshot, name)
+                and homes.holds(known, snapshot, here, name).is_ok()
+            ):
+                assert homes.room(known, snapshot, name, item.name) <= left
         held = {**snapshot.guarantees, item.name: settled.unwrap()}
         snapshot = dataclasses.replace(snapshot, guarantees=held)
         fresh = homes._ledger(known, snapshot, known.hardware[home], "")
--- a/packages/core/tests/test_changes.py
+++ b/packages/core/tests/test_changes.py
@@ -84,6 +84,7 @@
     ("data_centre", "accra-a", None, "name"),
     ("operator", "ama", None, "name"),
     ("operator", "kofi", DIGEST, "token_sha256"),
+    ("operator", "system", "d" * 64, "name"),
 ]  # fmt: skip
 
 
--- a/packages/daemon/src/peridothatch_daemon/decide/planner_reports.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_reports.py
@@ -8,6 +8,7 @@
 
 from peridothatch_core.admit import hardware
 from peridothatch_core.message import link
+from peridothatch_core.model import config
 from peridothatch_core.place import homes
 from peridothatch_core.start import planner_lease, run_watch
 from peridothatch_daemon import messages
@@ -17,8 +18,8 @@
 logger = logging.getLogger(__name__)
 
 CAPACITY_SECONDS = 2.0
-# A digest of 330 racks has some 10 kB, so it is sent seldom while nothing changes, and changes
-# of a rack that restarts are sent together.
+# A digest of 330 racks that all differ has some 20 kB, so it is sent seldom while nothing
+# changes, and changes of a rack that restarts are sent together.
 HARDWARE_SECONDS = 30.0
 HARDWARE_CHANGE_SECONDS = 5.0
 # Agents dial a new planner within this time. An earlier digest would lack workers, and shapes
@@ -68,7 +69,7 @@
         wanted = dataclasses.replace(item, data_centre="")
         state.tell_local(
             messages.ChangeConfig(
-                "guarantee", item.name, wanted, homes.SYSTEM, mailbox.Reply(), expected=item
+                "guarantee", item.name, wanted, config.SYSTEM, mailbox.Reply(), expected=item
             )
         )
     state.rehomed = {
--- a/packages/daemon/tests/decide/test_hardware.py
+++ b/packages/daemon/tests/decide/test_hardware.py
@@ -105,21 +105,24 @@
     ]  # fmt: skip
 
 
-async def moved(table, services, kept, known):
-    """Take data centre x out; return the configuration after the planner's changes."""
+def site(*names):
+    """Return an entry with data centres and a customer, and its configuration task."""
     made = config_harness.Harness(("a", "r1"), settle=None)
     made.settle()
-    for name, one in centres(**dict.fromkeys(services, datacentre.Service.IN)).items():
+    for name, one in centres(**dict.fromkeys(names, datacentre.Service.IN)).items():
         made.change("a", "data_centre", name, one)
     made.change("a", "customer", "ges", customer.Customer("ges", 64))
     made.settle()
-    state = made.entries["a"].state
+    return made, made.entries["a"].state
+
+
+async def moved(table, services, kept, known):
+    """Take data centre x out; return the configuration after the planner's changes."""
+    made, state = site(*services)
     for digest in known:
         configuring.handle(state, digest)
     for item in kept:
-        reply = mailbox.Reply()
-        change = messages.ChangeConfig("guarantee", item.name, item, "ama", reply)
-        configuring.handle(state, change)
+        reply = made.change("a", "guarantee", item.name, item)
         made.settle()
         assert (await mailbox.wait(reply, 1)).is_ok()
     for name, service in services.items():
@@ -150,7 +153,7 @@
     snapshot, bench = await moved(create_table(), services, kept, known)
     homes = {name: item.data_centre for name, item in snapshot.guarantees.items()}
     assert homes == {"moves": "y", "stays": "x", "large": "x"}
-    assert snapshot.guarantees["moves"].promised_by == "ama"
+    assert snapshot.guarantees["moves"].promised_by == "operator of a"
     assert dump(bench.state)["guarantees_short"] == ["large", "stays"]
     back = {**snapshot.data_centres, **centres(x=datacentre.Service.IN)}
     back = dataclasses.replace(snapshot, revision=snapshot.revision + 1, data_centres=back)
@@ -178,12 +181,7 @@
 
 async def test_a_guarantee_is_refused_until_its_hardware_is_known():
     """Guards against a promise that was never checked."""
-    made = config_harness.Harness(("a", "r1"), settle=None)
-    made.settle()
-    made.change("a", "data_centre", "x", datacentre.DataCentre("x", "r1"))
-    made.change("a", "customer", "ges", customer.Customer("ges", 64))
-    made.settle()
-    state = made.entries["a"].state
+    made, state = site("x")
     outcomes = []
     for digest in (None, link.HardwareDigest("x", 1, ()), link.HardwareDigest("x", 2, (RACK,))):
         if digest:
--- a/packages/daemon/tests/decide/test_jobs.py
+++ b/packages/daemon/tests/decide/test_jobs.py
@@ -112,6 +112,17 @@
     assert desk.told == [("accra-a", "j1")]
 
 
+async def test_a_shape_that_no_data_centre_can_hold_is_refused(desk):
+    """Guards against a job that is accepted and can never run."""
+    inbox, peer = desk.add(), link.Hello(1, "entry", "e2", "i", "accra-a", "gh-south")
+    rack = link.RackHardware((link.WorkerKind(4, 64, 4096, 1),))
+    mailbox.post(inbox, messages.FromPeer(peer, link.HardwareDigest("accra-a", 1, (rack,))))
+    refusal = (await submit(inbox, new_job())).unwrap_err()
+    assert (refusal.verdict, refusal.code) == ("not_run", "never_fits")
+    assert "at most 1 such tasks" in refusal.expected
+    assert desk.jobs() == []
+
+
 async def test_a_repeated_submission_returns_the_first_job(desk):
     first = await submit(desk.add("e1"), new_job(1), "lot-7")
     again = await submit(desk.add("e2"), new_job(2), "lot-7")
--- a/packages/wire/src/peridothatch_wire/peridothatch.thrift
+++ b/packages/wire/src/peridothatch_wire/peridothatch.thrift
@@ -37,7 +37,7 @@
 struct RevisionsWanted { 1: i64 after, 2: double t0 }
 struct JobChanged { 1: string job_id, 2: string data_centre }
 struct WorkerKind { 1: i32 accelerators, 2: i32 cores, 3: i32 memory_mb, 4: i32 workers }
-struct RackHardware { 1: list<WorkerKind> kinds }
+struct RackHardware { 1: list<WorkerKind> kinds, 2: i32 racks }
 struct HardwareDigest { 1: string data_centre, 2: i64 epoch, 3: list<RackHardware> racks }
 
 struct Envelope {
