--- a/packages/core/src/peridothatch_core/route/slots.py
+++ b/packages/core/src/peridothatch_core/route/slots.py
@@ -23,6 +23,7 @@
 def step(state: holding.State, event: agent_exchange.Event, now: float) -> Effects:
     """Handle one event; ``now`` is monotonic, in seconds."""
     effects = _HANDLERS[type(event)](state, event, now)
+    holding.note_leaving(state, now)
     effects += _run_timers(state, now)
     effects += _pass_queued(state, now)
     return effects
@@ -145,6 +146,7 @@
         record.phase = holding.Phase.PASSED
         state.calls.add(record.request.id)
         state.passed.add(record.request.id)
+        holding.note_passed(state, now)
         effects.append(agent_exchange.Call(record.request, max(0.001, record.deadline - now)))
     return effects
 
@@ -296,7 +298,7 @@
     effects: Effects = [agent_exchange.Send(peer_id, message) for peer_id in state.peers]
     # One lost slot is tried again at each heartbeat.
     found = state.lost_slots > 0
-    state.lost_slots -= found
+    state.lost_slots = max(0, state.lost_slots - 1)
     if found or state.heartbeats % HEARTBEATS_PER_ANNOUNCEMENT == 0:
         effects += _announce(state, state.peers)
     return effects
