--- a/scripts/capacity_calls.py
+++ b/scripts/capacity_calls.py
@@ -62,7 +62,7 @@
             await driver.change(run, "PUT", "/v1/classes/batch", work)
             yield run
             if run.problems:
-                raise RuntimeError("; ".join(run.problems))
+                raise RuntimeError(f"{len(run.problems)} problems, the first: {run.problems[0]}")
         finally:
             await driver.close(run)
             await installation.close(site)
@@ -100,7 +100,8 @@
 async def _request(run: driver.Driver, number: int) -> None:
     status, answer = await driver.call(
         run, "entry-dc", "POST", "/v1/services/notices/requests",
-        bearer=driver.token(CUSTOMER), body={"notice": f"n{number}"},
+        bearer=driver.token(CUSTOMER),
+        body={"operation": "notice", "notice": f"n{number}", "compound": "c1"},
         headers={"Peridothatch-Idempotent": "true", "Peridothatch-Deadline-Ms": "5000"},
     )  # fmt: skip
     if status != 200:
