Drive the decisions of the breach test by new configurations

Change: the test sends three configurations, each of which makes the planner decide. Conclusion: the test no longer depends on how often the planner decides by itself.

--- a/packages/daemon/tests/decide/test_hardware.py
+++ b/packages/daemon/tests/decide/test_hardware.py
@@ -208,6 +208,9 @@
     for run, name in ((1, "w1"), (2, "w2")):
         member = link.Member("j", run, job.Cell(0, name, (0,)), "running")
         bench.announce(name, (member,))
-    bench.run(5.0)
+    # Each new configuration makes the planner decide once more.
+    for revision in (2, 3, 4):
+        bench.configure(revision, {"x": datacentre.Service.IN})
+        bench.run(5.0)
     assert faults == []
     assert dump(bench.state)["breaches"] == {"guarantee_reclaimable": 2, "gang_whole": 1}
