--- a/packages/core/src/peridothatch_core/start/gang_member.py
+++ b/packages/core/src/peridothatch_core/start/gang_member.py
@@ -13,7 +13,6 @@
     service_proof,
 )
 
-GANG_LEASE_SECONDS = 60.0
 # Well within the worker's own task lease, which is not renewed while a task stops.
 CHECKPOINT_SECONDS = 15.0
 # In heartbeats of 2 s and not in seconds, so that a pause of the agent does not count. The worker
@@ -170,7 +169,7 @@
         return [_refuse(state, entry_id, message, gang_launch.STALE_PROOF)]
     state.revision = message.revision
     state.counters.starts += 1
-    held.started, held.lease_until = True, message.t0 + GANG_LEASE_SECONDS
+    held.started, held.lease_until = True, message.t0 + gang_stop.GANG_LEASE_SECONDS
     not_after = service_proof.not_after(message.t0, message.proof_age_seconds)
     held.not_after = not_after
     checkpoints = message.checkpoint.split("\n")
@@ -238,7 +237,7 @@
         held = state.held.get((ref.job, ref.run))
         if held is None or not held.started or held.stopping:
             continue
-        held.lease_until = max(held.lease_until, message.t0 + GANG_LEASE_SECONDS)
+        held.lease_until = max(held.lease_until, message.t0 + gang_stop.GANG_LEASE_SECONDS)
     return effects
 
 
--- a/packages/daemon/tests/decide/test_gang_faults.py
+++ b/packages/daemon/tests/decide/test_gang_faults.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies
 
 from peridothatch_core.model import job
-from peridothatch_core.start import gang_launch, gang_member, gang_stop, service_proof
+from peridothatch_core.start import gang_launch, gang_stop, service_proof
 from peridothatch_daemon.decide import policy
 
 FAULTS_END = 120.0
@@ -96,6 +96,5 @@
 
 def test_without_the_gang_lease_a_part_runs_alone(simulate, monkeypatch):
     """Guards against a check of partial gangs that finds none."""
-    monkeypatch.setattr(gang_member, "GANG_LEASE_SECONDS", 600.0)
     monkeypatch.setattr(gang_stop, "GANG_LEASE_SECONDS", 600.0)
     assert "has run alone" in breach(simulate, monkeypatch, ["island"])
