--- a/packages/core/src/peridothatch_core/start/gang_member.py
+++ b/packages/core/src/peridothatch_core/start/gang_member.py
@@ -77,7 +77,7 @@
                 state.epoch, state.planner = message.epoch, message.planner
             return []
         case link.HeartbeatAck():
-            return _acknowledged(state, entry_id, message)
+            return _acknowledged(state, entry_id, message, now)
         case link.Reserve() | link.Release() | link.Start() | link.Stop() | link.Checkpoint():
             return _from_planner(state, entry_id, message, now)
     return []
@@ -169,6 +169,10 @@
         return [_refuse(state, entry_id, message, gang_launch.STALE_PROOF)]
     state.revision = message.revision
     state.counters.starts += 1
+    # The revision that took the data centre out cannot carry a proof that it is in service.
+    out = message.revision == state.out_revision
+    if out and now - state.out_at > service_proof.PROOF_SECONDS:
+        state.counters.started_after_out += 1
     held.started, held.lease_until = True, message.t0 + gang_stop.GANG_LEASE_SECONDS
     not_after = service_proof.not_after(message.t0, message.proof_age_seconds)
     held.not_after = not_after
@@ -223,7 +227,7 @@
 
 
 def _acknowledged(
-    state: member_state.State, entry_id: str, message: link.HeartbeatAck
+    state: member_state.State, entry_id: str, message: link.HeartbeatAck, now: float
 ) -> _Effects:
     effects = member_report.announce(state, entry_id) if message.announce else []
     if not message.planner:
@@ -232,6 +236,8 @@
         state.counters.refused_epochs += 1
         return effects
     state.epoch, state.planner = message.epoch, entry_id
+    if not message.in_service and message.revision > max(state.revision, state.out_revision):
+        state.out_revision, state.out_at = message.revision, now
     state.revision = max(state.revision, message.revision)
     for ref in message.renewed:
         held = state.held.get((ref.job, ref.run))
--- a/packages/core/src/peridothatch_core/start/member_state.py
+++ b/packages/core/src/peridothatch_core/start/member_state.py
@@ -69,6 +69,7 @@
     lapsed_leases: int = 0
     taken_over: int = 0
     silent_worker: int = 0
+    started_after_out: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,6 +90,8 @@
         No start of an earlier agent process can still reach the worker.
     unlisted_beats : int
         Heartbeats since the worker last listed its tasks.
+    out_revision, out_at : int, float
+        Latest revision at which the data centre was out of service, and when it was heard of.
     planner : str
         Entry from which the highest epoch came.
     """
@@ -98,6 +101,8 @@
     worker: worker.Worker | None = None
     epoch: int = 0
     planner: str = ""
+    out_revision: int = 0
+    out_at: float = 0.0
     revision: int = 0
     listed: bool = False
     settled: bool = False
--- a/packages/daemon/src/peridothatch_daemon/decide/jobs.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/jobs.py
@@ -184,6 +184,8 @@
             jobs_read.refresh(state, message.job_id)
         case messages.GuaranteesShort():
             state.short[message.data_centre] = message.names
+        case messages.ConfigFresh():
+            pass
         case _:
             logger.error("jobs got an unexpected %s", type(message).__name__)
 
--- a/packages/daemon/src/peridothatch_daemon/decide/members.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/members.py
@@ -134,6 +134,7 @@
         "revision": state.revision,
         "entries": sorted(state.entries),
         "counters": dataclasses.asdict(state.counters),
+        "breaches": {"no_start_after_out": state.counters.started_after_out},
         "members": [
             {
                 "job": held.job,
--- a/packages/daemon/src/peridothatch_daemon/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/entry.py
@@ -224,8 +224,14 @@
         dumps=dumps,
         metrics=functools.partial(metrics.render, instruments),
     )
+    files = own_settings.http_tls
     where = http.Settings(
-        str(own_settings.http.host), own_settings.http.port, own.id, own.incarnation
+        str(own_settings.http.host),
+        own_settings.http.port,
+        own.id,
+        own.incarnation,
+        certificate_path=str(files.certificate_path) if files else "",
+        key_path=str(files.key_path) if files else "",
     )
     return await http.start(where, ports, inbox=deciding.http_inbox)
 
--- a/packages/daemon/src/peridothatch_daemon/intake/http.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/http.py
@@ -27,6 +27,8 @@
     ----------
     port : int
         0 lets the system choose; ``Intake.port`` has the choice.
+    certificate_path, key_path : str
+        Files in PEM form; without them the server speaks plain HTTP.
     """
 
     host: str
@@ -34,6 +36,8 @@
     entry_id: str
     incarnation: str
     limits: call.Limits = dataclasses.field(default_factory=call.Limits)
+    certificate_path: str = ""
+    key_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,7 +80,7 @@
     listener = socket.create_server(
         (settings.host, settings.port), backlog=BACKLOG, reuse_port=False
     )
-    server = uvicorn.Server(_server_config(state))
+    server = uvicorn.Server(_server_config(settings, state))
     # The process has its own signal handlers.
     server.capture_signals = contextlib.nullcontext  # type: ignore[method-assign]
     inbox = inbox or mailbox.create("http")
@@ -109,6 +113,8 @@
         match message:
             case messages.ConfigChanged(snapshot):
                 state.snapshot = snapshot
+            case messages.ConfigFresh():
+                pass
             case messages.Drain(reply):
                 state.draining = True
                 # A long poll would hold up the shutdown for as long as it may wait.
@@ -119,10 +125,12 @@
                 logger.error("http got an unexpected %s", type(message).__name__)
 
 
-def _server_config(state: call.State) -> uvicorn.Config:
+def _server_config(settings: Settings, state: call.State) -> uvicorn.Config:
     return uvicorn.Config(
         routes.application(state),
         http=protocol.bounded(state.limits),
+        ssl_certfile=settings.certificate_path or None,
+        ssl_keyfile=settings.key_path or None,
         log_config=None,
         access_log=False,
         lifespan="off",
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -149,6 +149,11 @@
         "Messages of a planner with a lower epoch, which were refused.",
         "None after a takeover; a steady rise means that a paused entry keeps sending.",
     ),
+    "started_after_out": Text(
+        "Starts more than 3 s after the agent heard that its data centre was out; counts as a "
+        "breach of `no_start_after_out`.",
+        "Keep the state dump and report a fault.",
+    ),
     "silent_worker": Text(
         "Times that the worker had not listed its tasks for so long that their leases lapsed.",
         "Look at the worker; its runs are started again elsewhere.",
--- a/packages/daemon/src/peridothatch_daemon/settings.py
+++ b/packages/daemon/src/peridothatch_daemon/settings.py
@@ -114,8 +114,7 @@
     )
     http_tls: Tls | None = pydantic.Field(
         None,
-        description="TLS of callers and operators. Not in effect: this version accepts the "
-        "setting and serves plain HTTP.",
+        description="TLS of callers and operators; they need no certificate of their own.",
     )
     store: Store = pydantic.Field(description="The table service.")
     data_centres: Annotated[list[DataCentre], pydantic.Field(min_length=1, max_length=64)] = (
--- a/packages/daemon/tests/processes/conftest.py
+++ b/packages/daemon/tests/processes/conftest.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import hashlib
+import pathlib
 
 import pytest
 
@@ -16,6 +17,17 @@
 )
 
 
+# Each test starts about twenty processes, so that only a few may run at a time.
+GROUPS = 3
+
+
+def pytest_collection_modifyitems(items):
+    here = pathlib.Path(__file__).parent
+    mine = [item for item in items if here in item.path.parents]
+    for index, item in enumerate(mine):
+        item.add_marker(pytest.mark.xdist_group(f"processes-{index % GROUPS}"))
+
+
 @pytest.fixture
 def running(tmp_path):
     """Return a function that starts an installation with a customer and a class."""
