Show per class how ended jobs compare with the target in the state dump

Cause: the state of an entry named the targets nowhere, so a class that misses its target could be seen only in the report of promises. Change: the planner counts the jobs that succeeded under it, met or missed, by class. Conclusion: /debug/state shows the target of each class against what was met since the planner took over.

--- a/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_state.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import logging
 import typing
 
+from peridothatch_core.configure import targets
 from peridothatch_core.message import link, store
 from peridothatch_core.model import config, datacentre, job, shape
 from peridothatch_core.place import decide as placing
@@ -123,6 +125,7 @@
     drains: list[mailbox.Reply] = dataclasses.field(default_factory=list)
     dirty: bool = False
     bad_rows: int = 0
+    ended: dict[str, collections.Counter[str]] = dataclasses.field(default_factory=dict)
 
 
 def tell_nobody(message: Notice) -> None:
@@ -327,6 +330,13 @@
     return lacking | homes.out_of_service(state.snapshot, state.settings.data_centre)
 
 
+def note_ended(state: State, saved: job.Job) -> None:
+    """Count a job that succeeded by whether it met the target of its class."""
+    if saved.state is job.State.SUCCEEDED:
+        met = "met" if saved.ended_at <= saved.due_at else "missed"
+        state.ended.setdefault(saved.work_class, collections.Counter())[met] += 1
+
+
 def dump(state: State, now: float) -> dict[str, typing.Any]:
     """Return the state as plain JSON types."""
     lease = state.lease
@@ -340,6 +350,7 @@
         "losses": lease.losses,
         "revision": state.snapshot.revision,
         "bad_rows": state.bad_rows,
+        "classes": _dump_classes(state),
         "guarantees_short": sorted(short(state)),
         "breaches": {
             "guarantee_reclaimable": state.breaches.guarantees,
@@ -366,3 +377,15 @@
         for gang in gangs.gangs.values()
     ]
     return dumped
+
+
+def _dump_classes(state: State) -> dict[str, typing.Any]:
+    """Return the target of each class and how the jobs that ended here compare with it."""
+    return {
+        name: {
+            "target": targets.text(item.target),
+            "met": state.ended.get(name, {}).get("met", 0),
+            "missed": state.ended.get(name, {}).get("missed", 0),
+        }
+        for name, item in state.snapshot.classes.items()
+    }
--- a/packages/daemon/src/peridothatch_daemon/decide/planner_store.py
+++ b/packages/daemon/src/peridothatch_daemon/decide/planner_store.py
@@ -127,6 +127,7 @@
         return
     if message.outcome is store.Outcome.APPLIED:
         _log_saved(effect.job)
+        planner_state.note_ended(state, effect.job)
     version = message.versions.get(rows.job_key(effect.job.id), 0)
     event = gang_event.Saved(effect.job.id, effect.attempt, message.outcome, version)
     planner_state.apply(state, event, now)
--- a/packages/daemon/tests/decide/test_planner.py
+++ b/packages/daemon/tests/decide/test_planner.py
@@ -1,12 +1,13 @@
 """Guards against a planner task that does not take a job from its row to its result."""
 
 import asyncio
+import dataclasses
 import json
 
 import pytest
 
 from peridothatch_core.message import link, store
-from peridothatch_core.model import config, datacentre, job, shape, worker
+from peridothatch_core.model import config, datacentre, job, shape, workclass, worker
 from peridothatch_core.place import decide as placing
 from peridothatch_core.place import fleet
 from peridothatch_core.start import member_state
@@ -198,3 +199,20 @@
         dumps.append(json.loads(json.dumps(await mailbox.wait(reply, 30))))
     assert (dumps[0]["mode"], dumps[0]["counters"]["runs_started"]) == ("holding", 1)
     assert (dumps[1]["epoch"], dumps[1]["counters"]["starts"]) == (1, 1)
+
+
+async def test_the_dump_compares_ended_jobs_with_the_target_of_their_class():
+    """Guards against a class that misses its target without a sign in the state."""
+    boxes = [mailbox.create(name) for name in ("p", "links", "rows")]
+    settings = planner_state.Settings("e1", "i1", "dc", "data_centre")
+    state = planner_state.create(
+        settings, *boxes, first_fit, planner_state.tell_nobody, lambda: 0.0, lambda: 0.0
+    )
+    kind = workclass.WorkClass(waiting_job("j").work_class, workclass.Within(60))
+    state.snapshot = config.Snapshot(1, classes={kind.name: kind})
+    for name, ended_at in (("a", 1.0), ("b", 2.0), ("c", 3.0)):
+        ended = {"state": job.State.SUCCEEDED, "due_at": 2.0, "ended_at": ended_at}
+        succeeded = dataclasses.replace(waiting_job(name), **ended)
+        planner_state.note_ended(state, succeeded)
+    shown = planner_state.dump(state, 0.0)["classes"]
+    assert shown == {kind.name: {"target": "within 1m", "met": 2, "missed": 1}}
