Pause after failed lease writes and after lists that are answered at once

A gang whose member was on a removed machine waited 11.5 s for that agent's lease to lapse.

Change: pauses of 0.3 s and 0.05 s; agents report the runs on their worker with checkpoints, and a gang of which a member ended as broken does not wait for a reported member on a silent agent.

--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -87,8 +87,19 @@
         state.fence += 1
     until = storeclock.latest_ms(state.clock, now) + state.hold_ms
     state.wanted_until_ms = max(until, state.wanted_until_ms + 1)
+    reports = tuple(
+        agents.RunReport(key[0], key[1], held.saved, held.percent)
+        for key, held in state.held.items()
+        if held.phase is states.Phase.RUNNING
+    )
     return agents.Agent(
-        state.node, state.zone, state.fence, state.lapses, state.wanted_until_ms, state.worker
+        state.node,
+        state.zone,
+        state.fence,
+        state.lapses,
+        state.wanted_until_ms,
+        state.worker,
+        reports,
     )
 
 
--- a/packages/core/src/peridothatch_core/hold/listing.py
+++ b/packages/core/src/peridothatch_core/hold/listing.py
@@ -121,10 +121,10 @@
 
 def _missing(state: states.State, key: states.RunKey, held: states.Held, listing: Listing) -> None:
     """Decide on a run that the list contains neither as running nor as ended."""
-    if held.phase is states.Phase.RUNNING:
-        # The list may have been made before the start was confirmed.
-        if listing.asked_at > held.confirmed_at and not held.stop:
-            held.stop = "the worker no longer lists the run"
+    # A list may have been made before the start was confirmed.
+    confirmed = held.phase is states.Phase.RUNNING and listing.asked_at > held.confirmed_at
+    if confirmed and not held.stop:
+        held.stop = "the worker no longer lists the run"
     if held.stopped_at is not None and listing.asked_at > held.stopped_at:
         ran = held.phase is states.Phase.RUNNING
         kind = steps.EndKind.LOST if ran else steps.EndKind.REJECTED
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -27,6 +27,9 @@
 RETRY_SECONDS = 0.25
 """Pause before a call without a usable answer is sent again."""
 
+LOOK_PAUSE_SECONDS = 0.05
+"""Least pause between lists: a worker may answer at once instead of waiting for an end."""
+
 LISTED_PAUSE_SECONDS = 0.3
 """Pause between lists while ends wait to be recorded."""
 
--- a/packages/core/src/peridothatch_core/hold/step.py
+++ b/packages/core/src/peridothatch_core/hold/step.py
@@ -175,6 +175,7 @@
 
 def _looked(state: states.State, listed: listing.Listing | None, now: float) -> None:
     state.looking = False
+    state.look_retry_at = now + states.LOOK_PAUSE_SECONDS
     if listed is None:
         state.look_retry_at = now + states.RETRY_SECONDS
         return
--- a/packages/core/src/peridothatch_core/model/agents.py
+++ b/packages/core/src/peridothatch_core/model/agents.py
@@ -40,6 +40,24 @@
     leaves_in_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunReport:
+    """A run on the worker when the agent last renewed its lease.
+
+    Attributes
+    ----------
+    saved : str
+        Newest checkpoint; empty when there is none.
+    percent : int
+        Progress, or the share at which a long-running task works.
+    """
+
+    task: str
+    attempt: int
+    saved: str
+    percent: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Agent:
     """An agent's row.
@@ -57,6 +75,8 @@
         Store time until which the agent may keep runs alive.
     worker : Worker or None
         The worker beside the agent, once it has announced itself.
+    runs : tuple of RunReport
+        Runs whose start the worker has confirmed.
     """
 
     node: str
@@ -65,3 +85,12 @@
     lapses: int
     hold_until_ms: int
     worker: Worker | None = None
+    runs: tuple[RunReport, ...] = ()
+
+
+def report(agent: Agent, task: str, attempt: int) -> RunReport | None:
+    """Return what an agent last reported of a run."""
+    for found in agent.runs:
+        if (found.task, found.attempt) == (task, attempt):
+            return found
+    return None
--- a/packages/core/src/peridothatch_core/model/steps.py
+++ b/packages/core/src/peridothatch_core/model/steps.py
@@ -172,6 +172,8 @@
         For each task the runs that failed; a gang uses only the first entry.
     failed_attempt : int
         Last attempt of a gang that was counted as failed.
+    broken_attempt : int
+        Last attempt of a gang of which a member ended as broken.
     saved : list of str
         For each task the newest checkpoint; a gang uses only the first entry.
     """
@@ -182,6 +184,7 @@
     attempts: list[int] = dataclasses.field(default_factory=list)
     failures: list[int] = dataclasses.field(default_factory=list)
     failed_attempt: int = 0
+    broken_attempt: int = 0
     saved: list[str] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
 
--- a/packages/core/src/peridothatch_core/schedule/leadership.py
+++ b/packages/core/src/peridothatch_core/schedule/leadership.py
@@ -21,6 +21,9 @@
 RENEW_SECONDS = 0.8
 """Three renewals may fail before the lease ends."""
 
+RETRY_SECONDS = 0.3
+"""Pause after a write of the lease that failed."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lease:
@@ -47,6 +50,8 @@
         When the write that is under way was sent, in local seconds.
     renewed_at : float
         When the last successful renewal was sent.
+    retry_at : float
+        When the next write may be sent.
     """
 
     me: str
@@ -57,6 +62,7 @@
     lease_version: int = 0
     sent_at: float | None = None
     renewed_at: float = -1e9
+    retry_at: float = -1e9
 
 
 def may_claim(state: Leadership, now_ms: int, patience_ms: int) -> bool:
--- a/packages/core/src/peridothatch_core/schedule/progress.py
+++ b/packages/core/src/peridothatch_core/schedule/progress.py
@@ -133,6 +133,8 @@
     state.retry_at[key] = now_ms + RETRY_DELAY_MS.get(kind, 0)
     if kind in WORKERS_AT_FAULT:
         _record_failure(state, job, progress, run, now_ms)
+    if step.gang and kind is steps.EndKind.BROKEN:
+        progress.broken_attempt = max(progress.broken_attempt, run.attempt)
     if step.gang:
         # A gang whose member is gone cannot work; its other members only hold room.
         for other in list(progress.runs):
--- a/packages/core/src/peridothatch_core/schedule/round.py
+++ b/packages/core/src/peridothatch_core/schedule/round.py
@@ -30,6 +30,7 @@
     _lapse(state, now_ms)
     _close_lost(state, now_ms)
     progress.take_ends(state, now_ms)
+    _close_broken(state, now_ms)
     _cancel(state, now_ms)
     _eject(state, now_ms)
     for job in list(state.jobs.values()):
@@ -86,12 +87,48 @@
             pending = states.change(state, job.id)
             pending.spare.append(tables.order(node, task, run_.attempt))
             pending.spare.append(tables.stop(node, task, run_.attempt))
+            known = agents.report(agent, task, run_.attempt) if agent else None
+            saved = known.saved if known else ""
             reason = "the agent's lease has lapsed"
             progress.record_end(
-                state, job, step_progress, run_, steps.EndKind.LAPSED, "", reason, now_ms
+                state, job, step_progress, run_, steps.EndKind.LAPSED, saved, reason, now_ms
             )
 
 
+def _close_broken(state: states.State, now_ms: int) -> None:
+    """Close the members of a broken gang whose agents are silent.
+
+    A worker ends a member as broken when another member has ended, so once one is broken no
+    member of that run works any more, and a member on a lost machine need not be waited for
+    until its lease lapses. A start that was never confirmed may still be carried out late, so
+    only members that an agent has reported count.
+    """
+    for node, entries in list(state.runs.items()):
+        agent = state.agents.get(node)
+        if agent is None or not _silent(state, agent, now_ms):
+            continue
+        for job, step_progress, run_ in list(entries):
+            task = steps.task_name(
+                job.id, step_progress.occurrence, step_progress.step, run_.index
+            )
+            known = agents.report(agent, task, run_.attempt)
+            if step_progress.broken_attempt != run_.attempt or known is None:
+                continue
+            states.close_run(state, job, step_progress, run_)
+            pending = states.change(state, job.id)
+            pending.spare.append(tables.order(node, task, run_.attempt))
+            pending.spare.append(tables.stop(node, task, run_.attempt))
+            reason = "another member ended as broken and the agent is silent"
+            progress.record_end(
+                state, job, step_progress, run_, steps.EndKind.BROKEN, known.saved, reason, now_ms
+            )
+
+
+def _silent(state: states.State, agent: agents.Agent, now_ms: int) -> bool:
+    rest_ms = agent.hold_until_ms - now_ms
+    return rest_ms < state.limits.hold_ms - states.RENEWED_WITHIN_MS
+
+
 def _cancel(state: states.State, now_ms: int) -> None:
     for job_id in list(state.cancelled):
         job = state.jobs.get(job_id)
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -5,11 +5,11 @@
 import dataclasses
 import typing
 
-from peridothatch_core.message import rows
 from peridothatch_core.model import steps, tables
 from peridothatch_core.place import ejection
 
 if typing.TYPE_CHECKING:
+    from peridothatch_core.message import rows
     from peridothatch_core.model import agents, desired
 
 START_WINDOW_MS = 2000
--- a/packages/core/src/peridothatch_core/schedule/writes.py
+++ b/packages/core/src/peridothatch_core/schedule/writes.py
@@ -7,11 +7,12 @@
 
 from peridothatch_core.message import rows
 from peridothatch_core.model import tables
-from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
 
+    from peridothatch_core.schedule import state as states
+
 ENTRIES = 96
 """Conditions and writes in one transaction; the store takes 100."""
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/__main__.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/__main__.py
@@ -8,9 +8,9 @@
 
 import result
 import typer
-from peridothatch_platform import settings
 
 from peridothatch_daemon.hosted import agent, entry, log
+from peridothatch_platform import settings
 
 EXIT_BAD_SETTINGS = 2
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/agent.py
@@ -5,12 +5,11 @@
 import dataclasses
 import typing
 
-from peridothatch_platform import checkins, settings, store, worker
-
 from peridothatch_core.hold import state
 from peridothatch_core.model import tables
 from peridothatch_daemon.hosted import clock, entry, keeper, log, observe, serving
 from peridothatch_daemon.observe import metrics
+from peridothatch_platform import checkins, settings, store, worker
 from peridothatch_wire import mailbox
 
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -7,11 +7,7 @@
 import secrets
 import typing
 
-from peridothatch_platform import ingress, operator, settings, store
-
-from peridothatch_core.message import rows
 from peridothatch_core.model import tables
-from peridothatch_core.reception import calls
 from peridothatch_core.schedule import state
 from peridothatch_daemon.hosted import (
     clock,
@@ -24,8 +20,13 @@
     serving,
 )
 from peridothatch_daemon.observe import metrics
+from peridothatch_platform import ingress, operator, settings, store
 from peridothatch_wire import mailbox
 
+if typing.TYPE_CHECKING:
+    from peridothatch_core.message import rows
+    from peridothatch_core.reception import calls
+
 STOP_SHARE = 0.6
 """Part of the time before a kill in which a stopping entry still answers: the balancer needs
 two missed probes to send new connections elsewhere."""
--- a/packages/daemon/src/peridothatch_daemon/hosted/keeper.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/keeper.py
@@ -144,8 +144,6 @@
         changed.append((tables.end(end.task, end.attempt), records.encode(end)))
         changed.append((tables.order(end.node, end.task, end.attempt), None))
         changed.append((tables.stop(end.node, end.task, end.attempt), None))
-        log.event("keeper:end", run=(end.task, end.attempt), kind=str(end.kind),
-                  saved=end.saved, reason=end.reason)  # fmt: skip
     transaction = rows.Transaction((rows.Condition(key, effect.version),), tuple(changed))
 
     def answer(done: rows.Committed) -> None:
@@ -225,7 +223,17 @@
             own.counters[name] = own.counters.get(name, 0) + 1
         case step.StopAnswered(key, confirmed):
             log.event("keeper:stop_answered", run=key, confirmed=confirmed)
-        case rows.Committed(outcome=outcome) if outcome is not rows.Outcome.COMMITTED:
+        case rows.Committed(outcome=rows.Outcome.COMMITTED):
+            for end in own.hold.written_ends.values():
+                log.event(
+                    "keeper:end_recorded",
+                    run=(end.task, end.attempt),
+                    how=str(end.kind),
+                    saved=end.saved,
+                    reason=end.reason,
+                    row_version=event.version,
+                )
+        case rows.Committed(outcome=outcome):
             log.event("keeper:write_failed", outcome=outcome.name, reason=event.reason)
         case step.CheckedIn(worker, sequence):
             known = own.hold.worker
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -169,7 +169,7 @@
     if not own.clock.now_ms or own.resigning is not None:
         return
     now_ms = storeclock.earliest_ms(own.clock, now)
-    if holder.sent_at is None:
+    if holder.sent_at is None and now >= holder.retry_at:
         if leadership.may_claim(holder, now_ms, _patience_ms(own)):
             _send_lease(own, Purpose.CLAIM, leadership.claim(holder, now_ms, records.encode), now)
         elif holder.leading and now - holder.renewed_at >= leadership.RENEW_SECONDS:
@@ -239,6 +239,8 @@
     sent_at = holder.sent_at or 0.0
     holder.sent_at = None
     committed = done.outcome is rows.Outcome.COMMITTED
+    if not committed:
+        holder.retry_at = clock.now() + leadership.RETRY_SECONDS
     match done.token:
         case Purpose.CLAIM if committed:
             leadership.lead(holder, done.version, sent_at)
