--- a/packages/core/src/peridothatch_core/hold/listing.py
+++ b/packages/core/src/peridothatch_core/hold/listing.py
@@ -57,6 +57,7 @@
     state.heard_at = listing.answered_at
     if not state.loaded:
         return
+    state.listed = True
     for ended in listing.ended:
         _take_end(state, ended)
     _forget_gaps(state)
--- a/packages/core/src/peridothatch_core/hold/orders.py
+++ b/packages/core/src/peridothatch_core/hold/orders.py
@@ -78,6 +78,8 @@
     if not state.registered or not state.loaded or state.worker is None:
         return
     yield from _look(state, now)
+    if not state.listed:
+        return
     for key, held in list(state.held.items()):
         if held.phase is states.Phase.ENDED or held.calling:
             continue
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -101,6 +101,9 @@
         Length of the lease at each renewal.
     loaded : bool
         The orders have been read; before that no run on the worker is known to be unwanted.
+    listed : bool
+        The worker has been asked for its runs since; before that a run of an earlier process
+        of this node looks like an order that was never carried out.
     registered : bool
         The agent's row carries this process's fence.
     version : int
@@ -145,6 +148,7 @@
     hold_ms: int
     clock: storeclock.StoreClock = dataclasses.field(default_factory=storeclock.StoreClock)
     loaded: bool = False
+    listed: bool = False
     registered: bool = False
     fence: int = 0
     lapses: int = 0
--- a/packages/daemon/src/peridothatch_daemon/hosted/desired_feed.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/desired_feed.py
@@ -40,8 +40,12 @@
                 name = evacuated(row.key)
                 (out.discard if row.value is None else out.add)(name)
         if newest is not None:
-            log.event("desired:read", version=newest.version,
-                      queues=len(newest.queues), customers=len(newest.tenancies))  # fmt: skip
+            log.event(
+                "desired:read",
+                version=newest.version,
+                queues=len(newest.queues),
+                customers=len(newest.tenancies),
+            )
         for inbox in inboxes:
             mailbox.post(inbox, messages.DesiredChanged(newest, message.asked_at))
             if message.rows or isinstance(message, rows.Snapshot):
--- a/packages/daemon/src/peridothatch_daemon/hosted/keeper.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/keeper.py
@@ -126,8 +126,14 @@
 def _start(own: _State, call: state.Start) -> None:
     spec = own.specs.get(call.order.job)
     if spec is not None:
-        log.event("keeper:start", run=call.key, deadline_ms=call.deadline_ms, fence=call.fence,
-                  start_by_ms=call.order.start_by_ms, checkpoint=call.order.checkpoint)  # fmt: skip
+        log.event(
+            "keeper:start",
+            run=call.key,
+            deadline_ms=call.deadline_ms,
+            fence=call.fence,
+            start_by_ms=call.order.start_by_ms,
+            checkpoint=call.order.checkpoint,
+        )
         mailbox.post(own.worker, dataclasses.replace(call, spec=spec))
         return
     waiting = own.starts.setdefault(call.order.job, [])
@@ -204,8 +210,13 @@
                 _step(own, step.OrderRemoved(key))
             continue
         order = records.decode(records.ORDER, row.value)
-        log.event("keeper:order", run=key, stop=is_stop, version=row.version,
-                  start_by_ms=order.start_by_ms)  # fmt: skip
+        log.event(
+            "keeper:order",
+            run=key,
+            stop=is_stop,
+            version=row.version,
+            start_by_ms=order.start_by_ms,
+        )
         _step(own, step.StopAdded(key, order) if is_stop else step.OrderAdded(key, order))
 
 
@@ -238,10 +249,17 @@
         case step.CheckedIn(worker, sequence):
             known = own.hold.worker
             if known is None or (known.instance, known.born_ms, known.state) != (
-                worker.instance, worker.born_ms, worker.state,
-            ):  # fmt: skip
-                log.event("keeper:worker", instance=worker.instance, born_ms=worker.born_ms,
-                          state=str(worker.state), sequence=sequence)  # fmt: skip
+                worker.instance,
+                worker.born_ms,
+                worker.state,
+            ):
+                log.event(
+                    "keeper:worker",
+                    instance=worker.instance,
+                    born_ms=worker.born_ms,
+                    state=str(worker.state),
+                    sequence=sequence,
+                )
         case step.Left(instance):
             log.event("keeper:worker_left", instance=instance)
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -289,9 +289,13 @@
         case rows.Outcome.COMMITTED | rows.Outcome.CONFLICT:
             # A job under the id that exists already is the same job.
             _accept(
-                state, pending.call, pending.admitted, pending.reply, pending.arrived_at,
+                state,
+                pending.call,
+                pending.admitted,
+                pending.reply,
+                pending.arrived_at,
                 done.outcome.name.lower(),
-            )  # fmt: skip
+            )
         case rows.Outcome.NOT_DONE:
             if now < pending.give_up_at or pending.unsure:
                 messages.later(state.inbox, messages.Retry(pending), 0.06)
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -256,8 +256,12 @@
             if own.resigning is not None:
                 mailbox.answer(own.resigning, committed)
         case _:
-            log.event("scheduler:lease_write_failed", purpose=done.token.name,
-                      outcome=done.outcome.name, reason=done.reason)  # fmt: skip
+            log.event(
+                "scheduler:lease_write_failed",
+                purpose=done.token.name,
+                outcome=done.outcome.name,
+                reason=done.reason,
+            )
 
 
 def _batch_committed(own: _State, batch: writes.Batch, done: rows.Committed) -> None:
@@ -273,8 +277,12 @@
             log.event("scheduler:write_refused", reason=done.reason, jobs=batch.jobs)
             messages.later(own.inbox, _Resend(), RETRY_SECONDS)
         case _:
-            log.event("scheduler:write_unclear", outcome=done.outcome.name,
-                      reason=done.reason, jobs=batch.jobs)  # fmt: skip
+            log.event(
+                "scheduler:write_unclear",
+                outcome=done.outcome.name,
+                reason=done.reason,
+                jobs=batch.jobs,
+            )
             _count_up(own, f"writes_{done.outcome.name.lower()}")
             _load(own)
 
@@ -291,8 +299,12 @@
         agent = schedule.lapsing.pop(node)
         schedule.agents[node] = agent
         schedule.agent_versions[node] = version
-        log.event("scheduler:lapsed", worker_node=node, lapses=agent.lapses,
-                  hold_until_ms=agent.hold_until_ms)  # fmt: skip
+        log.event(
+            "scheduler:lapsed",
+            worker_node=node,
+            lapses=agent.lapses,
+            hold_until_ms=agent.hold_until_ms,
+        )
 
 
 def _load(own: _State) -> None:
@@ -332,8 +344,13 @@
         _take_agent(own, row)
     own.loading = False
     own.work = None
-    log.event("scheduler:loaded", jobs=len(fresh.jobs), agents=len(fresh.agents),
-              ends=len(fresh.ends), version=own.floor)  # fmt: skip
+    log.event(
+        "scheduler:loaded",
+        jobs=len(fresh.jobs),
+        agents=len(fresh.agents),
+        ends=len(fresh.ends),
+        version=own.floor,
+    )
 
 
 def _follow(own: _State, message: rows.Snapshot | rows.Changes) -> None:
