--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = core wire daemon client standins
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(foreach p,$(SOURCES),$(CURDIR)/packages/$(p)/src))
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(SOURCES),$(CURDIR)/packages/$(p)/src) $(CURDIR)/platform)
 
 .PHONY: setup test lint check format demo capacity bench docs clean
 
@@ -14,12 +14,13 @@
 setup:
 endif
 
-$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(PYTHON) || python3.11 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt setuptools
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt --no-build-isolation \
-		$(foreach p,$(SOURCES),--editable packages/$(p))
+		$(foreach p,$(SOURCES),--editable packages/$(p)) \
+		--editable platform
 	touch $@
 
 lint: setup
--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from peridothatch_core.hold import exchange
 from peridothatch_core.hold import state as states
 from peridothatch_core.message import rows
 from peridothatch_core.model import agents, storeclock
@@ -15,13 +16,13 @@
 """Ends recorded in one transaction; each takes up to three of its 100 entries."""
 
 
-def writes(state: states.State, now: float) -> Iterator[states.Effect]:
+def writes(state: states.State, now: float) -> Iterator[exchange.Effect]:
     """Yield the write or read of the row that is due."""
     if state.writing or now < state.write_retry_at:
         return
     if not state.version and not state.registered and not state.clock.now_ms:
         state.writing = True
-        yield states.ReadRow()
+        yield exchange.ReadRow()
         return
     due = now - state.renewed_at >= states.RENEW_SECONDS
     if state.registered and not (due or state.dirty or state.ends):
@@ -29,19 +30,21 @@
     state.writing = True
     state.dirty = False
     state.written_ends = dict(sorted(state.ends.items(), reverse=True)[-ENDS_PER_WRITE:])
-    yield states.WriteRow(_next_row(state, now), state.version, tuple(state.written_ends.values()))
+    yield exchange.WriteRow(
+        _next_row(state, now), state.version, tuple(state.written_ends.values())
+    )
 
 
 def take_row(
     state: states.State, row: agents.Agent | None, version: int, now: float
-) -> Iterator[states.Effect]:
+) -> Iterator[exchange.Effect]:
     """Take over the row as it was read."""
     state.writing = False
     if row is None:
         state.version = 0
         return
     if state.registered and row.fence > state.fence:
-        yield states.Replaced(row.fence)
+        yield exchange.Replaced(row.fence)
         return
     committed = state.registered and row.hold_until_ms == state.wanted_until_ms
     state.version = version
@@ -56,7 +59,7 @@
         _forget_written(state)
 
 
-def wrote(state: states.State, done: rows.Committed, now: float) -> Iterator[states.Effect]:
+def wrote(state: states.State, done: rows.Committed, now: float) -> Iterator[exchange.Effect]:
     """Take over the outcome of a write of the row."""
     state.writing = False
     match done.outcome:
@@ -73,7 +76,7 @@
             # Another write came between, or the answer was lost: the row tells which.
             state.dirty = True
             state.writing = True
-            yield states.ReadRow()
+            yield exchange.ReadRow()
 
 
 def read_failed(state: states.State, now: float) -> None:
--- a/packages/core/src/peridothatch_core/hold/listing.py
+++ b/packages/core/src/peridothatch_core/hold/listing.py
@@ -2,55 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
-
+from peridothatch_core.hold import exchange
 from peridothatch_core.hold import state as states
 from peridothatch_core.model import steps
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ListedRun:
-    """A run in a worker's list; ``percent`` is its progress."""
-
-    task: str
-    attempt: int
-    saved: str
-    percent: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ListedEnd:
-    """An end in a worker's list; numbers rise within a life of the worker."""
-
-    number: int
-    task: str
-    attempt: int
-    kind: steps.EndKind
-    saved: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Listing:
-    """A worker's answer to ``Look``.
-
-    Attributes
-    ----------
-    born_ms : int
-        Start of the life that answered; 0 when it did not say.
-    asked_at, answered_at : float
-        Local seconds around the call.
-    """
-
-    instance: str
-    born_ms: int
-    clock_ms: int
-    running: tuple[ListedRun, ...]
-    ended: tuple[ListedEnd, ...]
-    asked_at: float
-    answered_at: float
-
-
-def take(state: states.State, listing: Listing) -> None:
+def take(state: states.State, listing: exchange.Listing) -> None:
     """Take over a list of the present life of the worker."""
     state.worker_clock_ms = listing.clock_ms
     state.worker_clock_at = listing.answered_at
@@ -80,7 +37,7 @@
 
 
 def record(
-    state: states.State, key: states.RunKey, kind: steps.EndKind, saved: str, reason: str
+    state: states.State, key: exchange.RunKey, kind: steps.EndKind, saved: str, reason: str
 ) -> None:
     """Note an end that the worker does not list, for the next write."""
     held = state.held[key]
@@ -93,7 +50,7 @@
     state.ends[state.own_ends] = held.end
 
 
-def _take_end(state: states.State, ended: ListedEnd) -> None:
+def _take_end(state: states.State, ended: exchange.ListedEnd) -> None:
     if ended.number <= state.last_seen or ended.number in state.ends:
         return
     if ended.number in state.ignorable:
@@ -120,7 +77,9 @@
         state.ignorable.discard(state.last_seen)
 
 
-def _missing(state: states.State, key: states.RunKey, held: states.Held, listing: Listing) -> None:
+def _missing(
+    state: states.State, key: exchange.RunKey, held: states.Held, listing: exchange.Listing
+) -> None:
     """Decide on a run that the list contains neither as running nor as ended."""
     # A list may have been made before the start was confirmed.
     confirmed = held.phase is states.Phase.RUNNING and listing.asked_at > held.confirmed_at
--- a/packages/core/src/peridothatch_core/hold/orders.py
+++ b/packages/core/src/peridothatch_core/hold/orders.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import enum
 import typing
 
-from peridothatch_core.hold import listing
+from peridothatch_core.hold import exchange, listing
 from peridothatch_core.hold import state as states
 from peridothatch_core.model import agents, steps, storeclock
 
@@ -22,16 +21,7 @@
 """The same while a stop may have barred a run that never began, which no end will tell."""
 
 
-class StartOutcome(enum.Enum):
-    """Answer of a worker to a start."""
-
-    STARTED = enum.auto()
-    REFUSED = enum.auto()
-    BUSY = enum.auto()
-    NO_ANSWER = enum.auto()
-
-
-def load(state: states.State, orders: dict[states.RunKey, steps.Order]) -> None:
+def load(state: states.State, orders: dict[exchange.RunKey, steps.Order]) -> None:
     """Take over all orders in the store, after the start or after the feed lost its history."""
     first = not state.loaded
     state.loaded = True
@@ -45,7 +35,7 @@
             remove(state, key)
 
 
-def add(state: states.State, key: states.RunKey, order: steps.Order) -> None:
+def add(state: states.State, key: exchange.RunKey, order: steps.Order) -> None:
     """Take over an order."""
     held = state.held.get(key)
     if held is None:
@@ -55,7 +45,7 @@
         held.stop = ""
 
 
-def remove(state: states.State, key: states.RunKey) -> None:
+def remove(state: states.State, key: exchange.RunKey) -> None:
     """Take over that the scheduler has withdrawn an order: its run is over or must end."""
     held = state.held.get(key)
     if held is None or held.phase is states.Phase.ENDED:
@@ -66,14 +56,14 @@
         del state.held[key]
 
 
-def stop(state: states.State, key: states.RunKey, order: steps.Order) -> None:
+def stop(state: states.State, key: exchange.RunKey, order: steps.Order) -> None:
     """Take over that a run is to stop; it may be one that this process does not know."""
     held = state.held.setdefault(key, states.Held(order, unsure=True))
     if held.phase is not states.Phase.ENDED:
         held.stop = held.stop or "stopped by the scheduler"
 
 
-def calls(state: states.State, now: float) -> Iterator[states.Effect]:
+def calls(state: states.State, now: float) -> Iterator[exchange.Effect]:
     """Yield the calls to the worker that are due."""
     if not state.registered or not state.loaded or state.worker is None:
         return
@@ -92,8 +82,8 @@
 
 def started(
     state: states.State,
-    key: states.RunKey,
-    outcome: StartOutcome,
+    key: exchange.RunKey,
+    outcome: exchange.StartOutcome,
     reason: str,
     now: float,
 ) -> None:
@@ -105,19 +95,19 @@
     if held.phase is not states.Phase.WAITING:
         return
     match outcome:
-        case StartOutcome.STARTED:
+        case exchange.StartOutcome.STARTED:
             held.phase = states.Phase.RUNNING
             held.confirmed_at = held.moved_at = now
-        case StartOutcome.REFUSED:
+        case exchange.StartOutcome.REFUSED:
             held.stop = held.stop or f"the worker refused the start: {reason}"
-        case StartOutcome.BUSY:
+        case exchange.StartOutcome.BUSY:
             held.retry_at = now + states.RETRY_SECONDS
-        case StartOutcome.NO_ANSWER:
+        case exchange.StartOutcome.NO_ANSWER:
             held.unsure = True
             held.retry_at = now + states.RETRY_SECONDS
 
 
-def stopped(state: states.State, key: states.RunKey, confirmed: bool, now: float) -> None:
+def stopped(state: states.State, key: exchange.RunKey, confirmed: bool, now: float) -> None:
     """Take over the worker's answer to a stop."""
     held = state.held.get(key)
     if held is None:
@@ -129,7 +119,7 @@
         held.retry_at = now + states.RETRY_SECONDS
 
 
-def _look(state: states.State, now: float) -> Iterator[states.Effect]:
+def _look(state: states.State, now: float) -> Iterator[exchange.Effect]:
     if state.looking or now < state.look_retry_at or state.worker is None:
         return
     state.looking = True
@@ -143,7 +133,7 @@
         wait_ms = 0
     elif stopping:
         wait_ms = STOPPING_LOOK_MS
-    yield states.Look(
+    yield exchange.Look(
         state.worker.instance,
         states.deadline_ms(state, now),
         state.fence,
@@ -173,20 +163,20 @@
 
 
 def _start(
-    state: states.State, key: states.RunKey, held: states.Held, now: float
-) -> Iterator[states.Effect]:
+    state: states.State, key: exchange.RunKey, held: states.Held, now: float
+) -> Iterator[exchange.Effect]:
     deadline = states.deadline_ms(state, now)
     rest = states.horizon(state) - now
     if held.order is None or deadline is None or rest < states.START_REST_SECONDS:
         return
     if now >= held.retry_at:
         held.calling = True
-        yield states.Start(key, held.order, deadline, state.fence)
+        yield exchange.Start(key, held.order, deadline, state.fence)
 
 
 def _stop(
-    state: states.State, key: states.RunKey, held: states.Held, now: float
-) -> Iterator[states.Effect]:
+    state: states.State, key: exchange.RunKey, held: states.Held, now: float
+) -> Iterator[exchange.Effect]:
     if held.phase is states.Phase.WAITING and not held.unsure:
         if held.order is None:
             del state.held[key]
@@ -195,4 +185,4 @@
         return
     if held.stopped_at is None and now >= held.retry_at:
         held.calling = True
-        yield states.Stop(key, states.instance(state), state.fence)
+        yield exchange.Stop(key, states.instance(state), state.fence)
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -9,9 +9,13 @@
 
 import dataclasses
 import enum
+from typing import TYPE_CHECKING
 
 from peridothatch_core.model import agents, steps, storeclock
 
+if TYPE_CHECKING:
+    from peridothatch_core.hold import exchange
+
 SLOWEST_CLOCK = 0.98
 """Least rate of a worker's clock."""
 
@@ -40,8 +44,6 @@
 """Time before a draining worker leaves at which checkpointing runs are stopped: the stop takes
 up to the grace of a kill, and its end must reach the store."""
 
-RunKey = tuple[str, int]
-
 
 class Phase(enum.Enum):
     """Where a run stands on its worker."""
@@ -173,68 +175,7 @@
     own_ends: int = 0
     looking: bool = False
     look_retry_at: float = 0.0
-    held: dict[RunKey, Held] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Start:
-    """Call: start a run; the specification is added once it has been read."""
-
-    key: RunKey
-    order: steps.Order
-    deadline_ms: int
-    fence: int
-    spec: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stop:
-    """Call: stop a run and bar it from starting later."""
-
-    key: RunKey
-    instance: str
-    fence: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Look:
-    """Call: extend the deadline of all runs and list runs and ends.
-
-    Attributes
-    ----------
-    wait_ms : int
-        How long the worker may wait for an end before it answers.
-    """
-
-    instance: str
-    deadline_ms: int | None
-    fence: int
-    last_seen: int
-    wait_ms: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WriteRow:
-    """Write the agent's row with new ends, under the condition of its version."""
-
-    row: agents.Agent
-    version: int
-    ends: tuple[steps.End, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReadRow:
-    """Read the agent's own row."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Replaced:
-    """Another process of this node has registered; this one must end."""
-
-    fence: int
-
-
-Effect = Start | Stop | Look | WriteRow | ReadRow | Replaced
+    held: dict[exchange.RunKey, Held] = dataclasses.field(default_factory=dict)
 
 
 def horizon(state: State) -> float:
--- /dev/null
+++ b/packages/core/tests/hold/hold_harness.py
@@ -0,0 +1,75 @@
+"""An agent's state, and events for it."""
+
+from peridothatch_core.hold import exchange, state, step
+from peridothatch_core.message import rows
+from peridothatch_core.model import agents, steps
+
+BORN_MS = 1_000
+TASK = "00000000000000aa.0.0.0"
+KEY = (TASK, 1)
+
+
+def worker(**changes):
+    fields = {
+        "instance": "w-1",
+        "born_ms": BORN_MS,
+        "service": "render",
+        "zone": "accra-a",
+        "state": agents.WorkerState.READY,
+        "capacity": steps.Demand(64_000, 256_000, 8),
+        "kind": "a",
+        "rack": "r1",
+    }
+    return agents.Worker(**fields | changes)
+
+
+def order(task=TASK, attempt=1, start_by_ms=12_000, **changes):
+    fields = {"job": task.split(".")[0], "task": task, "attempt": attempt, "instance": "w-1",
+              "born_ms": BORN_MS, "start_by_ms": start_by_ms}  # fmt: skip
+    return steps.Order(**fields | changes)
+
+
+def listing(now, running=(), ended=(), born_ms=BORN_MS, clock_ms=None):
+    return exchange.Listing(
+        "w-1",
+        born_ms,
+        int(1000 * now) if clock_ms is None else clock_ms,
+        tuple(exchange.ListedRun(*run) for run in running),
+        tuple(exchange.ListedEnd(*end) for end in ended),
+        now - 0.001,
+        now,
+    )
+
+
+def committed(effect, now, outcome=rows.Outcome.COMMITTED, version=None):
+    """Return the store's answer to a write; its clock reads the same as the local one."""
+    return rows.Committed(
+        "row", outcome, version or effect.version + 1, int(1000 * now), now - 0.01, now
+    )
+
+
+def only(effects, kind):
+    found = [effect for effect in effects if isinstance(effect, kind)]
+    assert len(found) == 1, effects
+    return found[0]
+
+
+def none(effects, kind):
+    assert not [effect for effect in effects if isinstance(effect, kind)], effects
+
+
+def registered(now=10.0, orders=None, stops=None, listed=True):
+    """Return an agent that holds its lease and has read its orders at ``now``."""
+    held = state.State("side-1", "accra-a", 9_500)
+    step.step(held, exchange.Tick(), now)
+    step.step(held, exchange.StoreTime(int(1000 * now), now - 0.01, now), now)
+    effects = step.step(held, exchange.RowRead(True, None, 0), now)
+    write = only(effects, exchange.WriteRow)
+    step.step(held, exchange.CheckedIn(worker(), 1), now)
+    effects = step.step(held, committed(write, now, version=7), now)
+    write = only(effects, exchange.WriteRow)
+    step.step(held, committed(write, now, version=8), now)
+    step.step(held, exchange.OrdersLoaded(orders or {}, stops or {}), now)
+    if listed:
+        step.step(held, exchange.Looked(listing(now)), now)
+    return held
--- /dev/null
+++ b/packages/core/tests/hold/test_hold.py
@@ -0,0 +1,177 @@
+import hold_harness as harness
+import hypothesis
+from hypothesis import strategies
+
+from peridothatch_core.hold import exchange, state, step
+from peridothatch_core.message import rows
+from peridothatch_core.model import agents, steps
+
+
+def test_an_order_is_started_within_the_promise_of_the_row():
+    held = harness.registered()
+    effects = step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
+    start = harness.only(effects, exchange.Start)
+    assert start.deadline_ms < held.hold_until_ms
+    assert start.fence == held.fence
+
+
+def test_a_restarted_agent_does_not_stop_runs_before_it_has_seen_the_list():
+    # An adopted run whose time to start is over looked like an order that was never carried out.
+    late = {harness.KEY: harness.order(start_by_ms=1)}
+    held = harness.registered(orders=late, listed=False)
+    assert not held.held[harness.KEY].stop
+    harness.none(step.step(held, exchange.Tick(), 10.2), exchange.Stop)
+    running = harness.listing(10.3, running=[(harness.TASK, 1, "c1", 40)])
+    harness.none(step.step(held, exchange.Looked(running), 10.3), exchange.Stop)
+    assert held.held[harness.KEY].phase is state.Phase.RUNNING
+
+
+def test_an_order_that_was_never_carried_out_is_rejected_once_its_time_is_over():
+    held = harness.registered()
+    step.step(held, exchange.OrderAdded(harness.KEY, harness.order(start_by_ms=5_000)), 10.1)
+    assert [end.kind for end in held.ends.values()] == [steps.EndKind.REJECTED]
+
+
+def test_an_unanswered_start_is_barred_before_it_counts_as_rejected():
+    # A start without an answer may be carried out seconds later.
+    held = harness.registered()
+    step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
+    step.step(held, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.NO_ANSWER), 10.9)
+    effects = step.step(held, exchange.Tick(), 12.5)
+    harness.only(effects, exchange.Stop)
+    assert not held.ends
+    effects = step.step(held, exchange.StopAnswered(harness.KEY, True), 12.6)
+    assert not held.ends
+    step.step(held, exchange.Looked(harness.listing(12.8)), 12.8)
+    assert [end.kind for end in held.ends.values()] == [steps.EndKind.REJECTED]
+
+
+def test_the_worker_may_forget_an_end_only_when_it_is_in_the_store():
+    held = harness.registered(orders={harness.KEY: harness.order()})
+    ended = harness.listing(11.0, ended=[(1, harness.TASK, 1, steps.EndKind.DONE, "")])
+    write = harness.only(step.step(held, exchange.Looked(ended), 11.0), exchange.WriteRow)
+    assert [end.kind for end in write.ends] == [steps.EndKind.DONE]
+    assert held.last_seen == 0
+    step.step(held, harness.committed(write, 11.1), 11.1)
+    assert held.last_seen == 1
+    assert not held.held
+
+
+def test_ends_that_wait_for_the_store_do_not_make_the_agent_ask_without_a_pause():
+    # The worker answers at once as long as it lists ends; the agent asked 53,000 times a day.
+    held = harness.registered(orders={harness.KEY: harness.order()})
+    held.writing = True
+    ended = harness.listing(11.0, ended=[(1, harness.TASK, 1, steps.EndKind.DONE, "")])
+    harness.none(step.step(held, exchange.Looked(ended), 11.0), exchange.Look)
+    harness.only(step.step(held, exchange.Tick(), 11.5), exchange.Look)
+
+
+def test_a_lost_answer_is_settled_by_reading_the_row_back():
+    held = harness.registered(orders={harness.KEY: harness.order()})
+    ended = harness.listing(11.0, ended=[(1, harness.TASK, 1, steps.EndKind.DONE, "")])
+    write = harness.only(step.step(held, exchange.Looked(ended), 11.0), exchange.WriteRow)
+    unknown = harness.committed(write, 12.0, rows.Outcome.UNKNOWN)
+    harness.only(step.step(held, unknown, 12.0), exchange.ReadRow)
+    step.step(held, exchange.RowRead(True, write.row, 55), 12.1)
+    assert held.version == 55
+    assert held.last_seen == 1
+
+
+def test_a_process_ends_when_another_of_its_node_has_registered():
+    held = harness.registered()
+    write = harness.only(step.step(held, exchange.Tick(), 13.0), exchange.WriteRow)
+    conflict = harness.committed(write, 13.1, rows.Outcome.CONFLICT)
+    step.step(held, conflict, 13.1)
+    other = agents.Agent("side-1", "accra-a", held.fence + 1, 0, 30_000)
+    effects = step.step(held, exchange.RowRead(True, other, 90), 13.2)
+    assert harness.only(effects, exchange.Replaced).fence == held.fence + 1
+
+
+def test_a_draining_worker_gets_no_start():
+    held = harness.registered()
+    leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=5_000)
+    step.step(held, exchange.CheckedIn(leaving, 2), 10.1)
+    effects = step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.2)
+    harness.none(effects, exchange.Start)
+    assert [end.kind for end in held.ends.values()] == [steps.EndKind.REJECTED]
+
+
+def test_checkpointing_runs_are_saved_before_a_draining_worker_leaves():
+    adopted = {harness.KEY: harness.order(checkpointing=True)}
+    held = harness.registered(orders=adopted, listed=False)
+    running = harness.listing(10.1, running=[(harness.TASK, 1, "c1", 40)])
+    step.step(held, exchange.Looked(running), 10.1)
+    leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=3_000)
+    harness.none(step.step(held, exchange.CheckedIn(leaving, 2), 10.2), exchange.Stop)
+    harness.only(step.step(held, exchange.Tick(), 11.9), exchange.Stop)
+
+
+def test_a_new_life_of_the_worker_ends_what_the_old_one_ran():
+    held = harness.registered(orders={harness.KEY: harness.order()})
+    running = harness.listing(10.1, running=[(harness.TASK, 1, "c1", 40)])
+    step.step(held, exchange.Looked(running), 10.1)
+    step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000), 0), 10.5)
+    assert [(end.kind, end.saved) for end in held.ends.values()] == [(steps.EndKind.LOST, "c1")]
+    assert held.last_seen == 0
+
+
+def test_a_late_check_in_of_an_earlier_life_is_ignored():
+    held = harness.registered()
+    step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000, instance="w-2"), 0), 10.5)
+    step.step(held, exchange.CheckedIn(harness.worker(), 50), 10.6)
+    assert held.worker.instance == "w-2"
+
+
+def test_a_run_that_no_order_asks_for_is_stopped():
+    held = harness.registered()
+    running = harness.listing(10.1, running=[(harness.TASK, 1, "", 40)])
+    effects = step.step(held, exchange.Looked(running), 10.2)
+    assert harness.only(effects, exchange.Stop).key == harness.KEY
+
+
+def test_a_stop_of_an_unknown_run_is_answered_with_an_end():
+    # The scheduler waits for the end of each run that it has ordered to stop.
+    held = harness.registered(stops={harness.KEY: harness.order()})
+    step.step(held, exchange.StopAnswered(harness.KEY, True), 10.3)
+    step.step(held, exchange.Looked(harness.listing(10.6)), 10.6)
+    assert [end.kind for end in held.ends.values()] == [steps.EndKind.REJECTED]
+
+
+def test_nothing_starts_when_the_lease_is_nearly_over():
+    held = harness.registered()
+    held.writing = True
+    late = harness.order(start_by_ms=60_000)
+    effects = step.step(held, exchange.OrderAdded(harness.KEY, late), 18.5)
+    harness.none(effects, exchange.Start)
+
+
+@hypothesis.given(
+    store_delay=strategies.floats(0, 1.0),
+    store_answer=strategies.floats(0, 1.0),
+    worker_delay=strategies.floats(0, 1.0),
+    worker_answer=strategies.floats(0, 1.0),
+    pause=strategies.floats(0, 5.0),
+    rate=strategies.floats(state.SLOWEST_CLOCK, 1.0),
+    offset=strategies.integers(-10_000_000, 10_000_000),
+)
+def test_the_worker_stops_before_the_promise_in_the_store_ends(
+    store_delay, store_answer, worker_delay, worker_answer, pause, rate, offset
+):
+    # Whatever the delays, the skew and the rate of the worker's clock, the deadline comes first.
+    asked = 100.0
+    store_read = asked + store_delay
+    answered = store_read + store_answer
+    store_ms = int(1000 * store_read) + offset
+    held = state.State("side-1", "accra-a", 9_500)
+    held.clock.now_ms, held.clock.asked_at, held.clock.answered_at = store_ms, asked, answered
+    held.hold_until_ms = store_ms + 9_500
+    worker_asked = answered + pause
+    worker_read = worker_asked + worker_delay
+    held.worker_clock_ms = int(1000 * rate * worker_read)
+    held.worker_clock_at = worker_read + worker_answer
+    deadline = state.deadline_ms(held, held.worker_clock_at)
+    if deadline is None:
+        return
+    ends_at = worker_read + max(0, deadline - held.worker_clock_ms) / 1000.0 / rate
+    promise_ends_at = store_read + 9.5
+    assert ends_at <= promise_ends_at
--- /dev/null
+++ b/packages/core/tests/reception/test_admission.py
@@ -0,0 +1,54 @@
+import result
+
+from peridothatch_core.model import desired, verdict
+from peridothatch_core.reception import admission
+
+STATE = desired.DesiredState(
+    3,
+    queues=(
+        desired.Queue("wide", "a.example", "/jobs/", "render", 1, 3, 2.0, 500),
+        desired.Queue("deep", "a.example", "/jobs/urgent/", "render", 0, 3, 2.0, 500),
+        desired.Queue("free", "b.example", "/open/", "render", 2, 3, 2.0, 500, open=True),
+    ),
+    tenancies=(desired.Tenancy("ministry", frozenset({"k1"}), 8),),
+)
+
+
+def _admit(path="/jobs/x", host="a.example", key="k1", age=1.0, state=STATE):
+    return admission.admit(state, age, 5.0, host, path, key)
+
+
+def _code(admitted):
+    assert isinstance(admitted, result.Err)
+    assert admitted.err_value.verdict is verdict.Verdict.NOT_RUN
+    return admitted.err_value.code
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    admitted = _admit("/jobs/urgent/77").ok_value
+    assert (admitted.queue.name, admitted.rest, admitted.customer) == ("deep", "77", "ministry")
+
+
+def test_an_unknown_path_or_host_is_not_found():
+    assert _code(_admit("/other/1")) is verdict.Code.NOT_FOUND
+    assert _code(_admit(host="c.example")) is verdict.Code.NOT_FOUND
+
+
+def test_an_unknown_key_is_refused_and_an_open_queue_needs_none():
+    assert _code(_admit(key="gone")) is verdict.Code.UNAUTHORIZED
+    assert _admit("/open/1", "b.example", key="").ok_value.customer == ""
+
+
+def test_keys_are_not_trusted_on_an_old_desired_state():
+    # A key that was taken away must not work on a machine that is cut off from the store.
+    assert _code(_admit(age=4.1)) is verdict.Code.STORE_UNAVAILABLE
+    assert isinstance(_admit(age=3.9), result.Ok)
+
+
+def test_an_unknown_path_is_not_refused_for_good_on_an_old_desired_state():
+    # The queue may have been added since.
+    assert _code(_admit("/other/1", age=4.1)) is verdict.Code.STORE_UNAVAILABLE
+
+
+def test_nothing_is_admitted_before_the_first_desired_state():
+    assert _code(_admit(state=None)) is verdict.Code.UNAVAILABLE
--- /dev/null
+++ b/packages/core/tests/schedule/schedule_harness.py
@@ -0,0 +1,91 @@
+"""Jobs, agents and states for the tests of the scheduler."""
+
+from peridothatch_core.model import agents, desired, steps
+from peridothatch_core.schedule import round, state
+
+NOW_MS = 100_000
+UNIX_MS = 1_700_000_000_000
+HOLD_MS = 9_500
+
+
+def worker(node, **changes):
+    fields = {
+        "instance": f"w-{node}",
+        "born_ms": 1,
+        "service": "render",
+        "zone": "accra-a",
+        "state": agents.WorkerState.READY,
+        "capacity": steps.Demand(64_000, 256_000, 8),
+        "kind": "a",
+        "rack": "r1",
+    }
+    return agents.Worker(**fields | changes)
+
+
+def agent(node, hold_until_ms=NOW_MS + HOLD_MS, lapses=0, runs=(), **changes):
+    return agents.Agent(node, "accra-a", 1, lapses, hold_until_ms, worker(node, **changes), runs)
+
+
+def job(job_id, *parts, priority=1, customer="ministry", submitted_ms=NOW_MS, **changes):
+    fields = {
+        "id": job_id,
+        "queue": "q",
+        "service": "render",
+        "customer": customer,
+        "priority": priority,
+        "max_attempts": 3,
+        "slack_factor": 3.0,
+        "objective_ms": 500,
+        "steps": parts or (step(),),
+        "timetable": None,
+        "submitted_ms": submitted_ms,
+    }
+    return steps.Job(**fields | changes)
+
+
+def step(count=1, accelerators=1, cpu=4_000, **changes):
+    return steps.Step(count, steps.Demand(cpu, 8_000, accelerators), **changes)
+
+
+def scheduler(jobs=(), nodes=(), guaranteed=None):
+    own = state.State(state.Limits(hold_ms=HOLD_MS))
+    for number, item in enumerate(jobs):
+        state.add_job(own, item, number + 1)
+    for item in nodes:
+        own.agents[item.node] = item
+        own.agent_versions[item.node] = 1
+    own.desired = desired.DesiredState(
+        1,
+        tenancies=tuple(
+            desired.Tenancy(name, frozenset(), amount)
+            for name, amount in (guaranteed or {}).items()
+        ),
+    )
+    return own
+
+
+def run(own, now_ms=NOW_MS, unix_ms=UNIX_MS):
+    """Run a round and return the changes that it left, emptied from the state."""
+    round.run(own, now_ms, unix_ms)
+    changes, own.changes = own.changes, {}
+    own.notes.clear()
+    return changes
+
+
+def open_runs(item):
+    return [run_ for progress in item.progress for run_ in progress.runs]
+
+
+def end(own, item, run_, kind, saved="", now_ms=NOW_MS):
+    """Record the end of a run and run a round."""
+    progress = next(part for part in item.progress if run_ in part.runs)
+    task = steps.task_name(item.id, progress.occurrence, progress.step, run_.index)
+    own.ends[f"e/{task}/{run_.attempt}"] = steps.End(task, run_.attempt, run_.node, kind, saved)
+    return run(own, now_ms)
+
+
+def renew(own, now_ms):
+    for node, item in list(own.agents.items()):
+        own.agents[node] = agents.Agent(
+            node, item.zone, item.fence, item.lapses, now_ms + HOLD_MS, item.worker, item.runs
+        )
--- /dev/null
+++ b/packages/core/tests/schedule/test_leadership.py
@@ -0,0 +1,60 @@
+import json
+
+from peridothatch_core.message import rows
+from peridothatch_core.model import tables
+from peridothatch_core.schedule import leadership
+
+
+def _encode(value):
+    return json.dumps(str(value)).encode()
+
+
+def _following(until_ms=10_000):
+    own = leadership.Leadership("b/2")
+    lease = leadership.Lease("a/1", 4, until_ms)
+    leadership.observe_epoch(own, lease, 20)
+    leadership.observe_lease(own, lease, 21)
+    return own
+
+
+def test_a_lease_is_claimed_only_when_the_stores_clock_has_passed_it():
+    own = _following()
+    assert not leadership.may_claim(own, 10_000, 0)
+    assert not leadership.may_claim(own, 10_050, 100)
+    assert leadership.may_claim(own, 10_101, 100)
+
+
+def test_a_claim_fails_when_the_lease_was_renewed_or_taken_in_between():
+    claim = leadership.claim(_following(), 10_101, _encode)
+    assert set(claim.conditions) == {
+        rows.Condition(tables.EPOCH, 20),
+        rows.Condition(tables.LEASE, 21),
+    }
+
+
+def test_a_renewal_fails_once_another_has_taken_the_epoch():
+    own = _following()
+    leadership.lead(own, 30, 1.0)
+    assert leadership.renewal(own, 11_000, _encode).conditions == (
+        rows.Condition(tables.EPOCH, 30),
+    )
+
+
+def test_a_leader_that_sees_another_holder_of_the_epoch_leads_no_more():
+    own = _following()
+    leadership.lead(own, 30, 1.0)
+    assert leadership.observe_epoch(own, leadership.Lease("c/9", 6, 0), 40)
+    assert not own.leading
+
+
+def test_news_that_is_older_than_the_own_claim_does_not_end_the_leadership():
+    own = _following()
+    leadership.lead(own, 30, 1.0)
+    assert not leadership.observe_epoch(own, leadership.Lease("a/1", 4, 0), 20)
+    assert own.leading
+
+
+def test_a_restarted_process_is_another_holder():
+    own = leadership.Leadership("a/2")
+    leadership.observe_lease(own, leadership.Lease("a/1", 4, 10_000), 21)
+    assert not leadership.may_claim(own, 9_000, 0)
--- /dev/null
+++ b/packages/core/tests/schedule/test_reclaim.py
@@ -0,0 +1,98 @@
+import schedule_harness as harness
+
+from peridothatch_core.model import steps
+from peridothatch_core.schedule import reclaim, state
+
+
+def _filled(checkpointing=(False, False)):
+    """Return a scheduler whose two workers are full of borrowed work."""
+    items = [
+        harness.job(f"low{number}", harness.step(1, 8, checkpointing=saves))
+        for number, saves in enumerate(checkpointing)
+    ]
+    own = harness.scheduler(
+        items, [harness.agent("n1"), harness.agent("n2")], {"ministry": 8, "hotels": 0}
+    )
+    harness.run(own)
+    assert all(len(harness.open_runs(item)) == 1 for item in items)
+    return own, items
+
+
+def _urgent(job_id="urgent", customer="ministry", accelerators=8):
+    return harness.job(
+        job_id, harness.step(1, accelerators), priority=0, customer=customer,
+        submitted_ms=harness.NOW_MS + 10,
+    )  # fmt: skip
+
+
+def _add(own, item):
+    state.add_job(own, item, 50)
+
+
+def test_a_guaranteed_job_stops_borrowed_work_and_starts_when_it_has_ended():
+    own, items = _filled()
+    urgent = _urgent()
+    _add(own, urgent)
+    harness.run(own)
+    stopping = [run for item in items for run in harness.open_runs(item) if run.stopping]
+    assert len(stopping) == 1
+    victim = next(item for item in items if harness.open_runs(item)[0].stopping)
+    harness.end(own, victim, harness.open_runs(victim)[0], steps.EndKind.STOPPED)
+    assert len(harness.open_runs(urgent)) == 1
+    assert not harness.open_runs(victim)
+
+
+def test_work_that_resumes_from_a_checkpoint_is_stopped_first():
+    own, items = _filled(checkpointing=(False, True))
+    _add(own, _urgent())
+    harness.run(own, harness.NOW_MS + 2_000)
+    assert [harness.open_runs(item)[0].stopping for item in items] == [False, True]
+
+
+def test_rounds_while_a_run_is_stopping_stop_no_more():
+    own, items = _filled()
+    _add(own, _urgent())
+    for _ in range(3):
+        harness.run(own)
+    assert sum(harness.open_runs(item)[0].stopping for item in items) == 1
+
+
+def test_a_job_beyond_the_guarantee_stops_nothing():
+    own, items = _filled()
+    _add(own, _urgent(customer="hotels"))
+    harness.run(own)
+    assert not any(harness.open_runs(item)[0].stopping for item in items)
+
+
+def test_urgent_jobs_within_the_guarantee_are_not_stopped_for_each_other():
+    own, _ = _filled()
+    first = _urgent("first", accelerators=4)
+    _add(own, first)
+    second = _urgent("second", accelerators=4)
+    _add(own, second)
+    assert reclaim.protected_jobs(own) == {"first", "second"}
+    _add(own, _urgent("third", accelerators=4))
+    assert reclaim.protected_jobs(own) == set()
+
+
+def test_room_that_is_being_made_is_not_taken_by_lesser_work():
+    own, items = _filled()
+    small = harness.job("small", harness.step(1, 1), submitted_ms=harness.NOW_MS + 5)
+    own.agents["n3"] = harness.agent("n3", capacity=steps.Demand(64_000, 256_000, 4))
+    _add(own, small)
+    wide = harness.job("wide", harness.step(1, 8), priority=0, submitted_ms=harness.NOW_MS + 10)
+    _add(own, wide)
+    harness.run(own)
+    assert [run.node for run in harness.open_runs(small)] == ["n3"]
+    victim = next(item for item in items if harness.open_runs(item)[0].stopping)
+    harness.end(own, victim, harness.open_runs(victim)[0], steps.EndKind.STOPPED)
+    assert len(harness.open_runs(wide)) == 1
+
+
+def test_a_gang_is_stopped_whole():
+    gang = harness.job("gang", harness.step(2, 8, gang=True))
+    own = harness.scheduler([gang], [harness.agent("n1"), harness.agent("n2")], {"ministry": 8})
+    harness.run(own)
+    _add(own, _urgent())
+    harness.run(own)
+    assert [run.stopping for run in harness.open_runs(gang)] == [True, True]
--- /dev/null
+++ b/packages/core/tests/schedule/test_writes.py
@@ -0,0 +1,62 @@
+import json
+
+import schedule_harness as harness
+
+from peridothatch_core.message import rows
+from peridothatch_core.model import steps, tables
+from peridothatch_core.schedule import round, writes
+
+
+def _encode(value):
+    return json.dumps(str(value)).encode()
+
+
+def _batches(own):
+    round.run(own, harness.NOW_MS, harness.UNIX_MS)
+    return writes.take(own, 77, _encode)
+
+
+def test_a_jobs_row_and_its_orders_share_a_transaction_that_the_epoch_fences():
+    # A successor must never see a run whose order was not written.
+    items = [harness.job(f"j{number}", harness.step(30, 0, 1)) for number in range(5)]
+    own = harness.scheduler(items, [harness.agent(f"n{number}") for number in range(5)])
+    batches = _batches(own)
+    assert len(batches) > 1
+    for batch in batches:
+        assert rows.Condition(tables.EPOCH, 77) in batch.transaction.conditions
+        written = {key for key, _ in batch.transaction.writes}
+        for job_id in batch.jobs:
+            version = own.versions[job_id]
+            assert rows.Condition(tables.job(job_id), version) in batch.transaction.conditions
+            for run in harness.open_runs(own.jobs[job_id]):
+                task = steps.task_name(job_id, 0, 0, run.index)
+                assert tables.order(run.node, task, run.attempt) in written
+
+
+def test_a_transaction_stays_within_the_limit_of_the_store():
+    items = [harness.job(f"j{number}", harness.step(40, 0, 1)) for number in range(8)]
+    own = harness.scheduler(items, [harness.agent("n1"), harness.agent("n2")])
+    for number in range(300):
+        own.ends[f"e/x{number}.0.0.0/1"] = steps.End(
+            f"x{number}.0.0.0", 1, "n1", steps.EndKind.DONE
+        )
+    for batch in _batches(own):
+        assert len(batch.transaction.conditions) + len(batch.transaction.writes) <= 100
+
+
+def test_a_lapse_is_conditional_on_the_row_that_was_seen():
+    # A renewal that comes first must void the lapse.
+    item = harness.job("a")
+    own = harness.scheduler([item], [harness.agent("n1")])
+    harness.run(own)
+    own.agent_versions["n1"] = 33
+    round.run(own, harness.NOW_MS + 30_000, harness.UNIX_MS)
+    (batch,) = writes.take(own, 77, _encode)
+    assert rows.Condition(tables.agent("n1"), 33) in batch.transaction.conditions
+    assert batch.nodes == ["n1"]
+
+
+def test_an_unchanged_state_writes_nothing():
+    own = harness.scheduler([harness.job("a")], [harness.agent("n1")])
+    assert _batches(own)
+    assert not _batches(own)
--- a/packages/daemon/src/peridothatch_daemon/hosted/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/agent.py
@@ -48,11 +48,18 @@
     client = await store.start(machine.store, clock.now)
     calls = await worker.start(machine.worker, clock.now, deliver)
     held = state.State(machine.node, machine.data_centre, entry.hold_ms(machine))
-    running = keeper.start(held, inbox, client.inbox, calls.inbox, on_replaced)
+    exported = metrics.start(machine.node)
+    running = keeper.start(
+        held,
+        inbox,
+        client.inbox,
+        calls.inbox,
+        on_replaced,
+        metrics.latency(exported, "keeper_start_seconds", "Time until a start is confirmed"),
+    )
     feed = await store.follow(
         machine.store, tables.orders(machine.node), clock.now, deliver, _lost
     )
-    exported = metrics.start(machine.node)
     identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "agent"}
     observed = observe.application(identity, {"keeper": inbox}, exported)
     servers = [
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -0,0 +1,39 @@
+"""What the tasks of the processes on the platform count."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Reception:
+    """Counters of the task that answers consumers."""
+
+    calls_accepted: int = 0
+    calls_refused: int = 0
+    calls_unclear: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Scheduler:
+    """Counters of the task that schedules."""
+
+    claims: int = 0
+    runs_ordered: int = 0
+    runs_stopped: int = 0
+    runs_done: int = 0
+    runs_failed: int = 0
+    runs_lost: int = 0
+    leases_lapsed: int = 0
+    writes_unclear: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Keeper:
+    """Counters of the task that keeps a worker's runs."""
+
+    starts_confirmed: int = 0
+    starts_refused: int = 0
+    starts_unanswered: int = 0
+    stops_unanswered: int = 0
+    writes_failed: int = 0
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -51,9 +51,20 @@
 async def start(machine: settings.Machine) -> Entry:
     """Start an entry."""
     client = await store.start(machine.store, clock.now)
-    front = reception.start(machine.revoke_seconds, client.inbox)
+    exported = metrics.start(machine.node)
+    front = reception.start(
+        machine.revoke_seconds,
+        client.inbox,
+        metrics.latency(exported, "reception_seconds", "Time from a call to its acceptance"),
+    )
     limits = state.Limits(retention_ms=machine.retention_ms, hold_ms=hold_ms(machine))
-    leader = scheduler.start(machine.node, secrets.token_hex(4), limits, client.inbox)
+    leader = scheduler.start(
+        machine.node,
+        secrets.token_hex(4),
+        limits,
+        client.inbox,
+        metrics.latency(exported, "scheduler_write_seconds", "Time of a write of decisions"),
+    )
     desired = desired_feed.filter_into(
         operator.desired_state,
         operator.CONFIG_KEY,
@@ -67,7 +78,6 @@
         ),
         await store.follow(machine.store, tables.MEMBERS, clock.now, _both(leader.inbox), _lost),
     ]
-    exported = metrics.start(machine.node)
     draining = [False]
     entry = Entry(machine, client, feeds, front, leader, [], exported, draining)
     await _serve(entry)
--- a/packages/daemon/src/peridothatch_daemon/hosted/keeper.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/keeper.py
@@ -5,13 +5,16 @@
 import dataclasses
 import typing
 
-from peridothatch_core.hold import state, step
+from peridothatch_core.hold import exchange, state, step
 from peridothatch_core.message import rows
 from peridothatch_core.model import tables
 from peridothatch_daemon.decide import loop
-from peridothatch_daemon.hosted import clock, log, messages, records
+from peridothatch_daemon.hosted import clock, counters, log, messages, records
 from peridothatch_wire import mailbox, task
 
+if typing.TYPE_CHECKING:
+    from peridothatch_daemon.observe import metrics
+
 TICK_SECONDS = 0.25
 """Period in which leases, retries and late orders are looked at."""
 
@@ -32,6 +35,8 @@
         Specifications of jobs, the least recently read first.
     starts : dict
         Starts that wait for their job's specification, by job.
+    started : dict
+        When the first start of a run was sent, in local seconds, until it is confirmed.
     """
 
     hold: state.State
@@ -39,9 +44,11 @@
     worker: mailbox.Mailbox
     inbox: mailbox.Mailbox
     on_replaced: typing.Callable[[], None]
+    record: metrics.Record
     specs: dict[str, str] = dataclasses.field(default_factory=dict)
-    starts: dict[str, list[state.Start]] = dataclasses.field(default_factory=dict)
-    counters: dict[str, int] = dataclasses.field(default_factory=dict)
+    started: dict[exchange.RunKey, float] = dataclasses.field(default_factory=dict)
+    starts: dict[str, list[exchange.Start]] = dataclasses.field(default_factory=dict)
+    counters: counters.Keeper = dataclasses.field(default_factory=counters.Keeper)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +66,7 @@
     store: mailbox.Mailbox,
     worker: mailbox.Mailbox,
     on_replaced: typing.Callable[[], None],
+    record: metrics.Record,
 ) -> Keeper:
     """Start the task.
 
@@ -70,8 +78,10 @@
         Takes the calls to the worker.
     on_replaced : callable
         Called when another process of this node has registered.
+    record : callable
+        Takes the seconds from the first call to the confirmation of a start.
     """
-    own = _State(held, store, worker, inbox, on_replaced)
+    own = _State(held, store, worker, inbox, on_replaced, record)
 
     def handle(message: typing.Any) -> None:
         _handle(own, message)
@@ -79,7 +89,7 @@
     return Keeper(
         inbox,
         task.start("keeper", loop.run(inbox, handle)),
-        task.start("keeper ticks", task.every(TICK_SECONDS, inbox, step.Tick())),
+        task.start("keeper ticks", task.every(TICK_SECONDS, inbox, exchange.Tick())),
     )
 
 
@@ -102,28 +112,28 @@
             _step(own, message)
 
 
-def _step(own: _State, event: step.Event) -> None:
+def _step(own: _State, event: exchange.Event) -> None:
     for effect in step.step(own.hold, event, clock.now()):
         match effect:
-            case state.Start():
+            case exchange.Start():
                 _start(own, effect)
-            case state.Stop():
+            case exchange.Stop():
                 held = own.hold.held.get(effect.key)
                 log.event("keeper:stop", run=effect.key, reason=held.stop if held else "")
                 mailbox.post(own.worker, effect)
-            case state.Look():
+            case exchange.Look():
                 mailbox.post(own.worker, effect)
-            case state.WriteRow():
+            case exchange.WriteRow():
                 _write(own, effect)
-            case state.ReadRow():
+            case exchange.ReadRow():
                 key = tables.agent(own.hold.node)
                 _fetch(own, "row", key.table, key.key)
-            case state.Replaced(fence):
+            case exchange.Replaced(fence):
                 log.event("keeper:replaced", own_fence=own.hold.fence, other_fence=fence)
                 own.on_replaced()
 
 
-def _start(own: _State, call: state.Start) -> None:
+def _start(own: _State, call: exchange.Start) -> None:
     spec = own.specs.get(call.order.job)
     if spec is not None:
         log.event(
@@ -134,6 +144,7 @@
             start_by_ms=call.order.start_by_ms,
             checkpoint=call.order.checkpoint,
         )
+        own.started.setdefault(call.key, clock.now())
         mailbox.post(own.worker, dataclasses.replace(call, spec=spec))
         return
     waiting = own.starts.setdefault(call.order.job, [])
@@ -143,7 +154,7 @@
         _fetch(own, ("spec", call.order.job), key.table, key.key)
 
 
-def _write(own: _State, effect: state.WriteRow) -> None:
+def _write(own: _State, effect: exchange.WriteRow) -> None:
     key = tables.agent(own.hold.node)
     changed: list[tuple[rows.Key, bytes | None]] = [(key, records.encode(effect.row))]
     for end in effect.ends:
@@ -167,12 +178,12 @@
 
 def _fetched(own: _State, done: rows.Fetched) -> None:
     if done.now_ms:
-        _step(own, step.StoreTime(done.now_ms, done.asked_at, done.answered_at))
+        _step(own, exchange.StoreTime(done.now_ms, done.asked_at, done.answered_at))
     if done.token == "row":
         row = next((row for row in done.rows or () if row.value is not None), None)
         agent = None if row is None else records.decode(records.AGENT, row.value or b"")
         version = row.version if row is not None else 0
-        _step(own, step.RowRead(done.rows is not None, agent, version))
+        _step(own, exchange.RowRead(done.rows is not None, agent, version))
         return
     job_id = done.token[1]
     waiting = own.starts.pop(job_id, [])
@@ -181,7 +192,7 @@
         log.event("keeper:no_spec", job=job_id, reason=done.reason or "the row is absent")
         for call in waiting:
             # Nothing was sent, so the start is tried again while its time lasts.
-            _step(own, step.StartAnswered(call.key, step.orders.StartOutcome.BUSY, "no spec"))
+            _step(own, exchange.StartAnswered(call.key, exchange.StartOutcome.BUSY, "no spec"))
         return
     while len(own.specs) >= SPECS_KEPT:
         own.specs.pop(next(iter(own.specs)))
@@ -191,7 +202,7 @@
 
 
 def _follow(own: _State, message: rows.Snapshot | rows.Changes) -> None:
-    _step(own, step.StoreTime(message.now_ms, message.asked_at, message.answered_at))
+    _step(own, exchange.StoreTime(message.now_ms, message.asked_at, message.answered_at))
     prefix = own.hold.node + "/"
     mine = [row for row in message.rows if row.key.startswith(prefix)]
     if isinstance(message, rows.Snapshot):
@@ -201,13 +212,13 @@
             key, is_stop = _run_key(row.key)
             order = records.decode(records.ORDER, row.value or b"")
             (stops if is_stop else orders)[key] = order
-        _step(own, step.OrdersLoaded(orders, stops))
+        _step(own, exchange.OrdersLoaded(orders, stops))
         return
     for row in mine:
         key, is_stop = _run_key(row.key)
         if row.value is None:
             if not is_stop:
-                _step(own, step.OrderRemoved(key))
+                _step(own, exchange.OrderRemoved(key))
             continue
         order = records.decode(records.ORDER, row.value)
         log.event(
@@ -217,25 +228,33 @@
             version=row.version,
             start_by_ms=order.start_by_ms,
         )
-        _step(own, step.StopAdded(key, order) if is_stop else step.OrderAdded(key, order))
+        _step(own, exchange.StopAdded(key, order) if is_stop else exchange.OrderAdded(key, order))
 
 
-def _run_key(key: str) -> tuple[state.RunKey, bool]:
+def _run_key(key: str) -> tuple[exchange.RunKey, bool]:
     """Return the run that an order's row is for, and whether the row stops it."""
     parts = key.split("/")
     return (parts[1], int(parts[2])), len(parts) > 3
 
 
-def _log_event(own: _State, event: step.Event) -> None:
+def _log_event(own: _State, event: exchange.Event) -> None:
     match event:
-        case step.StartAnswered(key, outcome, reason):
+        case exchange.StartAnswered(key, outcome, reason):
             log.event("keeper:start_answered", run=key, outcome=outcome.name, reason=reason)
-            name = f"starts_{outcome.name.lower()}"
-            own.counters[name] = own.counters.get(name, 0) + 1
-        case step.StopAnswered(key, confirmed):
+            match outcome:
+                case exchange.StartOutcome.STARTED:
+                    own.counters.starts_confirmed += 1
+                    own.record(clock.now() - own.started.pop(key, clock.now()))
+                case exchange.StartOutcome.REFUSED:
+                    own.counters.starts_refused += 1
+                case _:
+                    own.counters.starts_unanswered += 1
+        case exchange.StopAnswered(key, confirmed):
             log.event("keeper:stop_answered", run=key, confirmed=confirmed)
+            own.counters.stops_unanswered += not confirmed
         case rows.Committed(outcome=rows.Outcome.COMMITTED):
             for end in own.hold.written_ends.values():
+                own.started.pop((end.task, end.attempt), None)
                 log.event(
                     "keeper:end_recorded",
                     run=(end.task, end.attempt),
@@ -245,8 +264,9 @@
                     row_version=event.version,
                 )
         case rows.Committed(outcome=outcome):
+            own.counters.writes_failed += 1
             log.event("keeper:write_failed", outcome=outcome.name, reason=event.reason)
-        case step.CheckedIn(worker, sequence):
+        case exchange.CheckedIn(worker, sequence):
             known = own.hold.worker
             if known is None or (known.instance, known.born_ms, known.state) != (
                 worker.instance,
@@ -260,7 +280,7 @@
                     state=str(worker.state),
                     sequence=sequence,
                 )
-        case step.Left(instance):
+        case exchange.Left(instance):
             log.event("keeper:worker_left", instance=instance)
 
 
@@ -273,6 +293,6 @@
         "worker": None if held.worker is None else dataclasses.asdict(held.worker),
         "lease_rest_seconds": round(state.horizon(held) - clock.now(), 3),
         "held": {f"{key[0]}/{key[1]}": run.phase.name for key, run in held.held.items()},
-        "counters": dict(own.counters),
+        "counters": dataclasses.asdict(own.counters),
         "gauges": {"runs": len(held.held), "ends_waiting": len(held.ends)},
     }
--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -11,11 +11,12 @@
 from peridothatch_core.model import steps, storeclock, tables, verdict
 from peridothatch_core.reception import admission, calls, view
 from peridothatch_daemon.decide import loop
-from peridothatch_daemon.hosted import clock, log, messages, records
+from peridothatch_daemon.hosted import clock, counters, log, messages, records
 from peridothatch_wire import mailbox, task
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.model import desired
+    from peridothatch_daemon.observe import metrics
 
 ID_DIGITS = 16
 
@@ -60,12 +61,13 @@
     revoke_seconds: float
     store: mailbox.Mailbox
     inbox: mailbox.Mailbox
+    record: metrics.Record
     clock: storeclock.StoreClock = dataclasses.field(default_factory=storeclock.StoreClock)
     desired: desired.DesiredState | None = None
     desired_at: float = -1e9
     store_at: float = -1e9
     view: view.View = dataclasses.field(default_factory=view.View)
-    counters: dict[str, int] = dataclasses.field(default_factory=dict)
+    counters: counters.Reception = dataclasses.field(default_factory=counters.Reception)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,7 +78,7 @@
     running: task.Task
 
 
-def start(revoke_seconds: float, store: mailbox.Mailbox) -> Reception:
+def start(revoke_seconds: float, store: mailbox.Mailbox, record: metrics.Record) -> Reception:
     """Start the task.
 
     Parameters
@@ -85,9 +87,11 @@
         Time in which a removed key must stop working.
     store : Mailbox
         Takes ``rows.Commit`` and ``rows.Fetch``.
+    record : callable
+        Takes the seconds that an accepted call took.
     """
     inbox = mailbox.create("reception")
-    state = _State(revoke_seconds, store, inbox)
+    state = _State(revoke_seconds, store, inbox, record)
 
     def handle(message: typing.Any) -> None:
         _handle(state, message)
@@ -342,7 +346,8 @@
     arrived_at: float,
     outcome: str,
 ) -> None:
-    _count_up(state, f"accepted_{call.action.name.lower()}")
+    state.counters.calls_accepted += 1
+    state.record(clock.now() - arrived_at)
     log.event(
         "reception:accepted",
         job=admitted.rest,
@@ -359,7 +364,10 @@
 def _refuse(
     state: _State, call: calls.Call, reply: mailbox.Reply, refusal: verdict.Refusal
 ) -> None:
-    _count_up(state, f"refused_{refusal.code}")
+    if refusal.verdict is verdict.Verdict.NOT_RUN:
+        state.counters.calls_refused += 1
+    else:
+        state.counters.calls_unclear += 1
     log.event(
         "reception:refused",
         path=call.path,
@@ -412,16 +420,12 @@
     return verdict.Refusal(verdict.Verdict.NOT_RUN, verdict.Code.STORE_UNAVAILABLE, detail)
 
 
-def _count_up(state: _State, name: str) -> None:
-    state.counters[name] = state.counters.get(name, 0) + 1
-
-
 def _dump(state: _State) -> dict[str, typing.Any]:
     now = clock.now()
     return {
         "desired_version": state.desired.version if state.desired else None,
         "desired_age_seconds": round(min(1e6, now - state.desired_at), 3),
         "store_age_seconds": round(min(1e6, now - state.store_at), 3),
-        "counters": dict(state.counters),
+        "counters": dataclasses.asdict(state.counters),
         "gauges": {"jobs": len(state.view.jobs)},
     }
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -11,11 +11,12 @@
 from peridothatch_core.model import steps, storeclock, tables
 from peridothatch_core.schedule import leadership, round, state, writes
 from peridothatch_daemon.decide import loop
-from peridothatch_daemon.hosted import clock, log, messages, records
+from peridothatch_daemon.hosted import clock, counters, log, messages, records
 from peridothatch_wire import mailbox, task
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.model import desired
+    from peridothatch_daemon.observe import metrics
 
 TICK_SECONDS = 0.25
 """Period in which the lease and timed work are looked at."""
@@ -75,6 +76,7 @@
     inbox: mailbox.Mailbox
     leadership: leadership.Leadership
     limits: state.Limits
+    record: metrics.Record
     clock: storeclock.StoreClock = dataclasses.field(default_factory=storeclock.StoreClock)
     round_trip_ms: float = 50.0
     schedule: state.State = dataclasses.field(default_factory=state.State)
@@ -86,7 +88,7 @@
     batches: list[writes.Batch] = dataclasses.field(default_factory=list)
     sending: bool = False
     resigning: mailbox.Reply | None = None
-    counters: dict[str, int] = dataclasses.field(default_factory=dict)
+    counters: counters.Scheduler = dataclasses.field(default_factory=counters.Scheduler)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,7 +100,13 @@
     ticking: task.Task
 
 
-def start(node: str, incarnation: str, limits: state.Limits, store: mailbox.Mailbox) -> Scheduler:
+def start(
+    node: str,
+    incarnation: str,
+    limits: state.Limits,
+    store: mailbox.Mailbox,
+    record: metrics.Record,
+) -> Scheduler:
     """Start the task.
 
     Parameters
@@ -107,10 +115,12 @@
         Differs for each start of the process.
     store : Mailbox
         Takes ``rows.Commit`` and ``rows.Fetch``.
+    record : callable
+        Takes the seconds that a transaction of decisions took.
     """
     inbox = mailbox.create("scheduler")
     holder = leadership.Leadership(f"{node}/{incarnation}")
-    own = _State(node, store, inbox, holder, limits)
+    own = _State(node, store, inbox, holder, limits, record)
 
     def handle(message: typing.Any) -> None:
         _handle(own, message)
@@ -195,7 +205,7 @@
             epoch=own.leadership.epoch,
             store_ms=now_ms,
         )
-        _count_up(own, note.kind.replace(" ", "_"))
+        _count(own.counters, note.kind)
     schedule.notes.clear()
     own.batches = writes.take(schedule, own.leadership.epoch_version, records.encode)
     _send_batch(own)
@@ -246,7 +256,7 @@
             leadership.lead(holder, done.version, sent_at)
             own.round_trip_ms = 1000 * (done.answered_at - done.asked_at)
             log.event("scheduler:leading", epoch=holder.epoch, store_ms=done.now_ms)
-            _count_up(own, "claims")
+            own.counters.claims += 1
             _load(own)
         case Purpose.RENEW if committed:
             holder.renewed_at = sent_at
@@ -270,6 +280,7 @@
         return
     match done.outcome:
         case rows.Outcome.COMMITTED:
+            own.record(done.answered_at - done.asked_at)
             _apply_batch(own, batch, done.version)
             own.batches.pop(0)
             _send_batch(own)
@@ -283,7 +294,7 @@
                 reason=done.reason,
                 jobs=batch.jobs,
             )
-            _count_up(own, f"writes_{done.outcome.name.lower()}")
+            own.counters.writes_unclear += 1
             _load(own)
 
 
@@ -299,6 +310,7 @@
         agent = schedule.lapsing.pop(node)
         schedule.agents[node] = agent
         schedule.agent_versions[node] = version
+        own.counters.leases_lapsed += 1
         log.event(
             "scheduler:lapsed",
             worker_node=node,
@@ -437,8 +449,18 @@
     return int(PATIENCE_ROUND_TRIPS * own.round_trip_ms) + spread
 
 
-def _count_up(own: _State, name: str) -> None:
-    own.counters[name] = own.counters.get(name, 0) + 1
+def _count(counted: counters.Scheduler, kind: str) -> None:
+    match kind:
+        case "ordered":
+            counted.runs_ordered += 1
+        case "stopping":
+            counted.runs_stopped += 1
+        case "ended done":
+            counted.runs_done += 1
+        case "ended failed":
+            counted.runs_failed += 1
+        case _ if kind.startswith("ended"):
+            counted.runs_lost += 1
 
 
 def _dump(own: _State) -> dict[str, typing.Any]:
@@ -449,7 +471,7 @@
         "store_age_seconds": round(storeclock.age_seconds(own.clock, clock.now()), 3),
         "evacuated": sorted(own.evacuated),
         "ejected": sorted(schedule.health.until),
-        "counters": dict(own.counters),
+        "counters": dataclasses.asdict(own.counters),
         "gauges": {
             "leading": int(own.leadership.leading),
             "jobs_open": sum(
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -184,6 +184,59 @@
     ),
 }
 
+_RECEPTION = {
+    "calls_accepted": Text("Submissions and cancellations that are stored.", "None."),
+    "calls_refused": Text(
+        "Calls that were refused as not run.",
+        "Look at the reason in the lines `reception:refused`.",
+    ),
+    "calls_unclear": Text(
+        "Calls whose write was not answered in time; the caller was told that it may have run.",
+        "Check the store; the lines `reception:refused` have the ages of what was known.",
+    ),
+    "jobs": Text("Jobs that the entry knows from the store.", "None; shows the load."),
+}
+
+_SCHEDULER = {
+    "claims": Text("Times that this entry took the leadership.", "Look for stopped entries."),
+    "runs_ordered": Text("Runs that were ordered.", "None; shows the work."),
+    "runs_stopped": Text(
+        "Runs that were ordered to stop.", "Look at the reason in `scheduler:stopping`."
+    ),
+    "runs_done": Text("Runs that ended done.", "None."),
+    "runs_failed": Text("Runs that ended failed.", "Look for failing workers and jobs."),
+    "runs_lost": Text(
+        "Runs that ended in another way, with their worker or its lease.",
+        "Look for lost workers and for outages of the store.",
+    ),
+    "leases_lapsed": Text(
+        "Leases of agents that were declared lapsed.", "Look for machines that are out of reach."
+    ),
+    "writes_unclear": Text(
+        "Transactions that conflicted or were not answered; all rows were read again.",
+        "None while rare; a steady rise means that two entries lead or the store is ill.",
+    ),
+    "leading": Text("1 while this entry leads.", "Exactly one entry leads for most of the time."),
+    "jobs_open": Text("Jobs that have not ended, on the leading entry.", "None."),
+    "runs_open": Text("Runs that have not ended, on the leading entry.", "None."),
+}
+
+_KEEPER = {
+    "starts_confirmed": Text("Starts that the worker confirmed.", "None; shows the work."),
+    "starts_refused": Text(
+        "Starts that the worker refused.", "Look at the reason in `keeper:start_answered`."
+    ),
+    "starts_unanswered": Text(
+        "Starts without a usable answer; they may be carried out late.", "Check the worker."
+    ),
+    "stops_unanswered": Text("Stops that the worker did not confirm.", "Check the worker."),
+    "writes_failed": Text("Renewals of the lease that failed.", "Check the store."),
+    "runs": Text("Runs that the agent holds.", "None."),
+    "ends_waiting": Text(
+        "Ends that are not in the store yet.", "Check the store when the value stays high."
+    ),
+}
+
 # By the name of the task in the state dump; ``planner`` is the planner of each data centre.
 TASKS: typing.Final = {
     "http": _HTTP,
@@ -191,4 +244,7 @@
     "planner": _PLANNER,
     "slots": _SLOTS,
     "members": _MEMBERS,
+    "reception": _RECEPTION,
+    "scheduler": _SCHEDULER,
+    "keeper": _KEEPER,
 }
--- a/packages/daemon/src/peridothatch_daemon/observe/metrics.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metrics.py
@@ -28,8 +28,13 @@
     "config_monotonic",
 )
 
+LATENCY_BOUNDARIES = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+"""Seconds; from one call to the store nearby to the longest that a caller waits."""
+
 Dump = dict[str, typing.Any]
 
+Record = typing.Callable[[float], None]
+
 
 class Metrics:
     """The instruments of a process and the dump that they read."""
@@ -100,6 +105,17 @@
     return usage.ru_utime + usage.ru_stime
 
 
+def latency(metrics: Metrics, name: str, description: str) -> Record:
+    """Return a function that records a duration in seconds in a new histogram."""
+    histogram = metrics._meter.create_histogram(
+        f"peridothatch_{name}",
+        unit="s",
+        description=description,
+        explicit_bucket_boundaries_advisory=LATENCY_BOUNDARIES,
+    )
+    return histogram.record
+
+
 def _register(metrics: Metrics, task_name: str, name: str, group: str, known: set[str]) -> None:
     metric = re.sub(r"[^a-z0-9_]", "_", f"peridothatch_{task_name}_{name}".lower())
     if metric in known:
--- a/scripts/generate_references.py
+++ b/scripts/generate_references.py
@@ -18,6 +18,7 @@
 
 from peridothatch_core.start import gang_state, member_state
 from peridothatch_daemon import settings
+from peridothatch_daemon.hosted import counters
 from peridothatch_daemon.observe import metric_texts
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -34,10 +35,19 @@
     "decide/members.py": "members",
     "decide/planner_state.py": "planner",
     "intake/status.py": "http",
+    "hosted/reception.py": "reception",
+    "hosted/scheduler.py": "scheduler",
+    "hosted/keeper.py": "keeper",
 }
 # Modules whose function ``count`` raises a counter of the task.
 COUNTING = {"flight": "dispatch", "holding": "slots"}
-CLASSES = {"planner": gang_state.Counters, "members": member_state.Counters}
+CLASSES = {
+    "planner": gang_state.Counters,
+    "members": member_state.Counters,
+    "reception": counters.Reception,
+    "scheduler": counters.Scheduler,
+    "keeper": counters.Keeper,
+}
 EVERY_PROCESS = "every process"
 TEXTS = {EVERY_PROCESS: metric_texts.FIXED, **metric_texts.TASKS}
 LIMITS = {"ge": "at least", "gt": "more than", "le": "at most", "lt": "less than"}
