Test the entry and the agent as processes against stand-ins of the platform

The stand-ins are a row store and a worker that speak the platform's protocol. Found by the test of the state dump: the module schedule.round hid the built-in round, so that the scheduler's dump failed; the module is schedule.cycle now.

--- a/packages/core/src/peridothatch_core/schedule/round.py
+++ b/packages/core/src/peridothatch_core/schedule/cycle.py
@@ -1,4 +1,4 @@
-"""One round of the scheduler: lapses, ends, cancellations, then starts in order of urgency."""
+"""One scheduling cycle: lapses, ends, cancellations, then starts in order of urgency."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     from collections.abc import Iterable
 
 STARTS_PER_JOB = 40
-"""Starts of one job in one round; a transaction of the store holds 100 entries."""
+"""Starts of one job in one cycle; a transaction of the store holds 100 entries."""
 
 
 def run(state: states.State, now_ms: int, unix_ms: int) -> None:
@@ -42,18 +42,6 @@
     _start(state, now_ms)
 
 
-def next_due_ms(state: states.State, now_ms: int, unix_ms: int) -> int:
-    """Return in how many milliseconds a round is due without any news."""
-    waits = [1000]
-    for job in state.jobs.values():
-        if job.state in steps.FINAL_STATES or job.timetable is None:
-            continue
-        if job.opened < job.timetable.times:
-            waits.append(progress.due_unix_ms(job, job.opened) - unix_ms)
-    waits.extend(at - now_ms for at in state.retry_at.values() if at > now_ms)
-    return max(10, min(waits))
-
-
 def _lapse(state: states.State, now_ms: int) -> None:
     """Declare lapsed the leases of agents that hold runs and have not renewed in time."""
     for node, agent in state.agents.items():
--- a/packages/core/src/peridothatch_core/schedule/writes.py
+++ b/packages/core/src/peridothatch_core/schedule/writes.py
@@ -1,4 +1,4 @@
-"""The decisions of a round as transactions of the store."""
+"""The decisions of a cycle as transactions of the store."""
 
 from __future__ import annotations
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -9,7 +9,7 @@
 
 from peridothatch_core.message import rows
 from peridothatch_core.model import steps, storeclock, tables
-from peridothatch_core.schedule import leadership, round, state, writes
+from peridothatch_core.schedule import cycle, leadership, state, writes
 from peridothatch_daemon.decide import loop
 from peridothatch_daemon.hosted import clock, counters, log, messages, records
 from peridothatch_wire import mailbox, task
@@ -173,7 +173,7 @@
 
 
 def _advance(own: _State) -> None:
-    """Do what is due: claim or renew the lease, then run a round."""
+    """Do what is due: claim or renew the lease, then run a scheduling cycle."""
     now = clock.now()
     holder = own.leadership
     if not own.clock.now_ms or own.resigning is not None:
@@ -186,14 +186,14 @@
             renewal = leadership.renewal(holder, now_ms, records.encode)
             _send_lease(own, Purpose.RENEW, renewal, now)
     if holder.leading and not own.loading and not own.batches:
-        _round(own, now_ms)
+        _cycle(own, now_ms)
 
 
-def _round(own: _State, now_ms: int) -> None:
+def _cycle(own: _State, now_ms: int) -> None:
     schedule = own.schedule
     schedule.desired = own.desired
     schedule.evacuated = own.evacuated
-    round.run(schedule, now_ms, clock.unix_ms())
+    cycle.run(schedule, now_ms, clock.unix_ms())
     for note in schedule.notes:
         log.event(
             f"scheduler:{note.kind}",
--- /dev/null
+++ b/tests/platform/platform_standin.py
@@ -0,0 +1,183 @@
+"""Stand-ins for the platform's row store and for a worker, on loopback."""
+
+import asyncio
+import time
+
+from aiohttp import web
+
+LONGEST_WAIT_SECONDS = 0.5
+
+
+class Store:
+    """Rows by (table, part, key), with one version counter.
+
+    ``mode`` is ``up``, ``refuse`` (503), ``lost`` (writes take effect without an answer) or
+    ``forgotten`` (feeds get 410 once).
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.log = []
+        self.version = 0
+        self.mode = "up"
+        self.transactions = 0
+        self.changed = asyncio.Event()
+
+    def put(self, table, part, key, value):
+        self.version += 1
+        self._set(table, part, key, value)
+
+    def application(self):
+        app = web.Application()
+        app.router.add_post("/peridothatch/rows-tx", self._transact)
+        app.router.add_get("/peridothatch/rows-get", self._get)
+        app.router.add_get("/peridothatch/rows-feed", self._feed)
+        return app
+
+    def _set(self, table, part, key, value):
+        name = (table, part, key)
+        if value is None:
+            self.rows.pop(name, None)
+        else:
+            self.rows[name] = (value, self.version)
+        self.log.append((self.version, name, value))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _transact(self, request):
+        body = await request.json()
+        self.transactions += 1
+        if self.mode == "refuse":
+            return web.Response(status=503)
+        for row in body["expect_rev"]:
+            name = (row["table"], row["part"], row["key"])
+            if self.rows.get(name, ("", 0))[1] != row["row_version"]:
+                return web.json_response({"rows": []}, status=412)
+        self.version += 1
+        for row in body["put_rows"]:
+            self._set(row["table"], row["part"], row["key"], row["value"])
+        for row in body["delete_keys"]:
+            self._set(row["table"], row["part"], row["key"], None)
+        if self.mode == "lost":
+            request.transport.close()
+            return web.Response(status=500)
+        return web.json_response({"row_version": self.version, "now_ms": _now_ms()})
+
+    async def _get(self, request):
+        if self.mode == "refuse":
+            return web.Response(status=503)
+        query = request.query
+        found = [
+            _row(name, value, version)
+            for name, (value, version) in sorted(self.rows.items())
+            if name[:2] == (query["table"], query["part"])
+            and query.get("from", "") <= name[2]
+            and ("to" not in query or name[2] < query["to"])
+        ]
+        return web.json_response(
+            {"rows": found[:3], "has_more": len(found) > 3, **self._versions()}
+        )
+
+    async def _feed(self, request):
+        if self.mode == "refuse":
+            return web.Response(status=503)
+        if self.mode == "forgotten":
+            self.mode = "up"
+            return web.Response(status=410)
+        after = int(request.query["after"])
+        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        while True:
+            changed = self.changed
+            news = {
+                name: _row(name, value, version)
+                for version, name, value in self.log
+                if version > after and name[0] == request.query["table"]
+            }
+            rest = deadline - time.monotonic()
+            if news or rest <= 0:
+                return web.json_response({"rows": list(news.values()), **self._versions()})
+            try:
+                await asyncio.wait_for(changed.wait(), rest)
+            except TimeoutError:
+                continue
+
+    def _versions(self):
+        return {"row_version": self.version, "now_ms": _now_ms()}
+
+
+class Worker:
+    """A worker that runs each task for ``task_seconds``.
+
+    ``mode`` is ``up``, ``silent`` (a start is carried out without an answer) or ``refuse``.
+    """
+
+    def __init__(self, task_seconds=0.05):
+        self.task_seconds = task_seconds
+        self.mode = "up"
+        self.starts = []
+        self.running = {}
+        self.ended = []
+        self.barred = set()
+        self.fence = 0
+        self.deadline_ms = 0
+
+    def application(self):
+        app = web.Application()
+        app.router.add_post("/peridothatch/run-start", self._start)
+        app.router.add_post("/peridothatch/run-stop", self._stop)
+        app.router.add_post("/peridothatch/hold", self._hold)
+        return app
+
+    async def _start(self, request):
+        body = await request.json()
+        key = (body["task"], body["attempt"])
+        if self.mode == "refuse":
+            return self._answer(409, reason="room")
+        if body["fencing_token"] < self.fence or key in self.barred:
+            return self._answer(409, reason="old")
+        self.fence = body["fencing_token"]
+        if key not in self.running:
+            self.starts.append((*key, body["spec"], body.get("checkpoint", "")))
+            self.running[key] = time.monotonic() + self.task_seconds
+        if self.mode == "silent":
+            self.mode = "up"
+            request.transport.close()
+        return self._answer(200)
+
+    async def _stop(self, request):
+        body = await request.json()
+        key = (body["task"], body["attempt"])
+        self.barred.add(key)
+        if self.running.pop(key, None) is not None:
+            self.ended.append([len(self.ended) + 1, *key, "stopped", "c1"])
+        return self._answer(200)
+
+    async def _hold(self, request):
+        body = await request.json()
+        self.deadline_ms = max(self.deadline_ms, body.get("deadline_ms", 0))
+        deadline = time.monotonic() + min(body["wait_ms"] / 1000, LONGEST_WAIT_SECONDS)
+        while True:
+            self._finish()
+            news = [end for end in self.ended if end[0] > body["last_seen"]]
+            if news or time.monotonic() >= deadline:
+                running = [[*key, "", 50] for key in self.running]
+                return self._answer(200, running=running, finished=news, born=1)
+            await asyncio.sleep(0.01)
+
+    def _finish(self):
+        for key, until in list(self.running.items()):
+            if time.monotonic() >= until:
+                del self.running[key]
+                self.ended.append([len(self.ended) + 1, *key, "done", ""])
+
+    def _answer(self, status, **fields):
+        return web.json_response({"clock_ms": _now_ms(), **fields}, status=status)
+
+
+def _row(name, value, version):
+    row = {"table": name[0], "part": name[1], "key": name[2], "row_version": version}
+    return row | ({"deleted": True} if value is None else {"value": value})
+
+
+def _now_ms():
+    return int(1000 * time.monotonic())
--- /dev/null
+++ b/tests/platform/test_operator.py
@@ -0,0 +1,39 @@
+import json
+
+import conftest
+import pytest
+
+from peridothatch_platform import operator, worker
+
+
+def test_a_desired_state_is_read_into_queues_services_and_customers():
+    state = operator.desired_state(json.dumps(conftest.CONFIG).encode())
+    assert state.version == 3
+    assert (state.queues[0].prefix, state.queues[0].objective_ms) == ("/jobs/", 500)
+    assert state.services[0].guards
+    assert state.tenancies[0].keys == frozenset({"k1"})
+    assert state.tenancies[0].guaranteed_accelerators == 8
+
+
+def test_what_is_no_desired_state_is_an_error():
+    for value in (b"", b"[]", b'{"routes": 3}', b"\xff"):
+        with pytest.raises(ValueError):
+            operator.desired_state(value)
+
+
+def test_evacuations_are_told_from_other_rows():
+    assert operator.evacuated("evacuate/accra-a") == "accra-a"
+    assert operator.evacuated("config") == ""
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"state": "sleeping"}, {"seq": None}, {"capacity": 3}, {"labels": "a"}, {"born": "x"}],
+)
+def test_a_check_in_with_a_wrong_field_names_no_worker(change):
+    good = {"service": "render", "zone": "accra-a", "state": "ready", "seq": 4, "born": 77,
+            "capacity": {"cpu": 1, "mem_mb": 2, "gpu": 3}, "labels": ["a", "r1-3"]}  # fmt: skip
+    described, sequence = worker.decode_check_in("w-1", json.dumps(good).encode())
+    assert (described.kind, described.rack, described.born_ms, sequence) == ("a", "r1-3", 77, 4)
+    with pytest.raises(ValueError):
+        worker.decode_check_in("w-1", json.dumps(good | change).encode())
--- /dev/null
+++ b/tests/platform/test_processes.py
@@ -0,0 +1,223 @@
+"""An entry and an agent against the stand-ins of the platform."""
+
+import asyncio
+import dataclasses
+import time
+
+import aiohttp
+import pytest
+
+from peridothatch_daemon.hosted import agent, entry
+from peridothatch_platform import settings
+
+JOB = "/jobs/00000000000000aa"
+ONE_TASK = {"spec": "text", "phases": [{"count": 1, "cpu": 100, "gpu": 1}]}
+CHECK_IN = {
+    "service": "render",
+    "zone": "accra-a",
+    "state": "ready",
+    "born": 1,
+    "capacity": {"cpu": 64000, "mem_mb": 1000, "gpu": 8},
+    "labels": ["a", "r1"],
+}
+HISTOGRAMS = ("reception_seconds", "keeper_start_seconds")
+STEP_SECONDS = 0.05
+PATIENCE_SECONDS = 20.0
+
+
+@dataclasses.dataclass
+class System:
+    """A running entry and agent, and a consumer."""
+
+    store: object
+    worker: object
+    entry: entry.Entry
+    agent: agent.Agent
+    machines: tuple
+    consumer: aiohttp.ClientSession
+
+    async def call(self, method, path=JOB, body=None, key="k1", deadline_ms="3000"):
+        headers = {"Host": "a.example", "Api-Key": key, "X-Request-Deadline": deadline_ms}
+        async with self.consumer.request(method, path, json=body, headers=headers) as response:
+            payload = await response.json() if response.content_length else {}
+            return response.status, payload, response.headers
+
+    async def until_state(self, wanted, path=JOB):
+        return await _until(lambda: self._state_is(wanted, path))
+
+    async def _state_is(self, wanted, path):
+        status, body, _ = await self.call("GET", path)
+        return status == 200 and body["state"] == wanted
+
+
+@pytest.fixture
+async def system(store, worker, unused_tcp_port_factory):
+    front = _machine(store, "front-1", unused_tcp_port_factory, worker=None)
+    side = _machine(store, "side-1", unused_tcp_port_factory, worker=worker)
+    started = System(
+        store, worker, await entry.start(front), await agent.start(side, lambda: None),
+        (front, side), aiohttp.ClientSession(f"http://{front.callers.text}"),
+    )  # fmt: skip
+    await _check_in(side)
+    await _until(lambda: _known(started))
+    yield started
+    await started.consumer.close()
+    await agent.close(started.agent)
+    await entry.close(started.entry)
+
+
+async def test_a_job_goes_the_whole_way(system):
+    status, _, _ = await system.call("POST", body=ONE_TASK)
+    assert status == 200
+    await system.until_state("completed")
+    assert system.worker.starts == [("00000000000000aa.0.0.0", 1, "text", "")]
+    assert await _until(lambda: _acknowledged(system))
+    assert (await system.call("GET", "/jobs/"))[1] == {"pending": 0}
+
+
+async def test_the_same_job_sent_again_stays_one_job(system):
+    answers = await asyncio.gather(*(system.call("POST", body=ONE_TASK) for _ in range(3)))
+    assert [status for status, _, _ in answers] == [200, 200, 200]
+    await system.until_state("completed")
+    assert (await system.call("POST", body=ONE_TASK))[0] == 200
+    assert len(system.worker.starts) == 1
+
+
+async def test_bad_calls_get_the_named_status_and_change_nothing(system):
+    before = system.store.transactions
+    bad = {"spec": "text", "phases": [{"count": "many"}]}
+    status, body, _ = await system.call("POST", body=bad)
+    assert (status, body["field"], body["verdict"]) == (400, "phases.0.count", "not_run")
+    assert (await system.call("POST", "/jobs/short", body=ONE_TASK))[0] == 400
+    assert (await system.call("POST", "/none/00000000000000aa", body=ONE_TASK))[0] == 404
+    assert (await system.call("POST", body=ONE_TASK, key="gone"))[0] == 401
+    assert (await system.call("GET"))[0] == 410
+    assert (await system.call("DELETE"))[0] == 410
+    rows = [name for name in system.store.rows if name[0] in ("work", "specs")]
+    assert not rows, before
+
+
+async def test_a_cancelled_job_stops_and_says_so(system):
+    system.worker.task_seconds = 60
+    await system.call("POST", body=ONE_TASK)
+    await _until(lambda: _async(bool(system.worker.running)))
+    assert (await system.call("DELETE"))[0] == 200
+    await system.until_state("cancelled")
+    await _until(lambda: _async(not system.worker.running))
+
+
+async def test_a_lost_answer_of_the_store_is_not_taken_for_a_failure(system):
+    system.store.mode = "lost"
+    asyncio.get_running_loop().call_later(0.3, _set_mode, system.store, "up")
+    assert (await system.call("POST", body=ONE_TASK))[0] == 200
+    await system.until_state("completed")
+    assert len(system.worker.starts) == 1
+
+
+async def test_a_store_that_refuses_is_told_at_once_and_truly(system):
+    system.store.mode = "refuse"
+    status, body, headers = await system.call("POST", body=ONE_TASK)
+    assert (status, body["verdict"], headers["Retry-After"]) == (503, "not_run", "1")
+    system.store.mode = "up"
+    await asyncio.sleep(0.5)
+    assert not [name for name in system.store.rows if name[0] == "work"]
+
+
+async def test_a_start_without_an_answer_runs_once(system):
+    system.worker.mode = "silent"
+    await system.call("POST", body=ONE_TASK)
+    await system.until_state("completed")
+    assert len(system.worker.starts) == 1
+
+
+async def test_a_refused_start_is_tried_again(system):
+    system.worker.mode = "refuse"
+    await system.call("POST", body=ONE_TASK)
+    asyncio.get_running_loop().call_later(0.5, _set_mode, system.worker, "up")
+    await system.until_state("completed")
+    (start,) = system.worker.starts
+    assert start[1] > 1
+
+
+async def test_a_restarted_agent_keeps_the_run(system):
+    system.worker.task_seconds = 3
+    await system.call("POST", body=ONE_TASK)
+    await _until(lambda: _async(bool(system.worker.running)))
+    await agent.close(system.agent)
+    system.agent = await agent.start(system.machines[1], lambda: None)
+    await _check_in(system.machines[1], sequence=9)
+    await system.until_state("completed")
+    assert len(system.worker.starts) == 1
+
+
+async def test_metrics_and_state_are_served(system):
+    await system.call("POST", body=ONE_TASK)
+    await system.until_state("completed")
+    for machine, text in zip(system.machines, HISTOGRAMS, strict=True):
+        async with aiohttp.ClientSession(f"http://{machine.metrics.text}") as session:
+            async with session.get("/metrics") as response:
+                assert f"peridothatch_{text}_bucket" in await response.text()
+            async with session.get("/debug/state") as response:
+                assert (await response.json())["process"]["node"] == machine.node
+
+
+def _machine(store, node, ports, worker):
+    def address():
+        return settings.Address("127.0.0.1", ports())
+
+    return settings.Machine(
+        node=node,
+        data_centre="accra-a",
+        region="gh-south",
+        data_centres={"accra-a": "gh-south"},
+        callers=None if worker else address(),
+        readiness=None if worker else address(),
+        check_ins=address() if worker else None,
+        worker=worker.address if worker else None,
+        metrics=address(),
+        store=store.address,
+        revoke_seconds=5.0,
+        longest_hold_ms=10_000,
+        stop_seconds=0.1,
+        retention_ms=120_000,
+    )
+
+
+async def _check_in(machine, sequence=1):
+    async with aiohttp.ClientSession(f"http://{machine.check_ins.text}") as session:
+        path = "/peridothatch/instances/w-1"
+        async with session.put(path, json=CHECK_IN | {"seq": sequence}) as response:
+            assert response.status == 200
+
+
+async def _known(system):
+    """Tell whether the entry leads and has the agent's worker."""
+    session = aiohttp.ClientSession(f"http://{system.machines[0].metrics.text}")
+    async with session, session.get("/debug/state") as response:
+        dump = await response.json()
+    members = [name for name in system.store.rows if name[2] == "agent/side-1"]
+    ready = dump["tasks"]["reception"]["desired_version"] == 3
+    return ready and dump["tasks"]["scheduler"]["leading"] and bool(members)
+
+
+async def _acknowledged(system):
+    return bool(system.worker.ended) and not [
+        name for name in system.store.rows if name[0].startswith("orders")
+    ]
+
+
+async def _async(value):
+    return value
+
+
+def _set_mode(standin, mode):
+    standin.mode = mode
+
+
+async def _until(probe):
+    deadline = time.monotonic() + PATIENCE_SECONDS
+    while time.monotonic() < deadline:
+        if await probe():
+            return True
+        await asyncio.sleep(STEP_SECONDS)
+    raise AssertionError("the awaited state did not come")
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,94 @@
+import asyncio
+import time
+
+from peridothatch_core.message import rows
+from peridothatch_platform import settings
+from peridothatch_platform import store as client_module
+from peridothatch_wire import mailbox
+
+KEY = rows.Key("work", "j/1")
+
+
+async def _commit(client, transaction, timeout=1.0):
+    future = asyncio.get_running_loop().create_future()
+    mailbox.post(client.inbox, rows.Commit("t", transaction, timeout, future.set_result))
+    return await asyncio.wait_for(future, 5)
+
+
+async def _fetch(client, table, prefix=""):
+    future = asyncio.get_running_loop().create_future()
+    mailbox.post(client.inbox, rows.Fetch("t", table, prefix, 1.0, future.set_result))
+    return await asyncio.wait_for(future, 5)
+
+
+async def test_outcomes_tell_what_certainly_happened(store):
+    client = await _start(store)
+    put = rows.Transaction((rows.Condition(KEY, 0),), ((KEY, b"one"),))
+    done = await _commit(client, put)
+    assert done.outcome is rows.Outcome.COMMITTED
+    assert done.version == store.version
+    assert (await _commit(client, put)).outcome is rows.Outcome.CONFLICT
+    store.mode = "refuse"
+    assert (await _commit(client, put)).outcome is rows.Outcome.NOT_DONE
+    store.mode = "lost"
+    other = rows.Transaction((), ((rows.Key("work", "j/2"), b"two"),))
+    assert (await _commit(client, other)).outcome is rows.Outcome.UNKNOWN
+    await _close(client)
+
+
+async def test_a_closed_port_means_that_nothing_was_done(unused_tcp_port):
+    client = await client_module.start(
+        settings.Address("127.0.0.1", unused_tcp_port), time.monotonic
+    )
+    done = await _commit(client, rows.Transaction((), ((KEY, b"one"),)))
+    assert done.outcome is rows.Outcome.NOT_DONE
+    await client_module.close(client)
+
+
+async def test_reads_go_over_all_pages_and_keep_to_the_prefix(store):
+    client = await _start(store)
+    for number in range(8):
+        key = rows.Key("work", f"j/{number}")
+        await _commit(client, rows.Transaction((), ((key, b"%d" % number),)))
+    await _commit(client, rows.Transaction((), ((rows.Key("work", "c/1"), b""),)))
+    fetched = await _fetch(client, "work", "j/")
+    assert [row.value for row in fetched.rows] == [b"%d" % number for number in range(8)]
+    await _close(client)
+
+
+async def test_a_feed_gives_a_snapshot_changes_and_a_snapshot_after_lost_history(store):
+    client = await _start(store)
+    await _commit(client, rows.Transaction((), ((KEY, b"one"),)))
+    delivered = asyncio.Queue()
+    lost = []
+    feed = await client_module.follow(
+        store.address, "work", time.monotonic, delivered.put_nowait,
+        lambda _, reason: lost.append(reason),
+    )  # fmt: skip
+    first = await asyncio.wait_for(delivered.get(), 5)
+    assert isinstance(first, rows.Snapshot)
+    assert [row.value for row in first.rows] == [b"one"]
+    await _commit(client, rows.Transaction((), ((KEY, None),)))
+    change = await _next_news(delivered)
+    assert [(row.key, row.value) for row in change.rows] == [("j/1", None)]
+    store.mode = "forgotten"
+    while not isinstance(await asyncio.wait_for(delivered.get(), 5), rows.Snapshot):
+        pass
+    assert "history" in lost[-1]
+    await client_module.unfollow(feed)
+    await _close(client)
+
+
+async def _next_news(delivered):
+    while True:
+        message = await asyncio.wait_for(delivered.get(), 5)
+        if message.rows:
+            return message
+
+
+async def _start(standin):
+    return await client_module.start(standin.address, time.monotonic)
+
+
+async def _close(client):
+    await client_module.close(client)
