--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,11 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(SOURCES),$(CURDIR)/packages/$(p)/src) $(CURDIR)/platform)
 
-.PHONY: setup test lint check format demo capacity bench docs clean
+BENCH ?=
+SITE ?=
+DAY ?= quiet-1
+
+.PHONY: platform setup test lint check format demo capacity bench docs clean
 
 ifeq ($(VENV),.venv)
 setup: $(VENV)/installed
@@ -50,5 +54,9 @@
 bench: capacity
 	$(PYTHON) scripts/bench_placement.py
 
+platform:
+	@test -x "$(BENCH)" || { echo "BENCH=$(BENCH): no such program; name the users' bench"; exit 2; }
+	$(BENCH) run $(SITE) $(DAY) --why "make platform"
+
 clean:
 	rm -rf .venv .pytest_cache .ruff_cache .hypothesis
