Settle runs of workers that never answer, keep checkpoints over a loss of power, tell readiness

The new agent process had given no deadline of its own, so it never saw one pass, and held the run for good. The new process had dropped the old row's reports, and the new life of the worker knows none. Cause 3: entries that did not reach the store stayed in rotation and refused.

Change: a promise of an earlier process ends runs as well; reports of the old row are kept until the worker's list is known; readiness needs a fresh store.

Each has a test that failed before.

--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -51,6 +51,8 @@
     state.lapses = row.lapses
     if not state.registered:
         state.fence = row.fence
+        state.inherited_until_ms = max(state.inherited_until_ms, row.hold_until_ms)
+        state.reports |= {(report.task, report.attempt): report for report in row.runs}
         if state.worker is None:
             state.worker = row.worker
             state.heard_at = now
@@ -90,11 +92,10 @@
         state.fence += 1
     until = storeclock.latest_ms(state.clock, now) + state.hold_ms
     state.wanted_until_ms = max(until, state.wanted_until_ms + 1)
-    reports = tuple(
-        agents.RunReport(key[0], key[1], held.saved, held.percent)
-        for key, held in state.held.items()
-        if held.phase is states.Phase.RUNNING
-    )
+    reports = {} if state.listed else dict(state.reports)
+    for key, held in state.held.items():
+        if held.phase is states.Phase.RUNNING:
+            reports[key] = agents.RunReport(key[0], key[1], held.saved, held.percent)
     return agents.Agent(
         state.node,
         state.zone,
@@ -102,7 +103,7 @@
         state.lapses,
         state.wanted_until_ms,
         state.worker,
-        reports,
+        tuple(reports.values()),
     )
 
 
--- a/packages/core/src/peridothatch_core/hold/listing.py
+++ b/packages/core/src/peridothatch_core/hold/listing.py
@@ -42,6 +42,8 @@
     """Note an end that the worker does not list, for the next write."""
     held = state.held[key]
     held.phase = states.Phase.ENDED
+    if not saved and key in state.reports:
+        saved = state.reports[key].saved
     held.end = steps.End(key[0], key[1], state.node, kind, saved, reason)
     if held.order is None:
         del state.held[key]
@@ -86,6 +88,6 @@
     if confirmed and not held.stop:
         held.stop = "the worker no longer lists the run"
     if held.stopped_at is not None and listing.asked_at > held.stopped_at:
-        ran = held.phase is states.Phase.RUNNING
+        ran = held.phase is states.Phase.RUNNING or key in state.reports
         kind = steps.EndKind.LOST if ran else steps.EndKind.REJECTED
         record(state, key, kind, held.saved, held.stop)
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -135,6 +135,12 @@
         The worker's clock in its last answer, and when that was received.
     given_deadline_ms : int
         Latest deadline that the worker was sent, on its own clock.
+    inherited_until_ms : int
+        Store time by which deadlines of an earlier process, or for an earlier life of the
+        worker, have passed.
+    reports : dict
+        Runs in the row that an earlier process of this node wrote; a new life of the worker
+        does not know their checkpoints.
     last_seen : int
         Ends up to this number are in the store, so that the worker may forget them.
     ends : dict
@@ -169,6 +175,8 @@
     worker_clock_ms: int = 0
     worker_clock_at: float = 0.0
     given_deadline_ms: int = 0
+    inherited_until_ms: int = 0
+    reports: dict[exchange.RunKey, agents.RunReport] = dataclasses.field(default_factory=dict)
     last_seen: int = 0
     ends: dict[int, steps.End] = dataclasses.field(default_factory=dict)
     ignorable: set[int] = dataclasses.field(default_factory=set)
--- a/packages/core/src/peridothatch_core/hold/worker.py
+++ b/packages/core/src/peridothatch_core/hold/worker.py
@@ -7,7 +7,7 @@
 
 from peridothatch_core.hold import listing
 from peridothatch_core.hold import state as states
-from peridothatch_core.model import agents, steps
+from peridothatch_core.model import agents, steps, storeclock
 
 KILL_MARGIN_MS = 1200
 """Longest time that a worker takes to end its runs after their deadline."""
@@ -45,7 +45,7 @@
     """Take over that a life of the worker has ended; return whether it was the present one."""
     if state.worker is None or state.worker.instance != instance:
         return False
-    _lose_runs(state, "the worker has left")
+    _lose_runs(state, "the worker has left", startable=True)
     state.worker = dataclasses.replace(state.worker, state=agents.WorkerState.ABSENT)
     state.dirty = True
     return True
@@ -66,18 +66,25 @@
 
 
 def lapse(state: states.State, now: float) -> None:
-    """Close the runs of a silent worker whose deadline has certainly passed.
-
-    Even the slowest clock of the worker must have passed the last deadline that it was given.
-    """
+    """Close the runs of a silent worker whose deadlines have certainly passed."""
     worker = state.worker
     if worker is None or worker.state is not agents.WorkerState.ABSENT:
         return
-    if now - state.heard_at < states.SILENT_SECONDS or not state.worker_clock_ms:
-        return
+    if now - state.heard_at >= states.SILENT_SECONDS and _deadlines_passed(state, now):
+        _lose_runs(state, "the worker is silent and its deadline has passed", startable=False)
+
+
+def _deadlines_passed(state: states.State, now: float) -> bool:
+    """Tell whether even the slowest clock of the worker has passed all deadlines.
+
+    Deadlines of an earlier process or for an earlier life came before the promise of that time.
+    """
+    inherited_ms = state.inherited_until_ms + KILL_MARGIN_MS
+    if storeclock.earliest_ms(state.clock, now) <= inherited_ms:
+        return False
     elapsed_ms = 1000 * states.SLOWEST_CLOCK * (now - state.worker_clock_at)
-    if state.worker_clock_ms + elapsed_ms > state.given_deadline_ms + KILL_MARGIN_MS:
-        _lose_runs(state, "the worker is silent and its deadline has passed")
+    reached_ms = state.worker_clock_ms + elapsed_ms
+    return not state.given_deadline_ms or reached_ms > state.given_deadline_ms + KILL_MARGIN_MS
 
 
 def _announced(worker: agents.Worker) -> tuple[typing.Any, ...]:
@@ -87,10 +94,11 @@
 
 def _new_life(state: states.State) -> None:
     """Forget the worker's former life, which ended with all that it ran."""
-    _lose_runs(state, "the worker has started a new life")
+    _lose_runs(state, "the worker has started a new life", startable=True)
     state.leaves_at = None
     state.worker_clock_ms = 0
     state.given_deadline_ms = 0
+    state.inherited_until_ms = max(state.inherited_until_ms, state.hold_until_ms)
     state.last_seen = 0
     state.ignorable.clear()
     # Numbers of ends start anew; ends of the former life keep numbers of our own.
@@ -99,14 +107,22 @@
         state.ends[state.own_ends] = state.ends.pop(number)
 
 
-def _lose_runs(state: states.State, reason: str) -> None:
+def _lose_runs(state: states.State, reason: str, *, startable: bool) -> None:
+    """Record the ends of all runs.
+
+    Parameters
+    ----------
+    startable : bool
+        An unanswered start may still be carried out, so it is barred by a stop first. After its
+        deadline the worker refuses it.
+    """
     for key, held in list(state.held.items()):
         if held.phase is states.Phase.ENDED:
             continue
-        if held.phase is states.Phase.WAITING and held.unsure:
-            # The start may still be carried out by the new life, so it is barred first.
+        if startable and held.phase is states.Phase.WAITING and held.unsure:
             held.stop = held.stop or reason
             held.stopped_at = None
             continue
-        kind = steps.EndKind.LOST if held.phase is states.Phase.RUNNING else None
-        listing.record(state, key, kind or steps.EndKind.REJECTED, held.saved, reason)
+        ran = held.phase is states.Phase.RUNNING or key in state.reports
+        kind = steps.EndKind.LOST if ran else steps.EndKind.REJECTED
+        listing.record(state, key, kind, held.saved, reason)
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -175,3 +175,52 @@
     ends_at = worker_read + max(0, deadline - held.worker_clock_ms) / 1000.0 / rate
     promise_ends_at = store_read + 9.5
     assert ends_at <= promise_ends_at
+
+
+def _restarted(row, now=30.0):
+    """Return an agent whose process was started anew after ``row`` had been written."""
+    held = state.State("side-1", "accra-a", 9_500)
+    step.step(held, exchange.StoreTime(int(1000 * now), now - 0.01, now), now)
+    step.step(held, exchange.Tick(), now)
+    (write,) = (
+        effect
+        for effect in step.step(held, exchange.RowRead(True, row, 50), now)
+        if isinstance(effect, exchange.WriteRow)
+    )
+    step.step(held, harness.committed(write, now), now)
+    step.step(held, exchange.OrdersLoaded({harness.KEY: harness.order()}, {}), now)
+    return held
+
+
+def _row(hold_until_ms, reports=()):
+    return agents.Agent("side-1", "accra-a", 1, 0, hold_until_ms, harness.worker(), reports)
+
+
+def test_a_restarted_agent_gives_up_runs_of_a_worker_that_never_answers():
+    # The worker had left while the agent was down; the run was held for good.
+    held = _restarted(_row(hold_until_ms=33_000))
+    now = 30.0
+    while now < 33.9:
+        step.step(held, exchange.StoreTime(int(1000 * now), now - 0.01, now), now)
+        assert not held.ends
+        now += 0.5
+    step.step(held, exchange.StoreTime(34_500, 34.49, 34.5), 34.5)
+    assert [end.kind for end in held.ends.values()] == [steps.EndKind.REJECTED]
+
+
+def test_checkpoints_outlive_a_loss_of_power_of_agent_and_worker():
+    # The new life knows nothing of them, and the new process had forgotten the old row.
+    report = agents.RunReport(harness.TASK, 1, "c9", 70)
+    held = _restarted(_row(33_000, (report,)))
+    step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000), 0), 30.5)
+    step.step(held, exchange.StopAnswered(harness.KEY, True), 30.6)
+    listing = harness.listing(31.0, born_ms=9_000)
+    step.step(held, exchange.Looked(listing), 31.0)
+    assert [(end.kind, end.saved) for end in held.ends.values()] == [(steps.EndKind.LOST, "c9")]
+
+
+def test_a_restarted_agent_keeps_the_reports_until_it_has_seen_the_list():
+    report = agents.RunReport(harness.TASK, 1, "c9", 70)
+    held = _restarted(_row(33_000, (report,)))
+    write = harness.only(step.step(held, exchange.Tick(), 32.5), exchange.WriteRow)
+    assert write.row.runs == (report,)
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -33,6 +33,9 @@
 
 RESIGN_SECONDS = 1.0
 
+READY_SECONDS = 0.5
+"""Longest wait for the answer to a readiness probe, which the balancer repeats every second."""
+
 
 @dataclasses.dataclass(slots=True)
 class Entry:
@@ -128,8 +131,14 @@
         except TimeoutError:
             return None
 
-    def ready() -> bool:
-        return not entry.draining[0]
+    async def ready() -> bool:
+        reply = mailbox.Reply()
+        if entry.draining[0] or not mailbox.post(entry.reception.inbox, messages.AskReady(reply)):
+            return False
+        try:
+            return await mailbox.wait(reply, READY_SECONDS)
+        except TimeoutError:
+            return False
 
     tasks = {"reception": entry.reception.inbox, "scheduler": entry.scheduler.inbox}
     identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "entry"}
--- a/packages/daemon/src/peridothatch_daemon/hosted/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/messages.py
@@ -56,6 +56,13 @@
     reply: mailbox.Reply
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskReady:
+    """Ask whether calls can be served now; the reply takes a bool."""
+
+    reply: mailbox.Reply
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """A timer of the task is due."""
--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -36,6 +36,11 @@
 a refusal without a try is certainly true."""
 
 
+READY_SECONDS = 2.2
+"""Longest silence of the store while the entry is ready: two polls of a feed. Consumers then
+connect to entries that still reach the store."""
+
+
 @dataclasses.dataclass(slots=True)
 class _Pending:
     """A call that waits for the store.
@@ -120,12 +125,20 @@
             _committed(state, message)
         case rows.Fetched():
             _fetched(state, message)
+        case messages.AskReady(reply):
+            mailbox.answer(reply, _ready(state))
         case messages.Ask(reply):
             mailbox.answer(reply, _dump(state))
         case messages.Retry(pending):
             _send(state, pending)
 
 
+def _ready(state: _State) -> bool:
+    now = clock.now()
+    oldest = min(state.desired_at, state.store_at)
+    return state.desired is not None and now - oldest < READY_SECONDS
+
+
 def _follow(state: _State, message: rows.Snapshot | rows.Changes) -> None:
     storeclock.observe(state.clock, message.now_ms, message.asked_at, message.answered_at)
     state.store_at = max(state.store_at, message.answered_at)
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -123,6 +123,15 @@
     assert not [name for name in system.store.rows if name[0] == "work"]
 
 
+async def test_an_entry_without_the_store_is_not_ready(system):
+    # Consumers kept connecting to an entry that could only refuse them.
+    assert await _ready(system) == 200
+    system.store.mode = "refuse"
+    await _until(lambda: _is(_ready(system), 503))
+    system.store.mode = "up"
+    await _until(lambda: _is(_ready(system), 200))
+
+
 async def test_a_start_without_an_answer_runs_once(system):
     system.worker.mode = "silent"
     await system.call("POST", body=ONE_TASK)
@@ -206,6 +215,17 @@
     ]
 
 
+async def _ready(system):
+    address = system.machines[0].readiness
+    async with aiohttp.ClientSession(f"http://{address.text}") as session:
+        async with session.get("/peridothatch/ready") as response:
+            return response.status
+
+
+async def _is(answer, wanted):
+    return await answer == wanted
+
+
 async def _async(value):
     return value
 
