--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -66,7 +66,7 @@
     work : tuple of Row or None
         Rows of the work table of the read that is under way.
     floor : int
-        Newest version of the read rows; older news of a feed is known already.
+        Newest version of the work rows that were read; older news of their feed is known.
     batches : list
         Transactions that are still to be sent; the first one is under way.
     """
@@ -349,7 +349,8 @@
     old = own.schedule
     fresh = state.State(own.limits, health=old.health, avoid=old.avoid, retry_at=old.retry_at)
     own.schedule = fresh
-    own.floor = max((row.version for row in (*work, *members)), default=0)
+    # The members were read later, so their versions say nothing about the work.
+    own.floor = max((row.version for row in work), default=0)
     for row in work:
         _take_work(own, row)
     for row in members:
@@ -375,11 +376,9 @@
         _load(own)
         return
     for row in message.rows:
-        if row.version <= own.floor:
-            continue
         if message.table == tables.MEMBERS:
             _take_agent(own, row)
-        elif row.value is not None:
+        elif row.value is not None and row.version > own.floor:
             _take_work(own, row)
 
 
--- /dev/null
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -0,0 +1,110 @@
+import asyncio
+
+from peridothatch_core.message import rows
+from peridothatch_core.model import agents, steps, tables
+from peridothatch_core.schedule import leadership, state
+from peridothatch_daemon.hosted import clock, records, scheduler
+from peridothatch_wire import mailbox
+
+NODE = "side-1"
+TASK = "00000000000000aa.0.0.0"
+
+
+def _job():
+    progress = steps.StepProgress(
+        0, 0, attempts=[1], failures=[0], saved=[""], runs=[steps.Run(0, 1, NODE, 0, 1)]
+    )
+    return steps.Job(
+        "00000000000000aa", "q", "render", "", 1, 3, 2.0, 500, (steps.Step(1),), None, 1,
+        state=steps.JobState.RUNNING, opened=1, progress=[progress],
+    )  # fmt: skip
+
+
+def _row(key, value, version):
+    return rows.Row(key.table, key.key, records.encode(value), version)
+
+
+def _changes(table, *found):
+    now = clock.now()
+    return rows.Changes(table, found, int(1000 * now), now - 0.01, now)
+
+
+class _Store:
+    """The store's side of a scheduler's mailbox."""
+
+    def __init__(self):
+        self.inbox = mailbox.create("store")
+
+    async def next(self, kind, wanted=lambda _: True):
+        while True:
+            message = await asyncio.wait_for(mailbox.take(self.inbox), 5)
+            if isinstance(message, kind) and wanted(message):
+                return message
+            if isinstance(message, rows.Commit):
+                self.commit(message, 90)
+
+    def commit(self, message, version, outcome=rows.Outcome.COMMITTED):
+        now = clock.now()
+        message.answer(rows.Committed(message.token, outcome, version, int(1000 * now), now, now))
+
+    def fetched(self, message, *found):
+        now = clock.now()
+        message.answer(rows.Fetched(message.token, found, int(1000 * now), now, now))
+
+
+async def _leading(work, members):
+    """Return a scheduler that has taken the lead and read the given rows."""
+    store = _Store()
+    running = scheduler.start("front-1", "1", state.Limits(), store.inbox, lambda _: None)
+    mailbox.post(running.inbox, _changes(tables.MEMBERS))
+    claim = await store.next(rows.Commit)
+    assert {key for key, _ in claim.transaction.writes} == {tables.EPOCH, tables.LEASE}
+    store.commit(claim, 30)
+    store.fetched(await store.next(rows.Fetch), *work)
+    store.fetched(await store.next(rows.Fetch), *members)
+    return running, store
+
+
+def _deletes_end(message):
+    return (tables.end(TASK, 1), None) in message.transaction.writes
+
+
+async def test_an_end_that_came_between_the_two_reads_is_taken_over():
+    # Its version was below that of a member's row, and it was taken for old news: the run
+    # stayed open for good.
+    work = [_row(tables.job("00000000000000aa"), _job(), 10)]
+    agent = agents.Agent(NODE, "accra-a", 1, 0, 10**12)
+    running, store = await _leading(work, [_row(tables.agent(NODE), agent, 40)])
+    end = steps.End(TASK, 1, NODE, steps.EndKind.DONE)
+    mailbox.post(running.inbox, _changes(tables.WORK, _row(tables.end(TASK, 1), end, 35)))
+    await store.next(rows.Commit, _deletes_end)
+    await scheduler.close(running)
+
+
+async def test_rows_are_read_again_after_a_write_whose_outcome_is_unknown():
+    work = [_row(tables.job("00000000000000aa"), _job(), 10)]
+    end = steps.End(TASK, 1, NODE, steps.EndKind.DONE)
+    agent = agents.Agent(NODE, "accra-a", 1, 0, 10**12)
+    members = [_row(tables.agent(NODE), agent, 40)]
+    running, store = await _leading([*work, _row(tables.end(TASK, 1), end, 11)], members)
+    write = await store.next(rows.Commit, _deletes_end)
+    store.commit(write, 0, rows.Outcome.UNKNOWN)
+    fetch = await store.next(rows.Fetch)
+    assert fetch.table == tables.WORK
+    await scheduler.close(running)
+
+
+async def test_a_leader_whose_epoch_was_taken_writes_nothing_more():
+    work = [_row(tables.job("00000000000000aa"), _job(), 10)]
+    agent = agents.Agent(NODE, "accra-a", 1, 0, 10**12)
+    running, store = await _leading(work, [_row(tables.agent(NODE), agent, 40)])
+    other = leadership.Lease("front-2/1", 9, 10**12)
+    mailbox.post(
+        running.inbox,
+        _changes(tables.MEMBERS, _row(tables.EPOCH, other, 50), _row(tables.LEASE, other, 50)),
+    )
+    end = steps.End(TASK, 1, NODE, steps.EndKind.DONE)
+    mailbox.post(running.inbox, _changes(tables.WORK, _row(tables.end(TASK, 1), end, 51)))
+    await asyncio.sleep(0.6)
+    assert store.inbox.depth == 0
+    await scheduler.close(running)
