--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -36,12 +36,13 @@
         self.inbox = mailbox.create("store")
 
     async def next(self, kind, wanted=lambda _: True):
-        while True:
-            message = await asyncio.wait_for(mailbox.take(self.inbox), 5)
-            if isinstance(message, kind) and wanted(message):
-                return message
-            if isinstance(message, rows.Commit):
-                self.commit(message, 90)
+        async with asyncio.timeout(5):
+            while True:
+                message = await mailbox.take(self.inbox)
+                if isinstance(message, kind) and wanted(message):
+                    return message
+                if isinstance(message, rows.Commit):
+                    self.commit(message, 90)
 
     def commit(self, message, version, outcome=rows.Outcome.COMMITTED):
         now = clock.now()
