Give urgent gangs a rack, and room from lesser work that costs little

Change: gangs that suffer from a spread, and tasks with data in one rack, wait for it up to half of what a slower place would cost, by learnt run times; urgent jobs stop lesser work of up to 800 core-seconds. Ends of one write are closed before consequences are drawn.

--- a/packages/core/src/peridothatch_core/schedule/cycle.py
+++ b/packages/core/src/peridothatch_core/schedule/cycle.py
@@ -6,6 +6,7 @@
 import typing
 
 from peridothatch_core.model import agents, steps, tables
+from peridothatch_core.order import runtimes
 from peridothatch_core.place import ejection
 from peridothatch_core.schedule import fit, progress, reclaim
 from peridothatch_core.schedule import state as states
@@ -17,6 +18,10 @@
 """Starts of one job in one cycle; a transaction of the store holds 100 entries."""
 
 
+FAR_PATIENCE = 0.5
+"""Wait for a place at full speed, as a part of what a slower place would cost."""
+
+
 def run(state: states.State, now_ms: int, unix_ms: int) -> None:
     """Decide everything that is due; the decisions are left in ``state.changes``.
 
@@ -180,10 +185,18 @@
     step = job.steps[step_progress.step]
     if len(waiting) < step.count:
         return
-    chosen = fit.place_gang(step, job.service, found, _avoided(state, job, step_progress))
+    avoid = _avoided(state, job, step_progress)
+    near = fit.near_groups(step, job.service, found)
+    chosen = fit.place_gang(step, job.service, near, avoid)
+    if chosen is None and _make_room(state, job, step_progress, waiting, near, protected, now_ms):
+        return
+    if chosen is None and _may_be_far(state, job, step_progress, near, protected, now_ms):
+        everywhere = fit.any_groups(found)
+        chosen = fit.place_gang(step, job.service, everywhere, avoid)
+        if chosen is None:
+            suited = [room for room in found if fit.takes(room, step, job.service)]
+            _make_room(state, job, step_progress, waiting, [suited], protected, now_ms)
     if chosen is None:
-        if job.id in protected:
-            reclaim.make_room(state, job, step_progress, waiting, found, protected, now_ms)
         return
     step_progress.attempts[0] += 1
     for index, room in zip(waiting, chosen, strict=True):
@@ -205,12 +218,16 @@
     for run_ in step_progress.runs:
         on_node[run_.node] = on_node.get(run_.node, 0) + 1
     avoid = _avoided(state, job, step_progress)
+    near = fit.near_groups(step, job.service, found)
+    usable = found
+    if not _may_be_far(state, job, step_progress, near, protected, now_ms):
+        usable = near[0]
     for position, index in enumerate(waiting):
-        room = fit.place_one(step, job.service, found, on_node, avoid)
+        room = fit.place_one(step, job.service, usable, on_node, avoid)
         if room is None:
-            if job.id in protected:
-                rest = waiting[position:]
-                reclaim.make_room(state, job, step_progress, rest, found, protected, now_ms)
+            suited = [room for room in usable if fit.takes(room, step, job.service)]
+            rest = waiting[position:]
+            _make_room(state, job, step_progress, rest, [suited], protected, now_ms)
             return position
         on_node[room.agent.node] = on_node.get(room.agent.node, 0) + 1
         step_progress.attempts[index] += 1
@@ -218,6 +235,43 @@
     return len(waiting)
 
 
+def _make_room(
+    state: states.State,
+    job: steps.Job,
+    step_progress: steps.StepProgress,
+    waiting: list[int],
+    groups: list[list[fit.Room]],
+    protected: set[str],
+    now_ms: int,
+) -> bool:
+    return reclaim.make_room(state, job, step_progress, waiting, groups, protected, now_ms)
+
+
+def _may_be_far(
+    state: states.State,
+    job: steps.Job,
+    step_progress: steps.StepProgress,
+    near: list[list[fit.Room]],
+    protected: set[str],
+    now_ms: int,
+) -> bool:
+    """Tell whether a step may run where it is slower.
+
+    It waits for a place at full speed as long as that is likely to end earlier. A guaranteed
+    job begins at once wherever it can.
+    """
+    if not near or job.id in protected:
+        return True
+    step = job.steps[step_progress.step]
+    key = (job.id, step_progress.occurrence, step_progress.step)
+    since = state.ready_at.setdefault(key, now_ms)
+    seconds = runtimes.estimate(
+        state.runtimes, job.customer, job.queue, step.estimate_ms / 1000.0, quantile=0.5
+    )
+    patience = FAR_PATIENCE * (state.limits.remote_factor - 1.0) * seconds
+    return now_ms - since >= 1000.0 * patience
+
+
 def _avoided(state: states.State, job: steps.Job, step_progress: steps.StepProgress) -> set[str]:
     return state.avoid.get((job.id, step_progress.occurrence, step_progress.step), set())
 
--- a/packages/core/src/peridothatch_core/schedule/fit.py
+++ b/packages/core/src/peridothatch_core/schedule/fit.py
@@ -66,6 +66,28 @@
         room.soon[place] -= amount
 
 
+def near_groups(step: steps.Step, service: str, found: Iterable[Room]) -> list[list[Room]]:
+    """Return the groups of workers on which a step runs at full speed.
+
+    The result is the rack of the step's data, or each rack for a gang that must not be spread,
+    as far as they could ever hold the step. It is empty when there is none or any worker will
+    do.
+    """
+    suited = [room for room in found if takes(room, step, service)]
+    by_rack: dict[str, list[Room]] = {}
+    for room in suited:
+        by_rack.setdefault(room.worker.rack, []).append(room)
+    if step.affinity:
+        groups = [by_rack.get(step.affinity, [])]
+    elif step.gang and step.same_rack:
+        groups = list(by_rack.values())
+    else:
+        return []
+    count = step.count if step.gang else 1
+    groups = [group for group in groups if _most_tasks(step, group) >= count]
+    return sorted(groups, key=lambda group: sum(room.free[2] for room in group))
+
+
 def place_one(
     step: steps.Step,
     service: str,
@@ -94,30 +116,36 @@
 
 
 def place_gang(
-    step: steps.Step, service: str, found: list[Room], avoid: Collection[str]
+    step: steps.Step, service: str, groups: Iterable[list[Room]], avoid: Collection[str]
 ) -> list[Room] | None:
-    """Return a room for each member of a gang, or ``None`` when not all fit.
-
-    One rack is preferred, since a gang that is spread over racks may be several times slower.
-    """
-    suited = [room for room in found if takes(room, step, service)]
-    by_rack: dict[str, list[Room]] = {}
-    for room in suited:
-        by_rack.setdefault(room.worker.rack, []).append(room)
-    racks = sorted(by_rack.items(), key=lambda item: _rack_preference(step, item))
-    if step.same_rack or step.affinity:
-        for _, members in racks:
-            chosen = _fill(step, members, avoid)
-            if chosen is not None:
-                return chosen
-    zones: dict[str, list[Room]] = {}
-    for room in suited:
-        zones.setdefault(room.worker.zone, []).append(room)
-    for members in sorted(zones.values(), key=lambda group: -sum(room.free[2] for room in group)):
-        chosen = _fill(step, members, avoid)
+    """Return a room for each member of a gang in the first group that has room for all."""
+    for group in groups:
+        suited = [room for room in group if takes(room, step, service)]
+        chosen = _fill(step, suited, avoid)
         if chosen is not None:
             return chosen
-    return _fill(step, suited, avoid)
+    return None
+
+
+def any_groups(found: list[Room]) -> list[list[Room]]:
+    """Return the workers of each data centre, and all of them, for a step that may be spread."""
+    by_zone: dict[str, list[Room]] = {}
+    for room in found:
+        by_zone.setdefault(room.worker.zone, []).append(room)
+    zones = sorted(by_zone.values(), key=lambda group: sum(room.free[2] for room in group))
+    return [*zones, found]
+
+
+def _most_tasks(step: steps.Step, group: Iterable[Room]) -> int:
+    """Return how many tasks of a step the workers could hold if they were empty."""
+    needed = states.counted(step)
+    total = 0
+    for room in group:
+        capacity = _capacity(room.worker)
+        fitting = [have // need for have, need in zip(capacity, needed, strict=True) if need]
+        most = min(fitting, default=step.count)
+        total += min(most, step.spread_limit) if step.spread_limit else most
+    return total
 
 
 def _fill(step: steps.Step, members: list[Room], avoid: Collection[str]) -> list[Room] | None:
@@ -152,27 +180,18 @@
     )
 
 
-def _rack_preference(step: steps.Step, item: tuple[str, list[Room]]) -> tuple[bool, int, str]:
-    rack, members = item
-    return (
-        bool(step.affinity) and rack != step.affinity,
-        sum(room.free[2] for room in members),
-        rack,
-    )
-
-
 def _below_limit(step: steps.Step, room: Room, on_node: dict[str, int]) -> bool:
     return not step.spread_limit or on_node.get(room.agent.node, 0) < step.spread_limit
 
 
+def _capacity(worker: agents.Worker) -> tuple[int, int, int]:
+    capacity = worker.capacity
+    return capacity.cpu_millis, capacity.memory_mb, capacity.accelerators
+
+
 def _room(state: states.State, agent: agents.Agent, worker: agents.Worker) -> Room:
-    capacity = (
-        worker.capacity.cpu_millis,
-        worker.capacity.memory_mb,
-        worker.capacity.accelerators,
-    )
     used = state.used.get(agent.node, [0, 0, 0])
-    free = [have - taken for have, taken in zip(capacity, used, strict=True)]
+    free = [have - taken for have, taken in zip(_capacity(worker), used, strict=True)]
     soon = list(free)
     for job, progress, run in state.runs.get(agent.node, ()):
         if run.stopping:
--- a/packages/core/src/peridothatch_core/schedule/leadership.py
+++ b/packages/core/src/peridothatch_core/schedule/leadership.py
@@ -14,11 +14,11 @@
 from peridothatch_core.message import rows
 from peridothatch_core.model import tables
 
-LEASE_MS = 3000
-"""Length of the lease. Machines must not get orders from two leaders within 3 s, and a
-takeover must come well before the 4 s in which disturbed machines do not count."""
+LEASE_MS = 2000
+"""Length of the lease. After a loss of power of all machines nothing starts before it ends; it
+outlasts a store that answers 60 times as slowly as usual."""
 
-RENEW_SECONDS = 0.8
+RENEW_SECONDS = 0.5
 """Three renewals may fail before the lease ends."""
 
 RETRY_SECONDS = 0.3
--- a/packages/core/src/peridothatch_core/schedule/progress.py
+++ b/packages/core/src/peridothatch_core/schedule/progress.py
@@ -5,6 +5,7 @@
 import typing
 
 from peridothatch_core.model import steps, tables
+from peridothatch_core.order import runtimes
 from peridothatch_core.place import ejection
 from peridothatch_core.schedule import state as states
 
@@ -81,28 +82,37 @@
 
 
 def take_ends(state: states.State, now_ms: int) -> None:
-    """Take over the ends that agents have recorded."""
+    """Take over the ends that agents have recorded.
+
+    All runs that have ended are closed before any consequence is drawn, so that a member of a
+    gang is not told to stop when its own end is known as well.
+    """
+    closed = []
     for key, end in list(state.ends.items()):
         del state.ends[key]
-        apply_end(state, end, now_ms)
+        found = _close(state, end)
+        if found is not None:
+            closed.append((*found, end))
+    for job, progress, run, end in closed:
+        record_end(state, job, progress, run, end.kind, end.saved, end.reason, now_ms)
 
 
-def apply_end(state: states.State, end: steps.End, now_ms: int) -> None:
-    """Take over one end; an end of a run that is not open changes nothing but is removed."""
+def _close(
+    state: states.State, end: steps.End
+) -> tuple[steps.Job, steps.StepProgress, steps.Run] | None:
+    """Close the run of an end; an end of a run that is not open changes nothing."""
     parsed = steps.parse_task(end.task)
     job_id = parsed[0] if parsed else end.task
     states.change(state, job_id).spare.append(tables.end(end.task, end.attempt))
     job = state.jobs.get(job_id)
-    if parsed is None or job is None:
-        return
-    found = _find(job, parsed, end.attempt)
-    if found is None:
-        return
+    found = _find(job, parsed, end.attempt) if parsed is not None and job is not None else None
+    if job is None or found is None:
+        return None
     progress, run = found
     states.close_run(state, job, progress, run)
     if end.kind not in (steps.EndKind.REJECTED, steps.EndKind.ALONE):
         job.begun = True
-    record_end(state, job, progress, run, end.kind, end.saved, end.reason, now_ms)
+    return job, progress, run
 
 
 def record_end(
@@ -125,6 +135,8 @@
     if job.state in steps.FINAL_STATES:
         return
     if kind is steps.EndKind.DONE and not step.long_running:
+        seconds = (now_ms - run.ordered_ms) / 1000.0
+        runtimes.learn(state.runtimes, job.customer, job.queue, seconds)
         _record_done(state, job, progress, run)
         return
     if step_done(job, progress):
--- a/packages/core/src/peridothatch_core/schedule/reclaim.py
+++ b/packages/core/src/peridothatch_core/schedule/reclaim.py
@@ -1,4 +1,4 @@
-"""Room for guaranteed jobs: which borrowed work stops, with the least work lost."""
+"""Room for urgent jobs: which other work stops, with the least work lost."""
 
 from __future__ import annotations
 
@@ -9,26 +9,43 @@
 from peridothatch_core.schedule import fit
 from peridothatch_core.schedule import state as states
 
-if typing.TYPE_CHECKING:
-    from peridothatch_core.model import steps as steps_model
-
 URGENT_PRIORITY = 0
 """Priority of the jobs that guarantees are for."""
 
-UNSAVED_COST = 4.0
-"""Weight of work that is lost when it stops, against work that resumes from a checkpoint."""
+RESTART_SECONDS = 1.0
+"""Work of a run that a stop costs in any case: the restart, and what no checkpoint holds."""
+
+MOST_LOST = 800.0
+"""Core-seconds that may be lost for an urgent job beyond its customer's guarantee. Above it the
+work thrown away costs more than an urgent job that is late."""
+
+
+MayStop = typing.Callable[[steps.Job], bool]
 
 
 @dataclasses.dataclass(slots=True)
 class Victim:
     """A set of runs that stops as a whole: one task, or a whole gang."""
 
-    job: steps_model.Job
-    progress: steps_model.StepProgress
-    runs: list[steps_model.Run]
+    job: steps.Job
+    progress: steps.StepProgress
+    runs: list[steps.Run]
     cost: float
 
 
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """Where tasks go, and what stops for them."""
+
+    victims: list[Victim] = dataclasses.field(default_factory=list)
+    targets: list[fit.Room] = dataclasses.field(default_factory=list)
+
+    @property
+    def cost(self) -> float:
+        """Work that is lost, in core-seconds."""
+        return sum(victim.cost for victim in self.victims)
+
+
 def protected_jobs(state: states.State) -> set[str]:
     """Return the urgent jobs of customers whose urgent jobs all fit their guarantee."""
     if state.desired is None:
@@ -54,39 +71,72 @@
     job: steps.Job,
     progress: steps.StepProgress,
     indexes: list[int],
-    found: list[fit.Room],
+    groups: list[list[fit.Room]],
     protected: set[str],
     now_ms: int,
 ) -> bool:
     """Stop the cheapest runs so that the tasks will fit, and keep that room for them.
 
+    A guaranteed job may stop any run that is not of a guaranteed job; another urgent job only
+    runs of lower priority, and not at any cost.
+
+    Parameters
+    ----------
+    groups : list of list of Room
+        Workers of the kind that the step needs; all tasks go to one of the groups.
+
     Returns
     -------
     bool
         Whether the tasks will fit; nothing is stopped otherwise.
     """
+    if job.priority != URGENT_PRIORITY:
+        return False
+    guaranteed = job.id in protected
+
+    def may_stop(other: steps.Job) -> bool:
+        return other.id not in protected and (guaranteed or other.priority > job.priority)
+
     step = job.steps[progress.step]
+    plans = [_plan(state, step, len(indexes), group, may_stop, now_ms) for group in groups]
+    possible = [plan for plan in plans if plan is not None]
+    if not possible:
+        return False
+    plan = min(possible, key=lambda plan: plan.cost)
+    if not guaranteed and plan.cost > MOST_LOST:
+        return False
+    kind = "guaranteed" if guaranteed else "urgent"
+    for victim in plan.victims:
+        for run in victim.runs:
+            reason = f"room for the {kind} job {job.id}"
+            states.stop_run(state, victim.job, victim.progress, run, reason)
+    for room in plan.targets:
+        fit.subtract(room, states.counted(step))
+    return True
+
+
+def _plan(
+    state: states.State,
+    step: steps.Step,
+    count: int,
+    group: list[fit.Room],
+    may_stop: MayStop,
+    now_ms: int,
+) -> Plan | None:
+    """Return the cheapest way to place so many tasks on a group of workers."""
     needed = states.counted(step)
-    soon = {room.agent.node: list(room.soon) for room in found}
-    suited = [room for room in found if fit.takes(room, step, job.service)]
-    stopped: list[Victim] = []
-    targets: list[fit.Room] = []
+    soon = {room.agent.node: list(room.soon) for room in group}
+    plan = Plan()
     on_node: dict[str, int] = {}
-    for _ in indexes:
-        room = _next_room(state, step, suited, soon, stopped, on_node, protected, now_ms)
+    for _ in range(count):
+        room = _next_room(state, step, group, soon, plan.victims, on_node, may_stop, now_ms)
         if room is None:
-            return False
+            return None
         for place, amount in enumerate(needed):
             soon[room.agent.node][place] -= amount
         on_node[room.agent.node] = on_node.get(room.agent.node, 0) + 1
-        targets.append(room)
-    for victim in stopped:
-        for run in victim.runs:
-            reason = f"room for the guaranteed job {job.id}"
-            states.stop_run(state, victim.job, victim.progress, run, reason)
-    for room in targets:
-        fit.subtract(room, needed)
-    return True
+        plan.targets.append(room)
+    return plan
 
 
 def _next_room(
@@ -96,7 +146,7 @@
     soon: dict[str, list[int]],
     stopped: list[Victim],
     on_node: dict[str, int],
-    protected: set[str],
+    may_stop: MayStop,
     now_ms: int,
 ) -> fit.Room | None:
     """Return the worker where one more task costs least, and stop what is in its way."""
@@ -106,7 +156,7 @@
         node = room.agent.node
         if step.spread_limit and on_node.get(node, 0) >= step.spread_limit:
             continue
-        victims = _victims(state, node, soon[node], needed, stopped, protected, now_ms)
+        victims = _victims(state, node, soon[node], needed, stopped, may_stop, now_ms)
         if victims is None:
             continue
         cost = sum(victim.cost for victim in victims)
@@ -130,7 +180,7 @@
     soon: list[int],
     needed: tuple[int, int, int],
     stopped: list[Victim],
-    protected: set[str],
+    may_stop: MayStop,
     now_ms: int,
 ) -> list[Victim] | None:
     """Return the cheapest runs on a node that make room for one task, or ``None``."""
@@ -140,7 +190,7 @@
     gone = {id(run) for victim in stopped for run in victim.runs}
     chosen: list[Victim] = []
     for victim in sorted(
-        _candidates(state, node, protected, now_ms), key=lambda victim: victim.cost
+        _candidates(state, node, may_stop, now_ms), key=lambda victim: victim.cost
     ):
         if any(id(run) in gone for run in victim.runs):
             continue
@@ -170,10 +220,10 @@
     return kept
 
 
-def _candidates(state: states.State, node: str, protected: set[str], now_ms: int) -> list[Victim]:
+def _candidates(state: states.State, node: str, may_stop: MayStop, now_ms: int) -> list[Victim]:
     found: list[Victim] = []
     for job, progress, run in state.runs.get(node, ()):
-        if job.id in protected or run.stopping:
+        if run.stopping or not may_stop(job):
             continue
         step = job.steps[progress.step]
         if step.long_running and step.max_unavailable:
@@ -188,7 +238,7 @@
 def _cost(step: steps.Step, runs: list[steps.Run], now_ms: int) -> float:
     """Return the work that stopping loses, in core-seconds; an accelerator counts as 8 cores."""
     width = step.demand.cpu_millis / 1000.0 + 8.0 * step.demand.accelerators
-    worked = sum(max(0, now_ms - run.ordered_ms) for run in runs) / 1000.0
+    worked = [max(0, now_ms - run.ordered_ms) / 1000.0 for run in runs]
     if step.checkpointing:
-        return width * (len(runs) + 0.1 * worked)
-    return width * (len(runs) + UNSAVED_COST * worked)
+        worked = [min(seconds, RESTART_SECONDS) for seconds in worked]
+    return width * sum(seconds + RESTART_SECONDS for seconds in worked)
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -6,6 +6,7 @@
 import typing
 
 from peridothatch_core.model import steps, tables
+from peridothatch_core.order import runtimes
 from peridothatch_core.place import ejection
 
 if typing.TYPE_CHECKING:
@@ -44,10 +45,13 @@
         Time that the final state of a job stays readable.
     hold_ms : int
         Length of an agent's lease at its renewal.
+    remote_factor : float
+        How many times as long tasks take away from their data or spread over racks.
     """
 
     retention_ms: int = 120_000
     hold_ms: int = 9500
+    remote_factor: float = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,6 +114,10 @@
         Open runs by node, as (job, progress, run).
     retry_at : dict
         Store time before which a task is not started again, by job, occurrence, step and index.
+    ready_at : dict
+        Store time since which a step waits for a place at full speed.
+    runtimes : History
+        Run times learnt by customer and queue.
     avoid : dict
         Nodes on which tasks of a step failed, by job, occurrence and step.
     """
@@ -129,6 +137,8 @@
     )
     retry_at: dict[tuple[str, int, int, int], int] = dataclasses.field(default_factory=dict)
     avoid: dict[tuple[str, int, int], set[str]] = dataclasses.field(default_factory=dict)
+    ready_at: dict[tuple[str, int, int], int] = dataclasses.field(default_factory=dict)
+    runtimes: runtimes.History = dataclasses.field(default_factory=runtimes.History)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
     changes: dict[str, Change] = dataclasses.field(default_factory=dict)
     lapsing: dict[str, agents.Agent] = dataclasses.field(default_factory=dict)
@@ -156,6 +166,8 @@
     state.cancelled.discard(job.id)
     for key in [key for key in state.avoid if key[0] == job.id]:
         del state.avoid[key]
+    for key in [key for key in state.ready_at if key[0] == job.id]:
+        del state.ready_at[key]
     for key in [key for key in state.retry_at if key[0] == job.id]:
         del state.retry_at[key]
 
--- a/packages/core/tests/schedule/test_cycle.py
+++ b/packages/core/tests/schedule/test_cycle.py
@@ -181,6 +181,20 @@
     assert [run.node for run in harness.open_runs(item)] == ["n2"]
 
 
+def test_a_member_whose_own_end_is_known_is_not_told_to_stop():
+    # A stop for a run that had ended cost two more calls and a second end.
+    item = harness.job("a", harness.step(2, gang=True))
+    own = harness.scheduler([item], [harness.agent("n1")])
+    harness.run(own)
+    for index in range(2):
+        task = f"a.0.0.{index}"
+        own.ends[f"e/{task}/1"] = steps.End(task, 1, "n1", steps.EndKind.LOST)
+    changes = harness.run(own)
+    stops = [key for key, _ in changes["a"].writes if key.key.endswith(tables.STOP_SUFFIX)]
+    assert not stops
+    assert {run.attempt for run in harness.open_runs(item)} == {2}
+
+
 def test_the_members_of_a_gang_that_lost_one_are_stopped():
     item = harness.job("a", harness.step(2, gang=True))
     own = harness.scheduler([item], [harness.agent("n1")])
@@ -242,3 +256,74 @@
     harness.run(own, harness.NOW_MS + 200)
     assert bad.isdisjoint({run.node for item in items for run in harness.open_runs(item)})
     assert set(own.health.until) == bad
+
+
+LATER_MS = harness.NOW_MS + 1
+
+
+def _two_racks():
+    return [
+        harness.agent("n1", rack="r1"),
+        harness.agent("n2", rack="r1"),
+        harness.agent("n3", rack="r2"),
+        harness.agent("n4", rack="r2"),
+    ]
+
+
+def test_a_gang_waits_for_a_rack_rather_than_run_spread_and_slow():
+    # Urgent gangs spread over racks took three times as long and were late.
+    busy = harness.job("busy", harness.step(2, 8, affinity="r1", spread_limit=1))
+    half = harness.job("half", harness.step(1, 8, affinity="r2"))
+    gang = harness.job(
+        "gang",
+        harness.step(2, 8, gang=True, same_rack=True, estimate_ms=10_000),
+        submitted_ms=LATER_MS,
+    )
+    own = harness.scheduler([busy, half, gang], _two_racks())
+    own.agents["n5"] = harness.agent("n5", rack="r3")
+    harness.run(own)
+    assert not harness.open_runs(gang)
+    harness.end(own, half, harness.open_runs(half)[0], steps.EndKind.DONE)
+    assert {run.node for run in harness.open_runs(gang)} == {"n3", "n4"}
+
+
+def test_a_gang_is_spread_when_the_wait_has_cost_as_much():
+    busy = harness.job("busy", harness.step(2, 8, affinity="r1", spread_limit=1))
+    half = harness.job("half", harness.step(1, 8, affinity="r2"))
+    gang = harness.job(
+        "gang",
+        harness.step(2, 8, gang=True, same_rack=True, estimate_ms=4_000),
+        submitted_ms=LATER_MS,
+    )
+    own = harness.scheduler([busy, half, gang], _two_racks())
+    own.agents["n5"] = harness.agent("n5", rack="r3")
+    harness.run(own)
+    later = harness.NOW_MS + 4_000
+    harness.renew(own, later)
+    harness.run(own, later)
+    assert len(harness.open_runs(gang)) == 2
+
+
+def test_a_gang_larger_than_any_rack_is_spread_at_once():
+    gang = harness.job("gang", harness.step(3, 8, gang=True, same_rack=True))
+    own = harness.scheduler([gang], _two_racks())
+    harness.run(own)
+    assert len(harness.open_runs(gang)) == 3
+
+
+def test_a_guaranteed_gang_does_not_wait_for_a_rack():
+    busy = harness.job("busy", harness.step(2, 8, spread_limit=1, affinity="r1"), priority=0)
+    half = harness.job("half", harness.step(1, 8, affinity="r2"), priority=0)
+    gang = harness.job(
+        "gang",
+        harness.step(2, 8, gang=True, same_rack=True),
+        priority=0,
+        customer="hotels",
+        submitted_ms=LATER_MS,
+    )
+    own = harness.scheduler(
+        [busy, half, gang], _two_racks(), guaranteed={"ministry": 24, "hotels": 16}
+    )
+    own.agents["n5"] = harness.agent("n5", rack="r3")
+    harness.run(own)
+    assert {run.node for run in harness.open_runs(gang)} == {"n4", "n5"}
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -33,6 +33,9 @@
 
 RESIGN_SECONDS = 1.0
 
+MEMBERS_PAUSE_SECONDS = 0.25
+"""Least time between polls of the members, of which one changes every few milliseconds."""
+
 READY_SECONDS = 0.5
 """Longest wait for the answer to a readiness probe, which the balancer repeats every second."""
 
@@ -60,7 +63,7 @@
         client.inbox,
         metrics.latency(exported, "reception_seconds", "Time from a call to its acceptance"),
     )
-    limits = state.Limits(retention_ms=machine.retention_ms, hold_ms=hold_ms(machine))
+    limits = state.Limits(machine.retention_ms, hold_ms(machine), machine.remote_factor)
     leader = scheduler.start(
         machine.node,
         secrets.token_hex(4),
@@ -79,7 +82,14 @@
         await store.follow(
             machine.store, tables.WORK, clock.now, _both(front.inbox, leader.inbox), _lost
         ),
-        await store.follow(machine.store, tables.MEMBERS, clock.now, _both(leader.inbox), _lost),
+        await store.follow(
+            machine.store,
+            tables.MEMBERS,
+            clock.now,
+            _both(leader.inbox),
+            _lost,
+            MEMBERS_PAUSE_SECONDS,
+        ),
     ]
     draining = [False]
     entry = Entry(machine, client, feeds, front, leader, [], exported, draining)
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -347,7 +347,14 @@
 
 def _build(own: _State, work: tuple[rows.Row, ...], members: tuple[rows.Row, ...]) -> None:
     old = own.schedule
-    fresh = state.State(own.limits, health=old.health, avoid=old.avoid, retry_at=old.retry_at)
+    fresh = state.State(
+        own.limits,
+        health=old.health,
+        avoid=old.avoid,
+        retry_at=old.retry_at,
+        ready_at=old.ready_at,
+        runtimes=old.runtimes,
+    )
     own.schedule = fresh
     # The members were read later, so their versions say nothing about the work.
     own.floor = max((row.version for row in work), default=0)
