Keep news that feeds bring while a new leader reads its rows

The feed delivered its row between the two reads, and news was dropped until both were there.

Change: such news is kept and taken over after the read. The test fails without it.

--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -65,6 +65,8 @@
         The rows are being read after a takeover or a conflict.
     work : tuple of Row or None
         Rows of the work table of the read that is under way.
+    missed : list
+        News that feeds brought while the rows were being read; the read may not contain them.
     floor : int
         Newest version of the work rows that were read; older news of their feed is known.
     batches : list
@@ -84,6 +86,7 @@
     evacuated: frozenset[str] = frozenset()
     loading: bool = False
     work: tuple[rows.Row, ...] | None = None
+    missed: list[tuple[str, rows.Row]] = dataclasses.field(default_factory=list)
     floor: int = 0
     batches: list[writes.Batch] = dataclasses.field(default_factory=list)
     sending: bool = False
@@ -325,6 +328,7 @@
     own.batches = []
     own.sending = False
     own.work = None
+    own.missed.clear()
     _fetch(own, Purpose.LOAD_WORK, tables.WORK)
 
 
@@ -362,6 +366,9 @@
         _take_work(own, row)
     for row in members:
         _take_agent(own, row)
+    for table, row in own.missed:
+        _take_change(own, table, row)
+    own.missed.clear()
     own.loading = False
     own.work = None
     log.event(
@@ -377,16 +384,23 @@
     storeclock.observe(own.clock, message.now_ms, message.asked_at, message.answered_at)
     if message.table == tables.MEMBERS:
         _take_members(own, message.rows)
-    if not own.leadership.leading or own.loading:
+    if not own.leadership.leading:
+        return
+    if own.loading:
+        own.missed.extend((message.table, row) for row in message.rows)
         return
     if isinstance(message, rows.Snapshot):
         _load(own)
         return
     for row in message.rows:
-        if message.table == tables.MEMBERS:
-            _take_agent(own, row)
-        elif row.value is not None and row.version > own.floor:
-            _take_work(own, row)
+        _take_change(own, message.table, row)
+
+
+def _take_change(own: _State, table: str, row: rows.Row) -> None:
+    if table == tables.MEMBERS:
+        _take_agent(own, row)
+    elif row.value is not None and row.version > own.floor:
+        _take_work(own, row)
 
 
 def _take_work(own: _State, row: rows.Row) -> None:
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -53,8 +53,11 @@
         message.answer(rows.Fetched(message.token, found, int(1000 * now), now, now))
 
 
-async def _leading(work, members):
-    """Return a scheduler that has taken the lead and read the given rows."""
+async def _leading(work, members, meanwhile=None):
+    """Return a scheduler that has taken the lead and read the given rows.
+
+    ``meanwhile`` is delivered by a feed between the two reads.
+    """
     store = _Store()
     running = scheduler.start("front-1", "1", state.Limits(), store.inbox, lambda _: None)
     mailbox.post(running.inbox, _changes(tables.MEMBERS))
@@ -62,7 +65,11 @@
     assert {key for key, _ in claim.transaction.writes} == {tables.EPOCH, tables.LEASE}
     store.commit(claim, 30)
     store.fetched(await store.next(rows.Fetch), *work)
-    store.fetched(await store.next(rows.Fetch), *members)
+    fetch = await store.next(rows.Fetch)
+    if meanwhile is not None:
+        mailbox.post(running.inbox, meanwhile)
+        await asyncio.sleep(0.05)
+    store.fetched(fetch, *members)
     return running, store
 
 
@@ -82,6 +89,20 @@
     await scheduler.close(running)
 
 
+async def test_news_that_a_feed_brings_during_the_read_is_not_lost():
+    # A job that was accepted in these milliseconds was never started.
+    work = [_row(tables.job("00000000000000aa"), _job(), 10)]
+    agent = agents.Agent(NODE, "accra-a", 1, 0, 10**12)
+    end = steps.End(TASK, 1, NODE, steps.EndKind.DONE)
+    running, store = await _leading(
+        work,
+        [_row(tables.agent(NODE), agent, 9)],
+        meanwhile=_changes(tables.WORK, _row(tables.end(TASK, 1), end, 35)),
+    )
+    await store.next(rows.Commit, _deletes_end)
+    await scheduler.close(running)
+
+
 async def test_rows_are_read_again_after_a_write_whose_outcome_is_unknown():
     work = [_row(tables.job("00000000000000aa"), _job(), 10)]
     end = steps.End(TASK, 1, NODE, steps.EndKind.DONE)
