--- a/packages/core/src/peridothatch_core/schedule/cycle.py
+++ b/packages/core/src/peridothatch_core/schedule/cycle.py
@@ -18,6 +18,9 @@
 """Starts of one job in one cycle; a transaction of the store holds 100 entries."""
 
 
+NOTE_PERIOD_MS = 2000
+"""Least time between log lines that say why a step waits."""
+
 FAR_PATIENCE = 0.5
 """Wait for a place at full speed, as a part of what a slower place would cost."""
 
@@ -197,6 +200,7 @@
             suited = [room for room in found if fit.takes(room, step, job.service)]
             _make_room(state, job, step_progress, waiting, [suited], protected, now_ms)
     if chosen is None:
+        _note_waiting(state, job, step_progress, len(waiting), found, now_ms)
         return
     step_progress.attempts[0] += 1
     for index, room in zip(waiting, chosen, strict=True):
@@ -228,6 +232,7 @@
             suited = [room for room in usable if fit.takes(room, step, job.service)]
             rest = waiting[position:]
             _make_room(state, job, step_progress, rest, [suited], protected, now_ms)
+            _note_waiting(state, job, step_progress, len(rest), found, now_ms)
             return position
         on_node[room.agent.node] = on_node.get(room.agent.node, 0) + 1
         step_progress.attempts[index] += 1
@@ -235,6 +240,29 @@
     return len(waiting)
 
 
+def _note_waiting(
+    state: states.State,
+    job: steps.Job,
+    step_progress: steps.StepProgress,
+    count: int,
+    found: list[fit.Room],
+    now_ms: int,
+) -> None:
+    """Log now and then why tasks wait, so that a late job can be explained."""
+    key = (job.id, step_progress.occurrence, step_progress.step)
+    if now_ms - state.noted_at.get(key, -NOTE_PERIOD_MS) < NOTE_PERIOD_MS:
+        return
+    state.noted_at[key] = now_ms
+    free = sum(room.free[2] for room in found)
+    step = job.steps[step_progress.step]
+    detail = (
+        f"{count} tasks of step {step_progress.step} need {step.demand.accelerators} accelerators "
+        f"each; {free} are free on {len(found)} workers; affinity {step.affinity or 'none'}, "
+        f"gang {step.gang}, one rack {step.same_rack}"
+    )
+    state.notes.append(states.Note("waiting", job.id, detail=detail))
+
+
 def _make_room(
     state: states.State,
     job: steps.Job,
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -116,6 +116,8 @@
         Store time before which a task is not started again, by job, occurrence, step and index.
     ready_at : dict
         Store time since which a step waits for a place at full speed.
+    noted_at : dict
+        Store time at which it was last logged that a step waits.
     runtimes : History
         Run times learnt by customer and queue.
     avoid : dict
@@ -138,6 +140,7 @@
     retry_at: dict[tuple[str, int, int, int], int] = dataclasses.field(default_factory=dict)
     avoid: dict[tuple[str, int, int], set[str]] = dataclasses.field(default_factory=dict)
     ready_at: dict[tuple[str, int, int], int] = dataclasses.field(default_factory=dict)
+    noted_at: dict[tuple[str, int, int], int] = dataclasses.field(default_factory=dict)
     runtimes: runtimes.History = dataclasses.field(default_factory=runtimes.History)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
     changes: dict[str, Change] = dataclasses.field(default_factory=dict)
@@ -164,12 +167,9 @@
     state.jobs.pop(job.id, None)
     state.versions.pop(job.id, None)
     state.cancelled.discard(job.id)
-    for key in [key for key in state.avoid if key[0] == job.id]:
-        del state.avoid[key]
-    for key in [key for key in state.ready_at if key[0] == job.id]:
-        del state.ready_at[key]
-    for key in [key for key in state.retry_at if key[0] == job.id]:
-        del state.retry_at[key]
+    for by_step in (state.avoid, state.ready_at, state.noted_at, state.retry_at):
+        for key in [key for key in by_step if key[0] == job.id]:
+            del by_step[key]
 
 
 def open_run(
--- a/packages/core/tests/schedule/test_cycle.py
+++ b/packages/core/tests/schedule/test_cycle.py
@@ -1,6 +1,7 @@
 import schedule_harness as harness
 
 from peridothatch_core.model import agents, steps, tables
+from peridothatch_core.schedule import cycle
 
 
 def test_a_step_waits_for_the_steps_before_it():
@@ -327,3 +328,15 @@
     own.agents["n5"] = harness.agent("n5", rack="r3")
     harness.run(own)
     assert {run.node for run in harness.open_runs(gang)} == {"n4", "n5"}
+
+
+def test_a_step_that_waits_says_why_but_not_in_every_cycle():
+    gang = harness.job("gang", harness.step(2, 8, gang=True))
+    own = harness.scheduler([gang], [harness.agent("n1")])
+    noted = []
+    for now_ms in (0, 100, 200, 2_100):
+        cycle.run(own, harness.NOW_MS + now_ms, harness.UNIX_MS)
+        noted += [note.detail for note in own.notes if note.kind == "waiting"]
+        own.notes.clear()
+    assert len(noted) == 2
+    assert "8 accelerators each; 8 are free on 1 workers" in noted[0]
