--- a/packages/core/src/peridothatch_core/hold/exchange.py
+++ b/packages/core/src/peridothatch_core/hold/exchange.py
@@ -21,7 +21,7 @@
 
     key: RunKey
     order: steps.Order
-    deadline_ms: int
+    lease_end_ms: int
     fence: int
     spec: str = ""
 
@@ -41,15 +41,15 @@
 
     Attributes
     ----------
-    wait_ms : int
+    patience_ms : int
         How long the worker may wait for an end before it answers.
     """
 
     instance: str
-    deadline_ms: int | None
+    lease_end_ms: int | None
     fence: int
-    last_seen: int
-    wait_ms: int
+    recorded_through: int
+    patience_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,7 +120,7 @@
 
     instance: str
     born_ms: int
-    clock_ms: int
+    worker_clock_ms: int
     running: tuple[ListedRun, ...]
     ended: tuple[ListedEnd, ...]
     asked_at: float
--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -116,6 +116,6 @@
         if number > 0:
             state.ignorable.add(number)
     state.written_ends = {}
-    while state.last_seen + 1 in state.ignorable:
-        state.last_seen += 1
-        state.ignorable.discard(state.last_seen)
+    while state.recorded_through + 1 in state.ignorable:
+        state.recorded_through += 1
+        state.ignorable.discard(state.recorded_through)
--- a/packages/core/src/peridothatch_core/hold/listing.py
+++ b/packages/core/src/peridothatch_core/hold/listing.py
@@ -9,7 +9,7 @@
 
 def take(state: states.State, listing: exchange.Listing) -> None:
     """Take over a list of the present life of the worker."""
-    state.worker_clock_ms = listing.clock_ms
+    state.worker_clock_ms = listing.worker_clock_ms
     state.worker_clock_at = listing.answered_at
     state.heard_at = listing.answered_at
     if not state.loaded:
@@ -53,7 +53,7 @@
 
 
 def _take_end(state: states.State, ended: exchange.ListedEnd) -> None:
-    if ended.number <= state.last_seen or ended.number in state.ends:
+    if ended.number <= state.recorded_through or ended.number in state.ends:
         return
     if ended.number in state.ignorable:
         return
@@ -73,10 +73,10 @@
 
 
 def _forget_gaps(state: states.State) -> None:
-    """Move ``last_seen`` over ends that need no record."""
-    while state.last_seen + 1 in state.ignorable:
-        state.last_seen += 1
-        state.ignorable.discard(state.last_seen)
+    """Move ``recorded_through`` over ends that need no record."""
+    while state.recorded_through + 1 in state.ignorable:
+        state.recorded_through += 1
+        state.ignorable.discard(state.recorded_through)
 
 
 def _missing(
--- a/packages/core/src/peridothatch_core/hold/orders.py
+++ b/packages/core/src/peridothatch_core/hold/orders.py
@@ -128,17 +128,17 @@
         held.stopped_at is not None and held.phase is states.Phase.WAITING
         for held in state.held.values()
     )
-    wait_ms = LONG_LOOK_MS if active else IDLE_LOOK_MS
+    patience_ms = LONG_LOOK_MS if active else IDLE_LOOK_MS
     if not state.worker_clock_ms:
-        wait_ms = 0
+        patience_ms = 0
     elif stopping:
-        wait_ms = STOPPING_LOOK_MS
+        patience_ms = STOPPING_LOOK_MS
     yield exchange.Look(
         state.worker.instance,
-        states.deadline_ms(state, now),
+        states.lease_end_ms(state, now),
         state.fence,
-        state.last_seen,
-        wait_ms,
+        state.recorded_through,
+        patience_ms,
     )
 
 
@@ -165,7 +165,7 @@
 def _start(
     state: states.State, key: exchange.RunKey, held: states.Held, now: float
 ) -> Iterator[exchange.Effect]:
-    deadline = states.deadline_ms(state, now)
+    deadline = states.lease_end_ms(state, now)
     rest = states.horizon(state) - now
     if held.order is None or deadline is None or rest < states.START_REST_SECONDS:
         return
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -133,7 +133,7 @@
         When a draining worker may leave, in local seconds.
     worker_clock_ms, worker_clock_at : int, float
         The worker's clock in its last answer, and when that was received.
-    given_deadline_ms : int
+    given_lease_end_ms : int
         Latest deadline that the worker was sent, on its own clock.
     inherited_until_ms : int
         Store time by which deadlines of an earlier process, or for an earlier life of the
@@ -141,7 +141,7 @@
     reports : dict
         Runs in the row that an earlier process of this node wrote; a new life of the worker
         does not know their checkpoints.
-    last_seen : int
+    recorded_through : int
         Ends up to this number are in the store, so that the worker may forget them.
     ends : dict
         Ends that wait to be recorded, by number.
@@ -174,10 +174,10 @@
     leaves_at: float | None = None
     worker_clock_ms: int = 0
     worker_clock_at: float = 0.0
-    given_deadline_ms: int = 0
+    given_lease_end_ms: int = 0
     inherited_until_ms: int = 0
     reports: dict[exchange.RunKey, agents.RunReport] = dataclasses.field(default_factory=dict)
-    last_seen: int = 0
+    recorded_through: int = 0
     ends: dict[int, steps.End] = dataclasses.field(default_factory=dict)
     ignorable: set[int] = dataclasses.field(default_factory=set)
     own_ends: int = 0
@@ -194,13 +194,13 @@
     return until - HOLD_MARGIN_SECONDS
 
 
-def deadline_ms(state: State, now: float) -> int | None:
+def lease_end_ms(state: State, now: float) -> int | None:
     """Return the worker's deadline on its own clock, or ``None`` when there is none to give."""
     rest = horizon(state) - state.worker_clock_at
     if not state.worker_clock_ms or horizon(state) <= now:
         return None
     deadline = state.worker_clock_ms + int(1000 * SLOWEST_CLOCK * rest)
-    state.given_deadline_ms = max(state.given_deadline_ms, deadline)
+    state.given_lease_end_ms = max(state.given_lease_end_ms, deadline)
     return deadline
 
 
--- a/packages/core/src/peridothatch_core/hold/worker.py
+++ b/packages/core/src/peridothatch_core/hold/worker.py
@@ -84,7 +84,7 @@
         return False
     elapsed_ms = 1000 * states.SLOWEST_CLOCK * (now - state.worker_clock_at)
     reached_ms = state.worker_clock_ms + elapsed_ms
-    return not state.given_deadline_ms or reached_ms > state.given_deadline_ms + KILL_MARGIN_MS
+    return not state.given_lease_end_ms or reached_ms > state.given_lease_end_ms + KILL_MARGIN_MS
 
 
 def _announced(worker: agents.Worker) -> tuple[typing.Any, ...]:
@@ -97,9 +97,9 @@
     _lose_runs(state, "the worker has started a new life", startable=True)
     state.leaves_at = None
     state.worker_clock_ms = 0
-    state.given_deadline_ms = 0
+    state.given_lease_end_ms = 0
     state.inherited_until_ms = max(state.inherited_until_ms, state.hold_until_ms)
-    state.last_seen = 0
+    state.recorded_through = 0
     state.ignorable.clear()
     # Numbers of ends start anew; ends of the former life keep numbers of our own.
     for number in [number for number in state.ends if number > 0]:
--- a/packages/core/tests/hold/hold_harness.py
+++ b/packages/core/tests/hold/hold_harness.py
@@ -29,11 +29,11 @@
     return steps.Order(**fields | changes)
 
 
-def listing(now, running=(), ended=(), born_ms=BORN_MS, clock_ms=None):
+def listing(now, running=(), ended=(), born_ms=BORN_MS, worker_clock_ms=None):
     return exchange.Listing(
         "w-1",
         born_ms,
-        int(1000 * now) if clock_ms is None else clock_ms,
+        int(1000 * now) if worker_clock_ms is None else worker_clock_ms,
         tuple(exchange.ListedRun(*run) for run in running),
         tuple(exchange.ListedEnd(*end) for end in ended),
         now - 0.001,
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -11,7 +11,7 @@
     held = harness.registered()
     effects = step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
     start = harness.only(effects, exchange.Start)
-    assert start.deadline_ms < held.hold_until_ms
+    assert start.lease_end_ms < held.hold_until_ms
     assert start.fence == held.fence
 
 
@@ -51,9 +51,9 @@
     ended = harness.listing(11.0, ended=[(1, harness.TASK, 1, steps.EndKind.DONE, "")])
     write = harness.only(step.step(held, exchange.Looked(ended), 11.0), exchange.WriteRow)
     assert [end.kind for end in write.ends] == [steps.EndKind.DONE]
-    assert held.last_seen == 0
+    assert held.recorded_through == 0
     step.step(held, harness.committed(write, 11.1), 11.1)
-    assert held.last_seen == 1
+    assert held.recorded_through == 1
     assert not held.held
 
 
@@ -74,7 +74,7 @@
     harness.only(step.step(held, unknown, 12.0), exchange.ReadRow)
     step.step(held, exchange.RowRead(True, write.row, 55), 12.1)
     assert held.version == 55
-    assert held.last_seen == 1
+    assert held.recorded_through == 1
 
 
 def test_a_process_ends_when_another_of_its_node_has_registered():
@@ -112,7 +112,7 @@
     step.step(held, exchange.Looked(running), 10.1)
     step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000), 0), 10.5)
     assert [(end.kind, end.saved) for end in held.ends.values()] == [(steps.EndKind.LOST, "c1")]
-    assert held.last_seen == 0
+    assert held.recorded_through == 0
 
 
 def test_a_late_check_in_of_an_earlier_life_is_ignored():
@@ -169,7 +169,7 @@
     worker_read = worker_asked + worker_delay
     held.worker_clock_ms = int(1000 * rate * worker_read)
     held.worker_clock_at = worker_read + worker_answer
-    deadline = state.deadline_ms(held, held.worker_clock_at)
+    deadline = state.lease_end_ms(held, held.worker_clock_at)
     if deadline is None:
         return
     ends_at = worker_read + max(0, deadline - held.worker_clock_ms) / 1000.0 / rate
--- a/packages/daemon/src/peridothatch_daemon/hosted/keeper.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/keeper.py
@@ -139,7 +139,7 @@
         log.event(
             "keeper:start",
             run=call.key,
-            deadline_ms=call.deadline_ms,
+            lease_end_ms=call.lease_end_ms,
             fence=call.fence,
             start_by_ms=call.order.start_by_ms,
             checkpoint=call.order.checkpoint,
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_rows.py
@@ -0,0 +1,44 @@
+"""Rows of the store as the scheduler takes them into its state."""
+
+from __future__ import annotations
+
+import typing
+
+from peridothatch_core.model import tables
+from peridothatch_core.schedule import state
+from peridothatch_daemon.hosted import log, records
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.message import rows
+
+
+def take_work(schedule: state.State, row: rows.Row) -> None:
+    """Take over a job that is not known yet, a cancellation or an end."""
+    if row.value is None:
+        return
+    try:
+        if row.key.startswith(tables.JOB_PREFIX):
+            job_id = row.key.removeprefix(tables.JOB_PREFIX)
+            # The leader is the only writer of the rows of jobs that it knows.
+            if job_id not in schedule.jobs:
+                state.add_job(schedule, records.decode(records.JOB, row.value), row.version)
+        elif row.key.startswith(tables.CANCEL_PREFIX):
+            schedule.cancelled.add(row.key.removeprefix(tables.CANCEL_PREFIX))
+        elif row.key.startswith(tables.END_PREFIX):
+            schedule.ends[row.key] = records.decode(records.END, row.value)
+    except ValueError as error:
+        log.event("scheduler:unreadable_row", key=row.key, reason=str(error))
+
+
+def take_agent(schedule: state.State, row: rows.Row) -> None:
+    """Take over a newer row of an agent."""
+    if not row.key.startswith(tables.AGENT_PREFIX) or row.value is None:
+        return
+    node = row.key.removeprefix(tables.AGENT_PREFIX)
+    if row.version <= schedule.agent_versions.get(node, 0):
+        return
+    try:
+        schedule.agents[node] = records.decode(records.AGENT, row.value)
+        schedule.agent_versions[node] = row.version
+    except ValueError as error:
+        log.event("scheduler:unreadable_row", key=row.key, reason=str(error))
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -11,7 +11,7 @@
 from peridothatch_core.model import steps, storeclock, tables
 from peridothatch_core.schedule import cycle, leadership, state, writes
 from peridothatch_daemon.decide import loop
-from peridothatch_daemon.hosted import clock, counters, log, messages, records
+from peridothatch_daemon.hosted import clock, counters, log, messages, records, schedule_rows
 from peridothatch_wire import mailbox, task
 
 if typing.TYPE_CHECKING:
@@ -363,9 +363,9 @@
     # The members were read later, so their versions say nothing about the work.
     own.floor = max((row.version for row in work), default=0)
     for row in work:
-        _take_work(own, row)
+        schedule_rows.take_work(own.schedule, row)
     for row in members:
-        _take_agent(own, row)
+        schedule_rows.take_agent(own.schedule, row)
     for table, row in own.missed:
         _take_change(own, table, row)
     own.missed.clear()
@@ -398,40 +398,9 @@
 
 def _take_change(own: _State, table: str, row: rows.Row) -> None:
     if table == tables.MEMBERS:
-        _take_agent(own, row)
+        schedule_rows.take_agent(own.schedule, row)
     elif row.value is not None and row.version > own.floor:
-        _take_work(own, row)
-
-
-def _take_work(own: _State, row: rows.Row) -> None:
-    if row.value is None:
-        return
-    schedule = own.schedule
-    try:
-        if row.key.startswith(tables.JOB_PREFIX):
-            job_id = row.key.removeprefix(tables.JOB_PREFIX)
-            if job_id not in schedule.jobs:
-                state.add_job(schedule, records.decode(records.JOB, row.value), row.version)
-        elif row.key.startswith(tables.CANCEL_PREFIX):
-            schedule.cancelled.add(row.key.removeprefix(tables.CANCEL_PREFIX))
-        elif row.key.startswith(tables.END_PREFIX):
-            schedule.ends[row.key] = records.decode(records.END, row.value)
-    except ValueError as error:
-        log.event("scheduler:unreadable_row", key=row.key, reason=str(error))
-
-
-def _take_agent(own: _State, row: rows.Row) -> None:
-    schedule = own.schedule
-    if not row.key.startswith(tables.AGENT_PREFIX) or row.value is None:
-        return
-    node = row.key.removeprefix(tables.AGENT_PREFIX)
-    if row.version <= schedule.agent_versions.get(node, 0):
-        return
-    try:
-        schedule.agents[node] = records.decode(records.AGENT, row.value)
-        schedule.agent_versions[node] = row.version
-    except ValueError as error:
-        log.event("scheduler:unreadable_row", key=row.key, reason=str(error))
+        schedule_rows.take_work(own.schedule, row)
 
 
 def _take_members(own: _State, members: tuple[rows.Row, ...]) -> None:
