Write the stops of a wide job before its row

Cause: found in the read-through: the stops of more than 95 runs of one job went into one transaction of more than 100 entries, which the store refuses each time, so that the leader would have made no progress. A gang of more than 90 members still needs one transaction; that is listed as open.

Change: stops that leave no room are written in transactions before. The test fails without it.

--- a/packages/core/src/peridothatch_core/hold/listing.py
+++ b/packages/core/src/peridothatch_core/hold/listing.py
@@ -26,10 +26,8 @@
             state.held[key] = held
         if held.phase is states.Phase.WAITING:
             held.phase = states.Phase.RUNNING
-            held.confirmed_at = held.moved_at = listing.answered_at
-        if run.percent != held.percent:
-            held.percent = run.percent
-            held.moved_at = listing.answered_at
+            held.confirmed_at = listing.answered_at
+        held.percent = run.percent
         held.saved = run.saved or held.saved
     for key, held in list(state.held.items()):
         if key not in running and held.phase is not states.Phase.ENDED:
--- a/packages/core/src/peridothatch_core/hold/orders.py
+++ b/packages/core/src/peridothatch_core/hold/orders.py
@@ -97,7 +97,7 @@
     match outcome:
         case exchange.StartOutcome.STARTED:
             held.phase = states.Phase.RUNNING
-            held.confirmed_at = held.moved_at = now
+            held.confirmed_at = now
         case exchange.StartOutcome.REFUSED:
             held.stop = held.stop or f"the worker refused the start: {reason}"
         case exchange.StartOutcome.BUSY:
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -73,8 +73,8 @@
         When the worker confirmed the start.
     retry_at : float
         When the next call may be sent.
-    percent, moved_at : int, float
-        Progress as last listed, and when it last changed.
+    percent : int
+        Progress as last listed.
     end : End or None
         The end, once it is known.
     """
@@ -88,7 +88,6 @@
     confirmed_at: float = 0.0
     retry_at: float = 0.0
     percent: int = 0
-    moved_at: float = 0.0
     saved: str = ""
     end: steps.End | None = None
 
--- a/packages/core/src/peridothatch_core/schedule/writes.py
+++ b/packages/core/src/peridothatch_core/schedule/writes.py
@@ -82,6 +82,12 @@
             continue
         if current.size + 2 + len(change.writes) > ENTRIES:
             flush()
+            for key, value in _overflow(change):
+                if current.size + 1 > ENTRIES:
+                    flush()
+                current.writes.append((key, None if value is None else encode(value)))
+            if current.size + 2 + len(change.writes) > ENTRIES:
+                flush()
         _add_job(state, current, job_id, change, encode)
     state.changes.clear()
     _add_spare(spare, lambda: current, flush)
@@ -89,6 +95,22 @@
     return batches
 
 
+def _overflow(change: states.Change) -> list[tuple[rows.Key, typing.Any]]:
+    """Take out the stops that leave no room for a job's row, to be written before it.
+
+    A run that is stopped while the job's row does not say so yet ends and is started again, so
+    that a successor after half of the writes goes on from a state that is safe.
+    """
+    excess = len(change.writes) + 3 - ENTRIES
+    if excess <= 0:
+        return []
+    stops = [item for item in change.writes if item[0].key.endswith(tables.STOP_SUFFIX)]
+    early = stops[:excess]
+    taken = {key for key, _ in early}
+    change.writes = [item for item in change.writes if item[0] not in taken]
+    return early
+
+
 def _add_job(
     state: states.State, current: _Open, job_id: str, change: states.Change, encode: Encode
 ) -> None:
--- a/packages/core/tests/schedule/test_writes.py
+++ b/packages/core/tests/schedule/test_writes.py
@@ -60,3 +60,20 @@
     own = harness.scheduler([harness.job("a")], [harness.agent("n1")])
     assert _batches(own)
     assert not _batches(own)
+
+
+def test_a_wide_job_that_is_cancelled_fits_the_store():
+    # The stops of more than 95 runs went into one transaction, which the store refuses for good.
+    item = harness.job("a", harness.step(250, 0, 1))
+    own = harness.scheduler([item], [harness.agent(f"n{number}") for number in range(10)])
+    for _ in range(8):
+        harness.run(own)
+    assert len(harness.open_runs(item)) == 250
+    own.cancelled.add("a")
+    batches = _batches(own)
+    written = [key for batch in batches for key, _ in batch.transaction.writes]
+    assert sum(key.key.endswith(tables.STOP_SUFFIX) for key in written) == 250
+    assert [batch.jobs for batch in batches if batch.jobs] == [["a"]]
+    assert batches[-1].jobs == ["a"]
+    for batch in batches:
+        assert len(batch.transaction.conditions) + len(batch.transaction.writes) <= 100
