Take a reclaimed worker for gone when its address is closed

Ruled out: a refused connection alone as the sign (a worker in trouble may refuse some), and the announced time alone (workers often serve longer).

Change: a draining worker whose announced time has passed, that has been silent for longer than the time between check-ins and whose port refused three calls in a row has left. The first of the new tests fails without it; two others hold its limits.

--- a/packages/core/src/peridothatch_core/hold/exchange.py
+++ b/packages/core/src/peridothatch_core/hold/exchange.py
@@ -192,9 +192,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Looked:
-    """The worker's list, or ``None`` when it gave none."""
+    """The worker's list, or ``None`` when it gave none.
+
+    Attributes
+    ----------
+    no_listener : bool
+        Nothing listens at the worker's address.
+    """
 
     listing: Listing | None
+    no_listener: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -45,6 +45,15 @@
 up to the grace of a kill, and its end must reach the store."""
 
 
+ABSENT_CALLS = 3
+"""Calls in a row that find nothing listening at a departing worker's address before it counts
+as gone."""
+
+
+DEPARTED_SECONDS = 2.0
+"""Silence, longer than the time between check-ins, that such a worker must have kept as well."""
+
+
 class Phase(enum.Enum):
     """Where a run stands on its worker."""
 
@@ -130,6 +139,8 @@
         Last sign of life of the worker.
     leaves_at : float or None
         When a draining worker may leave, in local seconds.
+    absent_calls : int
+        Calls in a row that found nothing listening at the worker's address.
     worker_clock_ms, worker_clock_at : int, float
         The worker's clock in its last answer, and when that was received.
     given_lease_end_ms : int
@@ -171,6 +182,7 @@
     sequence: int = -1
     heard_at: float = 0.0
     leaves_at: float | None = None
+    absent_calls: int = 0
     worker_clock_ms: int = 0
     worker_clock_at: float = 0.0
     given_lease_end_ms: int = 0
--- a/packages/core/src/peridothatch_core/hold/step.py
+++ b/packages/core/src/peridothatch_core/hold/step.py
@@ -48,8 +48,9 @@
             orders.started(state, key, outcome, reason, now)
         case exchange.StopAnswered(key, confirmed):
             orders.stopped(state, key, confirmed, now)
-        case exchange.Looked(listed):
+        case exchange.Looked(listed, no_listener):
             _looked(state, listed, now)
+            worker.listens(state, not no_listener, now)
         case rows.Committed():
             storeclock.observe(state.clock, event.now_ms, event.asked_at, event.answered_at)
             yield from lease.wrote(state, event, now)
--- a/packages/core/src/peridothatch_core/hold/worker.py
+++ b/packages/core/src/peridothatch_core/hold/worker.py
@@ -51,6 +51,21 @@
     return True
 
 
+def listens(state: states.State, listening: bool, now: float) -> bool:
+    """Note whether something listens at the worker's address; return whether it is gone.
+
+    A worker that was reclaimed says nothing when it goes. Once it has announced its departure,
+    the time until then has passed, it is silent and its address is closed, it runs nothing.
+    """
+    state.absent_calls = 0 if listening else state.absent_calls + 1
+    departed = state.leaves_at is not None and now >= state.leaves_at
+    if not departed or state.absent_calls < states.ABSENT_CALLS or state.worker is None:
+        return False
+    if now - state.heard_at < states.DEPARTED_SECONDS:
+        return False
+    return leave(state, state.worker.instance)
+
+
 def silent(state: states.State, now: float) -> bool:
     """Mark a worker absent that has been silent for too long; return whether it is news."""
     worker = state.worker
--- a/packages/core/src/peridothatch_core/model/steps.py
+++ b/packages/core/src/peridothatch_core/model/steps.py
@@ -213,6 +213,8 @@
         A run of some task has certainly begun.
     ended_ms : int
         Store time of the final state; 0 before.
+    ticketed : bool
+        Starts need a ticket for their worker.
     """
 
     id: str
@@ -232,6 +234,7 @@
     begun: bool = False
     ended_ms: int = 0
     progress: list[StepProgress] = dataclasses.field(default_factory=list)
+    ticketed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -246,6 +249,8 @@
         The life of the worker that the order is meant for.
     checkpointing : bool
         A stop saves the work so far.
+    ticket : str
+        Shows the worker that it may run the step; empty where the queue needs none.
     """
 
     job: str
@@ -256,6 +261,7 @@
     start_by_ms: int
     checkpoint: str = ""
     checkpointing: bool = False
+    ticket: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -115,6 +115,41 @@
     assert held.recorded_through == 0
 
 
+def _departing():
+    """Return an agent whose worker runs a task and leaves at 13.0."""
+    held = harness.registered(orders={harness.KEY: harness.order()})
+    running = harness.listing(10.5, running=[(harness.TASK, 1, "c1", 40)])
+    step.step(held, exchange.Looked(running), 10.5)
+    leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=2_000)
+    step.step(held, exchange.CheckedIn(leaving, 2), 11.0)
+    return held
+
+
+def test_runs_of_a_reclaimed_worker_end_when_its_address_is_closed():
+    # The members of its gangs held their room until the worker's deadline, 8 s later.
+    held = _departing()
+    for now in (13.1, 13.4, 13.7):
+        step.step(held, exchange.Looked(None, no_listener=True), now)
+    assert [end.kind for end in held.ends.values()] == [steps.EndKind.LOST]
+
+
+def test_a_departing_worker_that_is_only_unreachable_keeps_its_runs():
+    for no_listener, times in ((False, (13.1, 13.4, 13.7)), (True, (11.6, 12.0, 12.9))):
+        held = _departing()
+        for now in times:
+            step.step(held, exchange.Looked(None, no_listener=no_listener), now)
+        assert not held.ends
+
+
+def test_a_departing_worker_that_still_checks_in_keeps_its_runs():
+    held = _departing()
+    leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=0)
+    step.step(held, exchange.CheckedIn(leaving, 3), 12.9)
+    for now in (13.1, 13.4, 13.7):
+        step.step(held, exchange.Looked(None, no_listener=True), now)
+    assert not held.ends
+
+
 def test_a_late_check_in_of_an_earlier_life_is_ignored():
     held = harness.registered()
     step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000, instance="w-2"), 0), 10.5)
