Serve queues that need tickets, and spare attempts on workers that fail everything

A failed task now waits 0.2, 1.5, then 4 s, and workers on which any job failed last are used last. The end of the other members as broken shortened the pause; the longest pause counts now. - A claim whose answer was lost: the entry recognises its own row and leads, instead of waiting for its own lease to end. The lease is 1.4 s in place of 2, and a write of it waits 0.45 s for an answer.

--- a/packages/core/src/peridothatch_core/schedule/cycle.py
+++ b/packages/core/src/peridothatch_core/schedule/cycle.py
@@ -8,7 +8,7 @@
 from peridothatch_core.model import agents, steps, tables
 from peridothatch_core.order import runtimes
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import fit, progress, reclaim
+from peridothatch_core.schedule import fit, progress, reclaim, tickets
 from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
@@ -160,12 +160,47 @@
             waiting = progress.waiting_tasks(state, job, step_progress, now_ms)
             if not waiting:
                 continue
+            usable = _allowed(state, job, step_progress, found, now_ms)
             if job.steps[step_progress.step].gang:
-                _start_gang(state, job, step_progress, waiting, found, protected, now_ms)
+                _start_gang(state, job, step_progress, waiting, usable, protected, now_ms)
             else:
                 left -= _start_tasks(
-                    state, job, step_progress, waiting[:left], found, protected, now_ms
+                    state, job, step_progress, waiting[:left], usable, protected, now_ms
                 )
+            if job.ticketed and progress.waiting_tasks(state, job, step_progress, now_ms):
+                _ask_for_tickets(state, job, step_progress, found, now_ms)
+
+
+def _allowed(
+    state: states.State,
+    job: steps.Job,
+    step_progress: steps.StepProgress,
+    found: list[fit.Room],
+    now_ms: int,
+) -> list[fit.Room]:
+    """Return the rooms whose workers may run a step as far as its queue's policy goes."""
+    if not job.ticketed:
+        return found
+    key = (job.id, step_progress.occurrence, step_progress.step)
+    known = state.tickets.setdefault(key, tickets.StepTickets())
+    return tickets.usable_rooms(known, found, now_ms)
+
+
+def _ask_for_tickets(
+    state: states.State,
+    job: steps.Job,
+    step_progress: steps.StepProgress,
+    found: list[fit.Room],
+    now_ms: int,
+) -> None:
+    key = (job.id, step_progress.occurrence, step_progress.step)
+    step = job.steps[step_progress.step]
+    suited = [room for room in found if fit.takes(room, step, job.service)]
+    asked = tickets.request(state, key, suited, now_ms)
+    if asked is not None:
+        state.requests.append(asked)
+        detail = f"for {len(asked.workers)} workers"
+        state.notes.append(states.Note("asking for tickets", job.id, detail=detail))
 
 
 def _in_order(jobs: Iterable[steps.Job], protected: set[str]) -> list[steps.Job]:
@@ -301,7 +336,9 @@
 
 
 def _avoided(state: states.State, job: steps.Job, step_progress: steps.StepProgress) -> set[str]:
-    return state.avoid.get((job.id, step_progress.occurrence, step_progress.step), set())
+    """Return the nodes where this step has failed, or any other and nothing succeeded since."""
+    own = state.avoid.get((job.id, step_progress.occurrence, step_progress.step), set())
+    return own | state.health.by_worker.keys()
 
 
 def _order(
@@ -315,9 +352,12 @@
 ) -> None:
     step = job.steps[step_progress.step]
     task = steps.task_name(job.id, step_progress.occurrence, step_progress.step, index)
-    fit.subtract(room, states.counted(step))
+    if step.target_ms and room.fills:
+        _stop_filling(state, room, task)
+    fit.occupy(room, step)
     if job.state is steps.JobState.QUEUED:
         job.state = steps.JobState.RUNNING
+    known = state.tickets.get((job.id, step_progress.occurrence, step_progress.step))
     order = steps.Order(
         job=job.id,
         task=task,
@@ -327,6 +367,7 @@
         start_by_ms=now_ms + states.START_WINDOW_MS,
         checkpoint=step_progress.saved[steps.slot(step, index)],
         checkpointing=step.checkpointing,
+        ticket=tickets.ticket(known, room.worker.instance, now_ms) if known else "",
     )
     states.open_run(
         state,
@@ -335,3 +376,11 @@
         steps.Run(index, attempt, room.agent.node, room.agent.lapses, now_ms),
         order,
     )
+
+
+def _stop_filling(state: states.State, room: fit.Room, task: str) -> None:
+    """Stop the filling tasks beside which a task with a latency target is about to run."""
+    for job, step_progress, run_ in list(state.runs.get(room.agent.node, ())):
+        if job.steps[step_progress.step].fills:
+            reason = f"it would disturb the serving task {task}"
+            states.stop_run(state, job, step_progress, run_, reason)
--- a/packages/core/src/peridothatch_core/schedule/fit.py
+++ b/packages/core/src/peridothatch_core/schedule/fit.py
@@ -22,12 +22,18 @@
         cpu_millis, memory_mb and accelerators that are free now.
     soon : list of int
         The same, with what becomes free when the runs that are stopping have ended.
+    serves : bool
+        A task with a latency target runs there.
+    fills : bool
+        A filling task runs there, which would disturb one with a latency target.
     """
 
     agent: agents.Agent
     worker: agents.Worker
     free: list[int]
     soon: list[int]
+    serves: bool = False
+    fills: bool = False
 
 
 def rooms(state: states.State, now_ms: int) -> list[Room]:
@@ -51,6 +57,8 @@
     worker = room.worker
     if worker.service != service:
         return False
+    if step.fills and room.serves:
+        return False
     return not step.requires or step.requires in (worker.kind, worker.rack)
 
 
@@ -66,6 +74,13 @@
         room.soon[place] -= amount
 
 
+def occupy(room: Room, step: steps.Step) -> None:
+    """Record that a task of a step is about to run there."""
+    subtract(room, states.counted(step))
+    room.serves = room.serves or step.target_ms > 0
+    room.fills = room.fills or step.fills
+
+
 def near_groups(step: steps.Step, service: str, found: Iterable[Room]) -> list[list[Room]]:
     """Return the groups of workers on which a step runs at full speed.
 
@@ -169,9 +184,13 @@
 def _preference(
     step: steps.Step, room: Room, needed: tuple[int, int, int], avoid: Collection[str]
 ) -> tuple[typing.Any, ...]:
-    """Order rooms: data nearby first, then the tightest fit, so that large holes stay whole."""
+    """Order rooms: undisturbed and sound ones, then data nearby, then the tightest fit.
+
+    The tightest fit keeps large holes whole.
+    """
     left = room.free[2] - needed[2]
     return (
+        step.target_ms > 0 and room.fills,
         room.agent.node in avoid,
         bool(step.affinity) and room.worker.rack != step.affinity,
         left,
@@ -197,4 +216,9 @@
         if run.stopping:
             for place, amount in enumerate(states.counted(job.steps[progress.step])):
                 soon[place] += amount
-    return Room(agent, worker, free, soon)
+    found = Room(agent, worker, free, soon)
+    for job, progress, _ in state.runs.get(agent.node, ()):
+        step = job.steps[progress.step]
+        found.serves = found.serves or step.target_ms > 0
+        found.fills = found.fills or step.fills
+    return found
--- a/packages/core/src/peridothatch_core/schedule/leadership.py
+++ b/packages/core/src/peridothatch_core/schedule/leadership.py
@@ -14,14 +14,17 @@
 from peridothatch_core.message import rows
 from peridothatch_core.model import tables
 
-LEASE_MS = 2000
-"""Length of the lease. After a loss of power of all machines nothing starts before it ends; it
-outlasts a store that answers 60 times as slowly as usual."""
+LEASE_MS = 1400
+"""Length of the lease. After the loss of a leader nothing starts before it ends; it outlasts a
+store that answers 60 times as slowly as usual, and two renewals whose answers are lost."""
 
-RENEW_SECONDS = 0.5
-"""Three renewals may fail before the lease ends."""
+RENEW_SECONDS = 0.35
+"""Time between renewals."""
 
-RETRY_SECONDS = 0.3
+WRITE_SECONDS = 0.45
+"""Wait for the answer to a write of the lease; the next one is sent in its place then."""
+
+RETRY_SECONDS = 0.1
 """Pause after a write of the lease that failed."""
 
 
@@ -124,6 +127,11 @@
     return lost
 
 
+def won_unanswered(state: Leadership, lease: Lease) -> bool:
+    """Tell whether the newest epoch row is an own claim whose answer was lost."""
+    return lease.holder == state.me and lease.epoch == state.epoch and not state.leading
+
+
 def observe_lease(state: Leadership, lease: Lease, version: int) -> None:
     """Take the lease row over."""
     if version > state.lease_version:
@@ -137,8 +145,3 @@
     state.epoch += 1
     state.epoch_version = version
     state.renewed_at = sent_at
-
-
-def lapsed(state: Leadership, now: float) -> bool:
-    """Tell whether the own lease may be over: another entry may lead."""
-    return now - state.renewed_at > LEASE_MS / 1000.0
--- a/packages/core/src/peridothatch_core/schedule/progress.py
+++ b/packages/core/src/peridothatch_core/schedule/progress.py
@@ -8,12 +8,16 @@
 from peridothatch_core.order import runtimes
 from peridothatch_core.place import ejection
 from peridothatch_core.schedule import state as states
+from peridothatch_core.schedule import tickets
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterator
 
+FAILURE_DELAYS_MS = (200, 1500, 4000)
+"""Pause after the first, second and each later failed run of a task. Workers that fail whatever
+they start do so at once; the pause leaves time to find them before the attempts are used up."""
+
 RETRY_DELAY_MS = {
-    steps.EndKind.FAILED: 100,
     steps.EndKind.REJECTED: 200,
     steps.EndKind.ALONE: 300,
     steps.EndKind.BROKEN: 0,
@@ -21,7 +25,8 @@
     steps.EndKind.LAPSED: 0,
     steps.EndKind.STOPPED: 0,
 }
-"""Pause before the next run of a task; a rejection may repeat until the cause has passed."""
+"""Pause before the next run of a task that did not fail; a rejection may repeat until the cause
+has passed."""
 
 WORKERS_AT_FAULT = frozenset({steps.EndKind.FAILED})
 
@@ -142,9 +147,13 @@
     if step_done(job, progress):
         return
     key = (job.id, progress.occurrence, progress.step, place)
-    state.retry_at[key] = now_ms + RETRY_DELAY_MS.get(kind, 0)
+    if job.ticketed and kind is steps.EndKind.REJECTED:
+        tickets.refused(state, key[:3], run.node)
     if kind in WORKERS_AT_FAULT:
         _record_failure(state, job, progress, run, now_ms)
+    # The other members of a gang that failed end as broken, which must not shorten the pause.
+    retry_at = now_ms + _retry_delay_ms(kind, progress.failures[place])
+    state.retry_at[key] = max(retry_at, state.retry_at.get(key, 0))
     if step.gang and kind is steps.EndKind.BROKEN:
         progress.broken_attempt = max(progress.broken_attempt, run.attempt)
     if step.gang:
@@ -153,6 +162,12 @@
             states.stop_run(state, job, progress, other, f"a member of the gang ended {kind}")
 
 
+def _retry_delay_ms(kind: steps.EndKind, failures: int) -> int:
+    if kind is not steps.EndKind.FAILED:
+        return RETRY_DELAY_MS.get(kind, 0)
+    return FAILURE_DELAYS_MS[min(max(failures, 1), len(FAILURE_DELAYS_MS)) - 1]
+
+
 def cancel(state: states.State, job: steps.Job, now_ms: int) -> None:
     """Cancel a job that has not ended and stop its runs."""
     if job.state not in steps.FINAL_STATES:
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -12,6 +12,7 @@
 if typing.TYPE_CHECKING:
     from peridothatch_core.message import rows
     from peridothatch_core.model import agents, desired
+    from peridothatch_core.schedule import tickets
 
 START_WINDOW_MS = 2000
 """Time in which an agent may begin to carry out an order. Shorter than the bounds on starts
@@ -118,6 +119,10 @@
         Store time since which a step waits for a place at full speed.
     noted_at : dict
         Store time at which it was last logged that a step waits.
+    tickets : dict
+        Tickets by job, occurrence and step; only of queues that need them.
+    requests : list of Request
+        Requests for tickets that have been decided on.
     runtimes : History
         Run times learnt by customer and queue.
     avoid : dict
@@ -141,6 +146,8 @@
     avoid: dict[tuple[str, int, int], set[str]] = dataclasses.field(default_factory=dict)
     ready_at: dict[tuple[str, int, int], int] = dataclasses.field(default_factory=dict)
     noted_at: dict[tuple[str, int, int], int] = dataclasses.field(default_factory=dict)
+    tickets: dict[tickets.StepKey, tickets.StepTickets] = dataclasses.field(default_factory=dict)
+    requests: list[tickets.Request] = dataclasses.field(default_factory=list)
     runtimes: runtimes.History = dataclasses.field(default_factory=runtimes.History)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
     changes: dict[str, Change] = dataclasses.field(default_factory=dict)
@@ -167,7 +174,8 @@
     state.jobs.pop(job.id, None)
     state.versions.pop(job.id, None)
     state.cancelled.discard(job.id)
-    for by_step in (state.avoid, state.ready_at, state.noted_at, state.retry_at):
+    per_step = (state.avoid, state.ready_at, state.noted_at, state.retry_at, state.tickets)
+    for by_step in per_step:
         for key in [key for key in by_step if key[0] == job.id]:
             del by_step[key]
 
--- a/packages/core/tests/schedule/test_cycle.py
+++ b/packages/core/tests/schedule/test_cycle.py
@@ -1,7 +1,7 @@
 import schedule_harness as harness
 
 from peridothatch_core.model import agents, steps, tables
-from peridothatch_core.schedule import cycle
+from peridothatch_core.schedule import cycle, progress, state
 
 
 def test_a_step_waits_for_the_steps_before_it():
@@ -340,3 +340,58 @@
         own.notes.clear()
     assert len(noted) == 2
     assert "8 accelerators each; 8 are free on 1 workers" in noted[0]
+
+
+def test_failures_that_follow_each_other_wait_longer_each_time():
+    # A gang used up its attempts within a second on workers that failed whatever they started.
+    item = harness.job("a", harness.step(2, 4, gang=True))
+    own = harness.scheduler([item], [harness.agent(f"n{number}") for number in range(4)])
+    harness.run(own)
+    now_ms = harness.NOW_MS
+    for delay_ms in progress.FAILURE_DELAYS_MS[:2]:
+        _fail_gang(own, item, now_ms)
+        harness.run(own, now_ms + delay_ms - 1)
+        assert not harness.open_runs(item)
+        now_ms += delay_ms
+        harness.renew(own, now_ms)
+        harness.run(own, now_ms)
+        assert len(harness.open_runs(item)) == 2
+
+
+def test_a_worker_on_which_another_job_has_just_failed_is_used_last():
+    first = harness.job("a")
+    own = harness.scheduler([first], [harness.agent("n1"), harness.agent("n2")])
+    harness.run(own)
+    failed_on = harness.open_runs(first)[0].node
+    harness.end(own, first, harness.open_runs(first)[0], steps.EndKind.FAILED)
+    other = harness.job("b")
+    state.add_job(own, other, 9)
+    harness.run(own)
+    assert harness.open_runs(other)[0].node != failed_on
+
+
+def _fail_gang(own, item, now_ms):
+    first, second = harness.open_runs(item)
+    harness.end(own, item, first, steps.EndKind.FAILED, now_ms=now_ms)
+    harness.end(own, item, second, steps.EndKind.BROKEN, now_ms=now_ms)
+
+
+def test_filling_tasks_and_serving_tasks_share_no_worker():
+    # A filling task pushes the latency of a serving one on its worker over its target.
+    filling = harness.job("fill", harness.step(2, 0, fills=True))
+    serving = harness.job("serve", harness.step(1, 0, target_ms=50, long_running=True))
+    own = harness.scheduler([serving, filling], [harness.agent("n1"), harness.agent("n2")])
+    harness.run(own)
+    (served,) = {run.node for run in harness.open_runs(serving)}
+    assert served not in {run.node for run in harness.open_runs(filling)}
+
+
+def test_filling_tasks_make_way_for_a_serving_one_that_has_no_other_place():
+    filling = harness.job("fill", harness.step(1, 0, fills=True))
+    own = harness.scheduler([filling], [harness.agent("n1")])
+    harness.run(own)
+    serving = harness.job("serve", harness.step(1, 0, target_ms=50, long_running=True))
+    state.add_job(own, serving, 9)
+    harness.run(own)
+    assert harness.open_runs(filling)[0].stopping
+    assert len(harness.open_runs(serving)) == 1
--- a/packages/core/tests/schedule/test_leadership.py
+++ b/packages/core/tests/schedule/test_leadership.py
@@ -58,3 +58,13 @@
     own = leadership.Leadership("a/2")
     leadership.observe_lease(own, leadership.Lease("a/1", 4, 10_000), 21)
     assert not leadership.may_claim(own, 9_000, 0)
+
+
+def test_an_own_claim_whose_answer_was_lost_is_recognised_by_its_row():
+    # The entry waited for its own lease to end before it claimed again.
+    own = _following()
+    mine = leadership.Lease("b/2", 5, 11_500)
+    assert not leadership.observe_epoch(own, mine, 30)
+    assert leadership.won_unanswered(own, mine)
+    leadership.observe_epoch(own, leadership.Lease("c/9", 6, 13_000), 40)
+    assert not leadership.won_unanswered(own, mine)
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -20,7 +20,7 @@
     serving,
 )
 from peridothatch_daemon.observe import metrics
-from peridothatch_platform import ingress, operator, settings, store
+from peridothatch_platform import ingress, operator, settings, store, ticket_service
 from peridothatch_wire import mailbox
 
 if typing.TYPE_CHECKING:
@@ -46,6 +46,7 @@
 
     machine: settings.Machine
     store: store.Client
+    tickets: ticket_service.Client | None
     feeds: list[store.Feed]
     reception: reception.Reception
     scheduler: scheduler.Scheduler
@@ -63,12 +64,16 @@
         client.inbox,
         metrics.latency(exported, "reception_seconds", "Time from a call to its acceptance"),
     )
+    tickets = (
+        await ticket_service.start(machine.ticket_service) if machine.ticket_service else None
+    )
     limits = state.Limits(machine.retention_ms, hold_ms(machine), machine.remote_factor)
     leader = scheduler.start(
         machine.node,
         secrets.token_hex(4),
         limits,
         client.inbox,
+        tickets.inbox if tickets else None,
         metrics.latency(exported, "scheduler_write_seconds", "Time of a write of decisions"),
     )
     desired = desired_feed.filter_into(
@@ -96,7 +101,7 @@
         ),
     ]
     draining = [False]
-    entry = Entry(machine, client, feeds, front, leader, [], exported, draining)
+    entry = Entry(machine, client, tickets, feeds, front, leader, [], exported, draining)
     await _serve(entry)
     log.event("entry:started", data_centre=machine.data_centre, region=machine.region)
     return entry
@@ -119,6 +124,8 @@
     await reception.close(entry.reception)
     for feed in entry.feeds:
         await store.unfollow(feed)
+    if entry.tickets is not None:
+        await ticket_service.close(entry.tickets)
     await store.close(entry.store)
     metrics.close(entry.exported)
     log.event("entry:stopped")
--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -425,6 +425,7 @@
         steps=submitted.steps,
         timetable=submitted.timetable,
         submitted_ms=storeclock.earliest_ms(state.clock, now),
+        ticketed=queue.ticketed,
     )
 
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -8,8 +8,9 @@
 import zlib
 
 from peridothatch_core.message import rows
+from peridothatch_core.message import tickets as ticket_messages
 from peridothatch_core.model import steps, storeclock, tables
-from peridothatch_core.schedule import cycle, leadership, state, writes
+from peridothatch_core.schedule import cycle, leadership, state, tickets, writes
 from peridothatch_daemon.decide import loop
 from peridothatch_daemon.hosted import clock, counters, log, messages, records, schedule_rows
 from peridothatch_wire import mailbox, task
@@ -75,6 +76,7 @@
 
     node: str
     store: mailbox.Mailbox
+    ticket_service: mailbox.Mailbox | None
     inbox: mailbox.Mailbox
     leadership: leadership.Leadership
     limits: state.Limits
@@ -108,6 +110,7 @@
     incarnation: str,
     limits: state.Limits,
     store: mailbox.Mailbox,
+    ticket_service: mailbox.Mailbox | None,
     record: metrics.Record,
 ) -> Scheduler:
     """Start the task.
@@ -118,12 +121,14 @@
         Differs for each start of the process.
     store : Mailbox
         Takes ``rows.Commit`` and ``rows.Fetch``.
+    ticket_service : Mailbox or None
+        Takes ``tickets.Ask``; ``None`` where there is no such service.
     record : callable
         Takes the seconds that a transaction of decisions took.
     """
     inbox = mailbox.create("scheduler")
     holder = leadership.Leadership(f"{node}/{incarnation}")
-    own = _State(node, store, inbox, holder, limits, record)
+    own = _State(node, store, ticket_service, inbox, holder, limits, record)
 
     def handle(message: typing.Any) -> None:
         _handle(own, message)
@@ -153,6 +158,8 @@
         case rows.Fetched():
             storeclock.observe(own.clock, message.now_ms, message.asked_at, message.answered_at)
             _fetched(own, message)
+        case ticket_messages.Answered():
+            _tickets_answered(own, message)
         case messages.DesiredChanged(desired_state, _):
             if desired_state is not None and (
                 own.desired is None or desired_state.version > own.desired.version
@@ -210,27 +217,58 @@
         )
         _count(own.counters, note.kind)
     schedule.notes.clear()
+    for request in schedule.requests:
+        _ask_for_tickets(own, request)
+    schedule.requests.clear()
     own.batches = writes.take(schedule, own.leadership.epoch_version, records.encode)
     _send_batch(own)
 
 
+def _ask_for_tickets(own: _State, request: tickets.Request) -> None:
+    def answer(done: ticket_messages.Answered) -> None:
+        mailbox.post(own.inbox, done)
+
+    name = ".".join(str(part) for part in request.step)
+    ask = ticket_messages.Ask(request, name, request.workers, answer)
+    if own.ticket_service is None or not mailbox.post(own.ticket_service, ask):
+        answer(ticket_messages.Answered(request, None, reason="no ticket service can be asked"))
+
+
+def _tickets_answered(own: _State, done: ticket_messages.Answered) -> None:
+    now_ms = storeclock.earliest_ms(own.clock, clock.now())
+    log.event(
+        "scheduler:tickets",
+        step=done.token.step,
+        asked=len(done.token.workers),
+        granted=None if done.granted is None else len(done.granted),
+        valid_ms=done.valid_ms,
+        reason=done.reason,
+    )
+    if done.granted is None:
+        tickets.unanswered(own.schedule, done.token, now_ms)
+    else:
+        tickets.answered(own.schedule, done.token, done.granted, done.valid_ms, now_ms)
+
+
 def _send_batch(own: _State) -> None:
     if own.batches and not own.sending:
         own.sending = True
         batch = own.batches[0]
-        _commit(own, batch, batch.transaction)
+        _commit(own, batch, batch.transaction, COMMIT_SECONDS)
 
 
 def _send_lease(own: _State, purpose: Purpose, transaction: rows.Transaction, now: float) -> None:
     own.leadership.sent_at = now
-    _commit(own, purpose, transaction)
+    _commit(own, purpose, transaction, leadership.WRITE_SECONDS)
 
 
-def _commit(own: _State, token: typing.Any, transaction: rows.Transaction) -> None:
+def _commit(
+    own: _State, token: typing.Any, transaction: rows.Transaction, timeout_seconds: float
+) -> None:
     def answer(done: rows.Committed) -> None:
         mailbox.post(own.inbox, done)
 
-    message = rows.Commit(token, transaction, COMMIT_SECONDS, answer)
+    message = rows.Commit(token, transaction, timeout_seconds, answer)
     if not mailbox.post(own.store, message):
         answer(rows.Committed(token, rows.Outcome.NOT_DONE, reason="the queue is full"))
 
@@ -256,11 +294,9 @@
         holder.retry_at = clock.now() + leadership.RETRY_SECONDS
     match done.token:
         case Purpose.CLAIM if committed:
-            leadership.lead(holder, done.version, sent_at)
             own.round_trip_ms = 1000 * (done.answered_at - done.asked_at)
-            log.event("scheduler:leading", epoch=holder.epoch, store_ms=done.now_ms)
-            own.counters.claims += 1
-            _load(own)
+            leadership.lead(holder, done.version, sent_at)
+            _take_lead(own, done.now_ms)
         case Purpose.RENEW if committed:
             holder.renewed_at = sent_at
         case Purpose.RENEW if done.outcome is rows.Outcome.CONFLICT:
@@ -277,6 +313,12 @@
             )
 
 
+def _take_lead(own: _State, now_ms: int) -> None:
+    log.event("scheduler:leading", epoch=own.leadership.epoch, store_ms=now_ms)
+    own.counters.claims += 1
+    _load(own)
+
+
 def _batch_committed(own: _State, batch: writes.Batch, done: rows.Committed) -> None:
     own.sending = False
     if not own.leadership.leading or batch not in own.batches:
@@ -357,6 +399,7 @@
         avoid=old.avoid,
         retry_at=old.retry_at,
         ready_at=old.ready_at,
+        tickets=old.tickets,
         runtimes=old.runtimes,
     )
     own.schedule = fresh
@@ -413,6 +456,9 @@
             leadership.observe_lease(own.leadership, lease, row.version)
         elif leadership.observe_epoch(own.leadership, lease, row.version):
             _lose(own, f"{lease.holder} has taken the epoch")
+        elif own.resigning is None and leadership.won_unanswered(own.leadership, lease):
+            own.leadership.leading = True
+            _take_lead(own, storeclock.earliest_ms(own.clock, clock.now()))
 
 
 def _lose(own: _State, reason: str) -> None:
