Add a fault soak of the hosted programs

Real entries and agents run as separate processes against our own stand-ins, behind loopback proxies that delay, reset, cut one way and silence; processes are killed, paused, stopped as planned and started again; the store refuses, loses answers and forgets its history; workers' clocks differ, workers restart, and fail tasks. A seed gives the plan of faults and jobs. Promises are checked while it runs, from the answers that callers get and the starts that workers see.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 SITE ?=
 DAY ?= quiet-1
 
-.PHONY: platform setup test lint check format demo capacity bench docs clean
+.PHONY: platform setup test lint check format demo soak capacity bench docs clean
 
 ifeq ($(VENV),.venv)
 setup: $(VENV)/installed
@@ -45,6 +45,11 @@
 docs: setup
 	$(PYTHON) scripts/generate_references.py
 
+SEEDS ?= 1-50
+
+soak: setup
+	PYTHONPATH=$(PYTHONPATH):$(CURDIR)/tests/platform $(PYTHON) tests/soak/soak_run.py --seeds $(SEEDS)
+
 demo: setup
 	$(PYTHON) scripts/demo.py
 
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -1,6 +1,8 @@
 """Stand-ins for the platform's row store and for a worker, on loopback."""
 
 import asyncio
+import base64
+import json
 import time
 
 from aiohttp import web
@@ -185,6 +187,11 @@
     return web.Response(status=500)
 
 
+def encode(body):
+    """Return the value of a row that holds a JSON body."""
+    return base64.b64encode(json.dumps(body).encode()).decode()
+
+
 def _row(name, value, version):
     row = {"table": name[0], "part": name[1], "key": name[2], "row_version": version}
     return row | ({"deleted": True} if value is None else {"value": value})
--- /dev/null
+++ b/tests/soak/soak_checks.py
@@ -0,0 +1,128 @@
+"""The promises that are checked from what callers and workers see."""
+
+import dataclasses
+import json
+import time
+
+REVOKE_SECONDS = 5.0
+EVACUATE_SECONDS = 5.0
+CANCEL_SECONDS = 3.0
+SLACK_SECONDS = 0.5
+"""Time that passes between an event and its record on a busy machine."""
+
+
+@dataclasses.dataclass
+class Seen:
+    """What workers did and what callers were told.
+
+    ``breaches`` holds one line for each broken promise; ``doing`` the open runs by task.
+    """
+
+    breaches: list = dataclasses.field(default_factory=list)
+    starts: list = dataclasses.field(default_factory=list)
+    doing: dict = dataclasses.field(default_factory=dict)
+    done: dict = dataclasses.field(default_factory=dict)
+    noted_done: set = dataclasses.field(default_factory=set)
+    accepted: dict = dataclasses.field(default_factory=dict)
+    attempted: dict = dataclasses.field(default_factory=dict)
+    refused: dict = dataclasses.field(default_factory=dict)
+    tries: dict = dataclasses.field(default_factory=dict)
+    cancelled: dict = dataclasses.field(default_factory=dict)
+    cancel_sent: set = dataclasses.field(default_factory=set)
+    final: dict = dataclasses.field(default_factory=dict)
+    zones: dict = dataclasses.field(default_factory=dict)
+    evacuated: dict = dataclasses.field(default_factory=dict)
+    revoked_at: float = 0.0
+    disturbed_until: float = 0.0
+
+    def breach(self, name, detail):
+        """Record a broken promise."""
+        self.breaches.append(f"{name}: {detail}")
+
+    def started(self, run):
+        """Check a start that a worker carried out."""
+        job = run.task.split(".")[0]
+        self.starts.append(run)
+        if run.task in self.doing:
+            self.breach("at_most_once", f"{run} while {self.doing[run.task]} runs")
+        if run.task in self.noted_done:
+            self.breach("at_most_once", f"{run} after an end that was taken note of")
+        if job not in self.attempted:
+            self.breach("unasked", f"{run}: nobody sent this job")
+        elif run.spec != self.attempted[job]:
+            self.breach("own_answer", f"{run} has another specification")
+        late = self._late(self.cancelled.get(job), CANCEL_SECONDS)
+        if late and not self.disturbed():
+            self.breach("cancel", f"{run} {late:.1f} s after the cancellation was confirmed")
+        late = self._late(self.evacuated.get(self.zones.get(run.worker)), EVACUATE_SECONDS)
+        if late and not self.disturbed():
+            self.breach("no_start_after_out", f"{run} {late:.1f} s after the take-out")
+        self.doing[run.task] = run
+
+    def ended(self, run, how, number=None):
+        """Record the end of a run, and its number in the list of its worker."""
+        if self.doing.get(run.task) == run:
+            del self.doing[run.task]
+        if how == "done":
+            self.done[run.task] = (run, number)
+
+    def noted(self, worker, life, number):
+        """Record that a worker was told to forget ends up to a number."""
+        for task, (run, end_number) in self.done.items():
+            if (run.worker, run.life) == (worker, life) and number >= end_number:
+                self.noted_done.add(task)
+
+    def disturbed(self):
+        """Tell whether a fault lies so near that bounds in time do not hold."""
+        return time.monotonic() < self.disturbed_until
+
+    def _late(self, since, seconds):
+        if since is None:
+            return 0.0
+        late = time.monotonic() - since - seconds - SLACK_SECONDS
+        return max(0.0, late)
+
+    def answered(self, job, method, status, body, sent_at, revoked):
+        """Check an answer to a caller; ``revoked`` says that its key is one that goes."""
+        match method, status:
+            case "POST", 200:
+                self.accepted.setdefault(job, time.monotonic())
+                if revoked and self.revoked_at and sent_at > self.revoked_at + REVOKE_SECONDS:
+                    self.breach("revoke", f"{job} accepted with a revoked key")
+            case "POST", 429 | 503:
+                self.refused[job] = self.refused.get(job, 0) + 1
+                if body.get("verdict") != "not_run":
+                    self.breach("true_not_run", f"{job}: {status} without a verdict: {body}")
+            case "GET", 200:
+                self._state(job, body["state"])
+            case "GET", 410 if job in self.accepted and time.monotonic() > (
+                self.accepted[job] + 3.0
+            ):
+                self.breach("lost", f"{job} was accepted and is unknown")
+            case "DELETE", 200:
+                self.cancelled.setdefault(job, time.monotonic())
+
+    def _state(self, job, state):
+        before = self.final.get(job)
+        if before and state != before:
+            self.breach("final", f"{job} was {before} and is {state}")
+        if state in ("completed", "failed", "cancelled"):
+            self.final[job] = state
+        if state == "completed" and job in self.attempted:
+            spec = json.loads(self.attempted[job])
+            ended = {task for task in self.done if task.startswith(job)}
+            if len(ended) < (1 if spec["gang"] else spec["width"]):
+                self.breach("completed", f"{job} is completed with {len(ended)} tasks done")
+
+    def at_the_end(self):
+        """Check what must hold once all faults are over and jobs had time to end."""
+        for job in self.accepted:
+            if job not in self.final:
+                self.breach("stuck", f"{job} has no final state")
+            if self.final.get(job) == "cancelled" and job not in self.cancel_sent:
+                self.breach("final", f"{job} is cancelled, which nobody asked for")
+        for run in self.starts:
+            job = run.task.split(".")[0]
+            tries = self.refused.get(job, 0)
+            if job not in self.accepted and tries and tries == self.tries.get(job, 0):
+                self.breach("true_not_run", f"{run}, and each attempt was refused as not run")
--- /dev/null
+++ b/tests/soak/soak_plan.py
@@ -0,0 +1,79 @@
+"""What a soak does, worked out from a seed: the same seed gives the same plan."""
+
+import dataclasses
+import random
+
+FAULT_SECONDS = 12.0
+"""Part of a run in which faults begin."""
+
+ENTRIES = 2
+AGENTS = 4
+KINDS = (
+    "kill", "kill", "pause", "pause", "terminate", "store_reset", "store_silent", "store_slow",
+    "store_one_way", "store_lost", "store_refuse", "store_forgets", "worker_silent",
+    "worker_reset", "worker_restart", "worker_fails", "revoke", "evacuate",
+)  # fmt: skip
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A fault on one target; ``target`` counts entries first, then agents."""
+
+    at: float
+    kind: str
+    target: int
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Submission:
+    """A job; it is cancelled some time after its acceptance when ``cancel_after`` is set."""
+
+    at: float
+    number: int
+    width: int
+    gang: bool
+    priority: int
+    task_seconds: float
+    checkpointing: bool
+    cancel_after: float | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """Faults and jobs of one run, in order of time, and the rates of the workers' clocks."""
+
+    seed: int
+    faults: tuple[Fault, ...]
+    submissions: tuple[Submission, ...]
+    clock_rates: tuple[float, ...]
+
+
+def make(seed, faults=7, jobs=14):
+    """Return the plan of a seed; faults come in series and overlap."""
+    luck = random.Random(seed)
+    drawn = [
+        Fault(
+            at=luck.uniform(0.5, FAULT_SECONDS),
+            kind=luck.choice(KINDS),
+            target=luck.randrange(ENTRIES + AGENTS),
+            seconds=luck.uniform(0.3, 4.5),
+        )
+        for _ in range(faults)
+    ]
+    submitted = [
+        Submission(
+            at=luck.uniform(0.0, FAULT_SECONDS),
+            number=number,
+            width=luck.randint(1, 5),
+            gang=luck.random() < 0.4,
+            priority=luck.choice((0, 1, 1)),
+            task_seconds=luck.uniform(0.2, 3.0),
+            checkpointing=luck.random() < 0.5,
+            cancel_after=luck.uniform(0.1, 3.0) if luck.random() < 0.2 else None,
+        )
+        for number in range(jobs)
+    ]
+    rates = tuple(luck.choice((0.98, 0.99, 1.0, 1.01)) for _ in range(AGENTS))
+    by_time = {"key": lambda item: item.at}
+    return Plan(seed, tuple(sorted(drawn, **by_time)), tuple(sorted(submitted, **by_time)), rates)
--- /dev/null
+++ b/tests/soak/soak_proxy.py
@@ -0,0 +1,92 @@
+"""A loopback proxy in front of one address, which delays, resets, cuts or silences."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+CHUNK_BYTES = 65_536
+HOST = "127.0.0.1"
+
+
+@dataclasses.dataclass
+class Proxy:
+    """A forwarded address.
+
+    ``mode`` is ``up``, ``reset`` (connections end at once), ``silent`` (nothing passes on any
+    connection), ``one_way`` (requests pass, answers do not) or ``slow`` (each chunk waits).
+    Connections that were open in a silent spell stay silent for good, while new ones work.
+    """
+
+    target: tuple
+    mode: str = "up"
+    delay_seconds: float = 0.25
+    server: object = None
+    tasks: set = dataclasses.field(default_factory=set)
+    writers: set = dataclasses.field(default_factory=set)
+
+    @property
+    def port(self):
+        """Port that callers use."""
+        return self.server.sockets[0].getsockname()[1]
+
+
+async def start(port):
+    """Start a proxy in front of a loopback port."""
+    proxy = Proxy((HOST, port))
+
+    async def accept(reader, writer):
+        task = asyncio.current_task()
+        proxy.tasks.add(task)
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            await _forward(proxy, reader, writer)
+        proxy.tasks.discard(task)
+        writer.close()
+
+    proxy.server = await asyncio.start_server(accept, HOST, 0)
+    return proxy
+
+
+async def close(proxy):
+    """Stop and end all connections."""
+    proxy.server.close()
+    for task in list(proxy.tasks):
+        task.cancel()
+    await asyncio.gather(*proxy.tasks, return_exceptions=True)
+
+
+def switch(proxy, mode):
+    """Change the mode; a reset ends the open connections."""
+    proxy.mode = mode
+    if mode == "reset":
+        for writer in list(proxy.writers):
+            writer.transport.abort()
+
+
+async def _forward(proxy, reader, writer):
+    if proxy.mode == "reset":
+        writer.transport.abort()
+        return
+    far_reader, far_writer = await asyncio.open_connection(*proxy.target)
+    ends = {writer, far_writer}
+    proxy.writers |= ends
+    stuck = []
+    try:
+        await asyncio.gather(
+            _copy(proxy, reader, far_writer, stuck, ("silent",)),
+            _copy(proxy, far_reader, writer, stuck, ("silent", "one_way")),
+        )
+    finally:
+        proxy.writers -= ends
+        far_writer.close()
+
+
+async def _copy(proxy, reader, writer, stuck, held):
+    while data := await reader.read(CHUNK_BYTES):
+        if proxy.mode in held or stuck:
+            stuck.append(True)
+            continue
+        if proxy.mode == "slow":
+            await asyncio.sleep(proxy.delay_seconds)
+        writer.write(data)
+        await writer.drain()
+    writer.close()
--- /dev/null
+++ b/tests/soak/soak_worker.py
@@ -0,0 +1,159 @@
+"""A worker as the platform describes it: leases on its own clock, fences, ends and checkpoints."""
+
+import asyncio
+import dataclasses
+import json
+import time
+
+from aiohttp import web
+
+LONGEST_HOLD_MS = 4000
+CAPACITY = {"cpu": 8000, "mem_mb": 8000, "gpu": 4}
+STOP_SECONDS = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Started:
+    """A start that a worker carried out, and when it ended."""
+
+    worker: int
+    life: int
+    task: str
+    attempt: int
+    spec: str
+    checkpoint: str
+    gpu: int
+    at: float
+
+
+class SoakWorker:
+    """One worker; ``seen`` collects starts and ends of all its lives."""
+
+    def __init__(self, number, rate, seen):
+        self.number = number
+        self.rate = rate
+        self.seen = seen
+        self.mode = "up"
+        self.life = 0
+        self.restart()
+
+    @property
+    def instance(self):
+        return f"w-{self.number}"
+
+    def restart(self):
+        """Begin a new life under the old id: it holds and knows nothing of before."""
+        for started in getattr(self, "running", {}).values():
+            self.seen.ended(started["run"], "crashed")
+        self.life += 1
+        self.born_ms = int(1000 * time.time())
+        self.origin = time.monotonic()
+        self.running, self.ends, self.barred = {}, [], {}
+        self.fence = 0
+        self.deadline_ms = 0
+        self.sequence = 0
+
+    def clock_ms(self):
+        return int(1000 * self.rate * (time.monotonic() - self.origin))
+
+    def check_in(self, zone):
+        self.sequence += 1
+        return {
+            "service": "render", "zone": zone, "state": "ready", "born": self.born_ms,
+            "capacity": CAPACITY, "labels": ["a", f"r{self.number % 2}"], "seq": self.sequence,
+        }  # fmt: skip
+
+    def application(self):
+        app = web.Application()
+        app.router.add_post("/peridothatch/run-start", self._start)
+        app.router.add_post("/peridothatch/run-stop", self._stop)
+        app.router.add_post("/peridothatch/hold", self._hold)
+        return app
+
+    def work(self):
+        """Let time pass: tasks end, and leases lapse."""
+        lapsed = self.running and self.clock_ms() > self.deadline_ms
+        for key, held in list(self.running.items()):
+            if lapsed:
+                self._end(key, "lapsed")
+            elif time.monotonic() >= held["done_at"]:
+                self._end(key, "failed" if self.mode == "fails" else "done")
+
+    def _end(self, key, how):
+        held = self.running.pop(key)
+        self.barred[key[0]] = max(self.barred.get(key[0], 0), key[1])
+        saved = "c" if held["spec"].get("checkpointing") else ""
+        self.ends.append([len(self.ends) + 1, *key, how, saved])
+        self.seen.ended(held["run"], how, len(self.ends))
+
+    def _wrong(self, request, body):
+        if request.headers.get("X-Target-Instance", self.instance) != self.instance:
+            return web.Response(status=421)
+        if body.get("fencing_token", 0) < self.fence:
+            return self._answer(409, reason="fence")
+        self.fence = body.get("fencing_token", 0)
+        return None
+
+    def _extend(self, body):
+        asked = min(body.get("deadline_ms", 0), self.clock_ms() + LONGEST_HOLD_MS)
+        self.deadline_ms = max(self.deadline_ms, asked)
+
+    async def _start(self, request):
+        body = await request.json()
+        self.work()
+        wrong = self._wrong(request, body)
+        if wrong is not None:
+            return wrong
+        self._extend(body)
+        key = (body["task"], body["attempt"])
+        if key in self.running:
+            return self._answer(200)
+        if key[1] <= self.barred.get(key[0], 0):
+            return self._answer(409, reason="old")
+        if self.clock_ms() > body["deadline_ms"]:
+            return self._answer(409, reason="late")
+        spec = json.loads(body["spec"])
+        taken = sum(held["spec"]["gpu"] for held in self.running.values())
+        if taken + spec["gpu"] > CAPACITY["gpu"]:
+            return self._answer(409, reason="room")
+        run = Started(self.number, self.life, *key, body["spec"], body.get("checkpoint", ""),
+                      spec["gpu"], time.monotonic())  # fmt: skip
+        done_at = time.monotonic() + spec["seconds"]
+        self.running[key] = {"spec": spec, "done_at": done_at, "run": run}
+        self.seen.started(run)
+        return self._answer(200)
+
+    async def _stop(self, request):
+        body = await request.json()
+        self.work()
+        wrong = self._wrong(request, body)
+        if wrong is not None:
+            return wrong
+        key = (body["task"], body["attempt"])
+        if key in self.running:
+            await asyncio.sleep(STOP_SECONDS)
+        if key in self.running:
+            self._end(key, "stopped")
+        self.barred[key[0]] = max(self.barred.get(key[0], 0), key[1])
+        return self._answer(200)
+
+    async def _hold(self, request):
+        body = await request.json()
+        wrong = self._wrong(request, body)
+        if wrong is not None:
+            return wrong
+        self._extend(body)
+        until = time.monotonic() + min(body.get("wait_ms", 0), 2000) / 1000.0
+        life = self.life
+        while True:
+            self.work()
+            self.seen.noted(self.number, life, body["last_seen"])
+            news = [end for end in self.ends if end[0] > body["last_seen"]]
+            if news or time.monotonic() >= until or life != self.life:
+                running = [[*key, "c", 50] for key in self.running]
+                return self._answer(200, running=running, finished=news[:500])
+            await asyncio.sleep(0.03)
+
+    def _answer(self, status, **fields):
+        body = {"clock_ms": self.clock_ms(), "born": self.born_ms, **fields}
+        return web.json_response(body, status=status)
