Refuse jobs that the store's rows cannot hold

Cause: found in reading. A gang of more than about 90 members needs a transaction of more than 100 entries, and a job of some hundreds of tasks a row of more than 65,536 bytes. The store refuses both each time, and the leader would send the same transaction for ever and start nothing else.

Change: such a job is refused when it is submitted, with the field, the value and what is expected. The estimate of the row is an upper one; a test compares it with the widest real rows. Gangs up to 1,024 need another form of orders, which is not built.

--- /dev/null
+++ b/packages/core/tests/reception/test_limits.py
@@ -0,0 +1,51 @@
+import dataclasses
+import json
+
+import pytest
+
+from peridothatch_core.model import steps
+from peridothatch_core.reception import limits
+
+
+def _step(count, gang=False):
+    return steps.Step(count, steps.Demand(28_000, 256_000, 8), gang=gang, estimate_ms=123_456)
+
+
+def _widest_row(parts):
+    """Return the size of a row all of whose tasks run and have a checkpoint."""
+    progress = [
+        steps.StepProgress(
+            0, number, done=[], attempts=[9] * step.count, failures=[2] * step.count,
+            saved=["00000bb87a21d94b"] * step.count,
+            runs=[steps.Run(index, 9, "side-ostrava-expedice-12", 1, 10_000_000, True)
+                  for index in range(step.count)],
+        )
+        for number, step in enumerate(parts)
+    ]  # fmt: skip
+    job = steps.Job("00000000000000aa", "q" * 20, "s" * 20, "c" * 20, 1, 3, 3.0, 500, parts, None,
+                    10_000_000, progress=progress)  # fmt: skip
+    return len(json.dumps(dataclasses.asdict(job), separators=(",", ":")))
+
+
+@pytest.mark.parametrize("parts", [(_step(350),), tuple(_step(40) for _ in range(8))])
+def test_the_estimate_covers_the_largest_row(parts):
+    # A row over the store's limit is refused each time, and the leader stops at it.
+    assert _widest_row(parts) <= limits.row_bytes(parts, None)
+    assert limits.refusal(parts, None) is None
+
+
+def test_a_job_whose_row_the_store_would_refuse_is_refused():
+    found = limits.refusal((_step(600),), None)
+    assert (found.field, found.value) == ("count", "600")
+
+
+def test_a_gang_that_no_transaction_holds_is_refused():
+    found = limits.refusal((_step(91, gang=True),), None)
+    assert (found.field, found.value) == ("gang", "91")
+    assert limits.refusal((_step(90, gang=True),), None) is None
+
+
+def test_occurrences_count():
+    timetable = steps.Timetable(0, 1000, 500)
+    assert limits.refusal((_step(5),), timetable).field == "count"
+    assert limits.refusal((_step(5),), dataclasses.replace(timetable, times=50)) is None
--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -9,7 +9,7 @@
 
 from peridothatch_core.message import rows
 from peridothatch_core.model import steps, storeclock, tables, verdict
-from peridothatch_core.reception import admission, calls, store_health, view
+from peridothatch_core.reception import admission, calls, limits, store_health, view
 from peridothatch_daemon.decide import loop
 from peridothatch_daemon.hosted import clock, counters, log, messages, records
 from peridothatch_wire import mailbox, task
@@ -215,6 +215,10 @@
     if isinstance(call.submission, verdict.Refusal) or call.submission is None:
         _refuse(state, call, reply, call.submission or _invalid("body", "", "expected a job"))
         return
+    too_large = limits.refusal(call.submission.steps, call.submission.timetable)
+    if too_large is not None:
+        _refuse(state, call, reply, too_large)
+        return
     if admitted.rest in state.view.jobs:
         _accept(state, call, admitted, reply, now, "the job is stored already")
         return
