Keep a run that was started on a worker's new life

The start reached the new life, which carried it out; the check-in came 0.2 s later, the agent recorded all runs as lost, and the leader started them on other workers while they went on.

Ruled out: the named target as a guard (the id is the same, so the worker takes the call); comparing times of birth and start (clocks differ).

Change: at a new life only runs that the former life had listed, and of which no start is unanswered or under way, are lost at once. The next list of the new life decides on the others; those that it does not have are barred by a stop first. A start that was under way counted as certainly not carried out; it is barred now too. A goodbye ends the runs only when the worker's address is closed: a late one may concern a former life.

One test was changed: it took a run adopted from an earlier process as lost at once, whose start may still be carried out on the new life; the run is barred first now, and the same check is made for a run that the process started itself.

--- a/packages/core/src/peridothatch_core/hold/listing.py
+++ b/packages/core/src/peridothatch_core/hold/listing.py
@@ -27,6 +27,7 @@
         if held.phase is states.Phase.WAITING:
             held.phase = states.Phase.RUNNING
             held.confirmed_at = listing.answered_at
+        held.listed = True
         held.percent = run.percent
         held.saved = run.saved or held.saved
     for key, held in list(state.held.items()):
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -19,6 +19,10 @@
 SLOWEST_CLOCK = 0.98
 """Least rate of a worker's clock."""
 
+HOLD_BELOW_LONGEST_MS = 500
+"""Time by which a lease is shorter than the longest that a worker grants, so that the worker
+never shortens a deadline that the agent relies on."""
+
 HOLD_MARGIN_SECONDS = 0.1
 """Time by which the worker's deadline comes before the promise in the store."""
 
@@ -82,6 +86,8 @@
         When the worker confirmed the start.
     retry_at : float
         When the next call may be sent.
+    listed : bool
+        The present life of the worker has listed the run.
     percent : int
         Progress as last listed.
     end : End or None
@@ -96,6 +102,7 @@
     stopped_at: float | None = None
     confirmed_at: float = 0.0
     retry_at: float = 0.0
+    listed: bool = False
     percent: int = 0
     saved: str = ""
     end: steps.End | None = None
@@ -139,6 +146,8 @@
         Last sign of life of the worker.
     leaves_at : float or None
         When a draining worker may leave, in local seconds.
+    left : bool
+        The worker has said goodbye and has not checked in since.
     absent_calls : int
         Calls in a row that found nothing listening at the worker's address.
     worker_clock_ms, worker_clock_at : int, float
@@ -182,6 +191,7 @@
     sequence: int = -1
     heard_at: float = 0.0
     leaves_at: float | None = None
+    left: bool = False
     absent_calls: int = 0
     worker_clock_ms: int = 0
     worker_clock_at: float = 0.0
--- a/packages/core/src/peridothatch_core/hold/worker.py
+++ b/packages/core/src/peridothatch_core/hold/worker.py
@@ -27,9 +27,10 @@
         if (worker.born_ms, sequence) <= (known.born_ms, state.sequence):
             return False
         if worker.born_ms != known.born_ms or worker.instance != known.instance:
-            _new_life(state)
+            _new_life(state, now)
     state.sequence = sequence
     state.heard_at = now
+    state.left = False
     if worker.state is agents.WorkerState.DRAINING:
         leaves_at = now + worker.leaves_in_ms / 1000.0
         state.leaves_at = leaves_at if state.leaves_at is None else min(state.leaves_at, leaves_at)
@@ -42,11 +43,17 @@
 
 
 def leave(state: states.State, instance: str) -> bool:
-    """Take over that a life of the worker has ended; return whether it was the present one."""
+    """Take over that a worker says goodbye; return whether it is the present one.
+
+    The message may be late and a new life may have the same id, so the runs end only when the
+    worker's address is closed as well.
+    """
     if state.worker is None or state.worker.instance != instance:
         return False
-    _lose_runs(state, "the worker has left", startable=True)
+    state.left = True
     state.worker = dataclasses.replace(state.worker, state=agents.WorkerState.ABSENT)
+    # The next check-in of a life that goes on describes the worker anew.
+    state.sequence = -1
     state.dirty = True
     return True
 
@@ -58,12 +65,20 @@
     the time until then has passed, it is silent and its address is closed, it runs nothing.
     """
     state.absent_calls = 0 if listening else state.absent_calls + 1
-    departed = state.leaves_at is not None and now >= state.leaves_at
-    if not departed or state.absent_calls < states.ABSENT_CALLS or state.worker is None:
+    if listening or state.worker is None:
         return False
-    if now - state.heard_at < states.DEPARTED_SECONDS:
+    departed = (
+        state.leaves_at is not None
+        and now >= state.leaves_at
+        and now - state.heard_at >= states.DEPARTED_SECONDS
+        and state.absent_calls >= states.ABSENT_CALLS
+    )
+    if not state.left and not departed:
         return False
-    return leave(state, state.worker.instance)
+    _lose_runs(state, "the worker has left", startable=True)
+    state.worker = dataclasses.replace(state.worker, state=agents.WorkerState.ABSENT)
+    state.dirty = True
+    return True
 
 
 def silent(state: states.State, now: float) -> bool:
@@ -107,9 +122,30 @@
     return (*dataclasses.astuple(dataclasses.replace(worker, leaves_in_ms=0)),)
 
 
-def _new_life(state: states.State) -> None:
-    """Forget the worker's former life, which ended with all that it ran."""
-    _lose_runs(state, "the worker has started a new life", startable=True)
+def _new_life(state: states.State, now: float) -> None:
+    """Forget the worker's former life, which ended with all that it ran.
+
+    A start that was sent before this check-in may have reached the new life already, if it has
+    the same id, and one without an answer may still reach it. Runs that the former life has
+    listed are lost at once; the next list tells which of the others the new life has, and the
+    rest are stopped and then lost.
+    """
+    if any(held.phase is not states.Phase.ENDED for held in state.held.values()):
+        # Such a start carried a deadline on the former clock; the worker shortens it to the
+        # longest that it grants.
+        granted_ms = state.hold_ms + states.HOLD_BELOW_LONGEST_MS
+        latest_ms = storeclock.latest_ms(state.clock, now) + granted_ms
+        state.inherited_until_ms = max(state.inherited_until_ms, latest_ms)
+    reason = "the worker has started a new life"
+    for key, held in list(state.held.items()):
+        pending = held.unsure or held.calling
+        if held.phase is states.Phase.WAITING and pending:
+            held.stop = held.stop or reason
+            held.unsure = True
+            held.stopped_at = None
+        elif held.phase is states.Phase.RUNNING and held.listed and not pending:
+            listing.record(state, key, steps.EndKind.LOST, held.saved, reason)
+        held.listed = False
     state.leaves_at = None
     state.worker_clock_ms = 0
     state.given_lease_end_ms = 0
@@ -134,8 +170,9 @@
     for key, held in list(state.held.items()):
         if held.phase is states.Phase.ENDED:
             continue
-        if startable and held.phase is states.Phase.WAITING and held.unsure:
+        if startable and held.phase is states.Phase.WAITING and (held.unsure or held.calling):
             held.stop = held.stop or reason
+            held.unsure = True
             held.stopped_at = None
             continue
         ran = held.phase is states.Phase.RUNNING or key in state.reports
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -107,7 +107,9 @@
 
 
 def test_a_new_life_of_the_worker_ends_what_the_old_one_ran():
-    held = harness.registered(orders={harness.KEY: harness.order()})
+    held = harness.registered()
+    step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.01)
+    step.step(held, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.STARTED), 10.05)
     running = harness.listing(10.1, running=[(harness.TASK, 1, "c1", 40)])
     step.step(held, exchange.Looked(running), 10.1)
     step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000), 0), 10.5)
@@ -115,6 +117,83 @@
     assert held.recorded_through == 0
 
 
+def test_an_adopted_run_is_barred_on_a_new_life_before_it_counts_as_lost():
+    # The start of an earlier process may still be carried out, by the new life.
+    late = {harness.KEY: harness.order(start_by_ms=1)}
+    held = harness.registered(orders=late, listed=False)
+    running = harness.listing(10.1, running=[(harness.TASK, 1, "c1", 40)])
+    step.step(held, exchange.Looked(running), 10.1)
+    step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000), 0), 10.5)
+    assert not held.ends
+    new = harness.listing(10.8, born_ms=9_000)
+    harness.only(step.step(held, exchange.Looked(new), 10.8), exchange.Stop)
+    step.step(held, exchange.StopAnswered(harness.KEY, True), 10.9)
+    step.step(held, exchange.Looked(harness.listing(11.2, born_ms=9_000)), 11.2)
+    assert [(end.kind, end.saved) for end in held.ends.values()] == [(steps.EndKind.LOST, "c1")]
+
+
+def _started_across_lives():
+    """Return an agent that sent a start before it heard of the worker's new life."""
+    held = harness.registered()
+    step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
+    step.step(held, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.STARTED), 10.2)
+    step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000), 0), 10.5)
+    return held
+
+
+def test_a_start_that_reached_the_new_life_is_not_taken_for_lost():
+    # Soak seed 9: the run was reported as lost and started elsewhere while it went on.
+    held = _started_across_lives()
+    assert not held.ends
+    running = harness.listing(10.8, running=[(harness.TASK, 1, "", 5)], born_ms=9_000)
+    harness.none(step.step(held, exchange.Looked(running), 10.8), exchange.Stop)
+    assert not held.ends
+    assert held.held[harness.KEY].phase is state.Phase.RUNNING
+
+
+def test_a_start_that_did_not_reach_the_new_life_is_barred_and_then_lost():
+    held = _started_across_lives()
+    effects = step.step(held, exchange.Looked(harness.listing(10.8, born_ms=9_000)), 10.8)
+    harness.only(effects, exchange.Stop)
+    assert not held.ends
+    step.step(held, exchange.StopAnswered(harness.KEY, True), 10.9)
+    step.step(held, exchange.Looked(harness.listing(11.2, born_ms=9_000)), 11.2)
+    assert [end.kind for end in held.ends.values()] == [steps.EndKind.LOST]
+
+
+def test_a_start_under_way_at_a_new_life_is_barred_before_it_counts_as_rejected():
+    held = harness.registered()
+    effects = step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
+    harness.only(effects, exchange.Start)
+    step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000), 0), 10.5)
+    assert not held.ends
+    step.step(held, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.NO_ANSWER), 10.9)
+    harness.only(step.step(held, exchange.Tick(), 11.2), exchange.Stop)
+    assert not held.ends
+
+
+def test_a_late_goodbye_of_a_former_life_ends_nothing():
+    # A new life under the same id was taken for gone, and its runs were started elsewhere.
+    held = harness.registered(orders={harness.KEY: harness.order()})
+    running = harness.listing(10.5, running=[(harness.TASK, 1, "c1", 40)])
+    step.step(held, exchange.Looked(running), 10.5)
+    step.step(held, exchange.Left("w-1"), 10.6)
+    assert not held.ends
+    step.step(held, exchange.CheckedIn(harness.worker(), 2), 11.0)
+    assert held.worker.state is agents.WorkerState.READY
+    step.step(held, exchange.Looked(None, no_listener=True), 11.1)
+    assert not held.ends
+
+
+def test_a_goodbye_ends_the_runs_once_the_address_is_closed():
+    held = harness.registered(orders={harness.KEY: harness.order()})
+    running = harness.listing(10.5, running=[(harness.TASK, 1, "c1", 40)])
+    step.step(held, exchange.Looked(running), 10.5)
+    step.step(held, exchange.Left("w-1"), 10.6)
+    step.step(held, exchange.Looked(None, no_listener=True), 10.9)
+    assert [(end.kind, end.saved) for end in held.ends.values()] == [(steps.EndKind.LOST, "c1")]
+
+
 def _departing():
     """Return an agent whose worker runs a task and leaves at 13.0."""
     held = harness.registered(orders={harness.KEY: harness.order()})
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -7,6 +7,7 @@
 import secrets
 import typing
 
+from peridothatch_core.hold import state as hold_state
 from peridothatch_core.model import tables
 from peridothatch_core.schedule import state
 from peridothatch_daemon.hosted import (
@@ -132,12 +133,8 @@
 
 
 def hold_ms(machine: settings.Machine) -> int:
-    """Return the length of an agent's lease.
-
-    Half a second shorter than the longest that a worker grants, so that the worker never
-    shortens a deadline that the agent relies on.
-    """
-    return machine.longest_hold_ms - 500
+    """Return the length of an agent's lease."""
+    return machine.longest_hold_ms - hold_state.HOLD_BELOW_LONGEST_MS
 
 
 async def _serve(entry: Entry) -> None:
