--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,8 @@
 """A short seeded run of the soak, and the plan that a seed gives."""
 
+import pytest
 import soak_plan
+import soak_regressions
 import soak_run
 
 SEED = 3
@@ -16,3 +18,9 @@
     assert seen.breaches == []
     assert seen.accepted
     assert seen.starts
+
+
+@pytest.mark.parametrize("seed", soak_regressions.SEEDS)
+async def test_seeds_that_failed_once_keep_all_promises(seed, tmp_path):
+    seen = await soak_run.run(seed, tmp_path)
+    assert seen.breaches == [], soak_regressions.SEEDS[seed]
