Look at the worker before taking it for silent after a pause

Tasks that had ended done meanwhile were recorded as lost and run again, without a look at the worker's list.

Change: an agent that finds a second without any event has been paused itself; the time in which the worker may be silent begins anew, and the next list tells.

The soak's check of ends that were taken note of follows the rule as it is written: an end counts no more when the worker's lease lapsed in between. The specification of a run covers a new life under the old id, with a guard that is needed.

--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -35,6 +35,9 @@
 RETRY_SECONDS = 0.25
 """Pause before a call without a usable answer is sent again."""
 
+PAUSED_SECONDS = 1.0
+"""Time without any event after which the agent itself was paused; ticks come more often."""
+
 LOOK_PAUSE_SECONDS = 0.05
 """Least pause between lists: a worker may answer at once instead of waiting for an end."""
 
@@ -143,7 +146,9 @@
     sequence : int
         Number of the worker's last check-in in this life.
     heard_at : float
-        Last sign of life of the worker.
+        Last sign of life of the worker, or when the agent woke from a pause.
+    stepped_at : float
+        When the last event was taken over.
     leaves_at : float or None
         When a draining worker may leave, in local seconds.
     left : bool
@@ -190,6 +195,7 @@
     worker: agents.Worker | None = None
     sequence: int = -1
     heard_at: float = 0.0
+    stepped_at: float = 0.0
     leaves_at: float | None = None
     left: bool = False
     absent_calls: int = 0
--- a/packages/core/src/peridothatch_core/hold/step.py
+++ b/packages/core/src/peridothatch_core/hold/step.py
@@ -18,6 +18,7 @@
     now : float
         Local clock in seconds; it counts the time of a suspended machine.
     """
+    worker.awake(state, now)
     effects = list(_take(state, event, now))
     worker.silent(state, now)
     worker.lapse(state, now)
--- a/packages/core/src/peridothatch_core/hold/worker.py
+++ b/packages/core/src/peridothatch_core/hold/worker.py
@@ -81,6 +81,13 @@
     return True
 
 
+def awake(state: states.State, now: float) -> None:
+    """Note that an event is taken over; the agent's own pause is no silence of the worker."""
+    if state.stepped_at and now - state.stepped_at > states.PAUSED_SECONDS:
+        state.heard_at = max(state.heard_at, now)
+    state.stepped_at = now
+
+
 def silent(state: states.State, now: float) -> bool:
     """Mark a worker absent that has been silent for too long; return whether it is news."""
     worker = state.worker
--- a/packages/core/tests/hold/hold_harness.py
+++ b/packages/core/tests/hold/hold_harness.py
@@ -73,3 +73,11 @@
     if listed:
         step.step(held, exchange.Looked(listing(now)), now)
     return held
+
+
+def tick(held, first, last):
+    """Let time pass as in a running agent, whose ticks are never a second apart."""
+    now = first
+    while now < last:
+        step.step(held, exchange.Tick(), now)
+        now += 0.5
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -207,6 +207,7 @@
 def test_runs_of_a_reclaimed_worker_end_when_its_address_is_closed():
     # The members of its gangs held their room until the worker's deadline, 8 s later.
     held = _departing()
+    harness.tick(held, 11.0, 13.0)
     for now in (13.1, 13.4, 13.7):
         step.step(held, exchange.Looked(None, no_listener=True), now)
     assert [end.kind for end in held.ends.values()] == [steps.EndKind.LOST]
@@ -215,6 +216,7 @@
 def test_a_departing_worker_that_is_only_unreachable_keeps_its_runs():
     for no_listener, times in ((False, (13.1, 13.4, 13.7)), (True, (11.6, 12.0, 12.9))):
         held = _departing()
+        harness.tick(held, 11.0, times[0])
         for now in times:
             step.step(held, exchange.Looked(None, no_listener=no_listener), now)
         assert not held.ends
@@ -223,6 +225,7 @@
 def test_a_departing_worker_that_still_checks_in_keeps_its_runs():
     held = _departing()
     leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=0)
+    harness.tick(held, 11.0, 12.9)
     step.step(held, exchange.CheckedIn(leaving, 3), 12.9)
     for now in (13.1, 13.4, 13.7):
         step.step(held, exchange.Looked(None, no_listener=True), now)
@@ -338,3 +341,17 @@
     held = _restarted(_row(33_000, (report,)))
     write = harness.only(step.step(held, exchange.Tick(), 32.5), exchange.WriteRow)
     assert write.row.runs == (report,)
+
+
+def test_an_agent_that_was_paused_asks_before_it_takes_the_worker_for_silent():
+    # Soak seed 19: tasks that had ended done during the pause were run again.
+    held = harness.registered()
+    step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
+    step.step(held, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.STARTED), 10.2)
+    running = harness.listing(10.3, running=[(harness.TASK, 1, "c1", 40)])
+    step.step(held, exchange.Looked(running), 10.3)
+    step.step(held, exchange.Tick(), 30.0)
+    assert not held.ends
+    ended = harness.listing(30.2, ended=[(1, harness.TASK, 1, steps.EndKind.DONE, "")])
+    step.step(held, exchange.Looked(ended), 30.2)
+    assert [end.kind for end in held.ends.values()] == [steps.EndKind.DONE]
--- a/specs/hosted_run.py
+++ b/specs/hosted_run.py
@@ -2,7 +2,10 @@
 
 One task with an order for worker A, which the leader may give to worker B instead once A's run
 is certainly over. The agent of A promises in the store how long runs may live; its renewals and
-its starts may arrive at any later time, and answers may be lost. Time passes in ticks.
+its starts may arrive at any later time, and answers may be lost. The worker may start a new life
+under its old id, which knows nothing of before; a start in flight to the old life is lost, and
+one that is sent later reaches the new life, of which the agent has not heard. Time passes in
+ticks.
 
 A renewal that is applied after the lapse does no harm here, because the order is too old by
 then; the condition on the agent's row is a second safeguard, which is not modelled.
@@ -24,6 +27,7 @@
     "an unanswered start is barred before it is given up": "one_run_at_a_time",
     "the leader waits for the promise to pass": "one_run_at_a_time",
     "an order is carried out soon or never": "one_run_at_a_time",
+    "a run is barred on a new life before it counts as lost": "one_run_at_a_time",
 }
 
 
@@ -33,7 +37,9 @@
     ``window`` is when the agent may send the start. ``promise`` is what the store holds and
     ``known`` what the agent has read of it; ``renewal`` and ``start`` are in flight, the latter
     with ``start_until``; ``deadline`` is the worker's; ``run_a`` and ``run_b`` are the runs;
-    ``rejected`` is an end that the agent has recorded.
+    ``stopped`` is a stop that the worker has confirmed, ``barred`` what its present life knows of
+    it; ``rejected`` is an end that the agent has recorded; ``reborn`` tells that the worker has
+    started a new life, and ``heard`` that the agent knows.
     """
 
     window: int = START_TICKS
@@ -44,7 +50,10 @@
     start_until: int = 0
     deadline: int = 0
     run_a: int = 0
+    stopped: int = 0
     barred: int = 0
+    reborn: int = 0
+    heard: int = 0
     rejected: int = 0
     lapsed: int = 0
     run_b: int = 0
@@ -97,22 +106,30 @@
     if given and "the deadline comes before the promise" in removed:
         given += 1
     in_time = state.window or "an order is carried out soon or never" in removed
-    if given and in_time and not state.barred and not state.rejected:
+    if given and in_time and not state.stopped and not state.rejected:
         yield "agent sends a start", state._replace(start=1, start_until=given)
     if given and state.run_a:
         yield "agent extends the deadline", state._replace(deadline=max(state.deadline, given))
     if state.rejected:
         return
+    if state.reborn and not state.heard:
+        lost = "a run is barred on a new life before it counts as lost" in removed
+        yield "agent hears of the new life", state._replace(heard=1, rejected=int(lost))
     if "an unanswered start is barred before it is given up" in removed:
         if not state.run_a:
             yield "agent gives the start up", state._replace(rejected=1)
-    elif not state.barred:
-        yield "agent stops the run", state._replace(barred=1, run_a=0)
+    elif not state.stopped:
+        yield "agent stops the run", state._replace(stopped=1, barred=1, run_a=0)
     else:
         yield "agent gives the start up", state._replace(rejected=1)
 
 
 def _worker(state: State, removed: frozenset[str]) -> typing.Iterator[tuple[str, State]]:
+    if not state.reborn:
+        yield (
+            "worker starts a new life",
+            state._replace(reborn=1, run_a=0, barred=0, deadline=0, start=0),
+        )
     if not state.start:
         return
     yield "start is lost", state._replace(start=0)
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -56,6 +56,16 @@
     assert _names(seen) == ["at_most_once"]
 
 
+def test_an_end_counts_no_more_when_the_lease_lapsed_before_it_was_taken_note_of(seen):
+    run = _run()
+    seen.started(run)
+    seen.ended(run, "done", 1)
+    seen.lapsed(0, 1)
+    seen.noted(0, 1, 1)
+    seen.started(_run(2))
+    assert not seen.breaches
+
+
 def test_a_run_of_a_job_that_nobody_sent_or_with_another_specification(seen):
     seen.started(_run(task="00000000000000bb.0.0.0"))
     seen.started(_run(spec="{}"))
