Keep room for jobs that come first, and use sound workers first

Room that would fit once lesser work ends is kept now. - Urgent jobs waited up to 7 s because stopping work would have lost more than a fixed 800 core-seconds. The bound is 500 and half of the job's own work now. - Small tasks filled all workers, and each urgent job had to stop some: a tenth of the accelerators of a service with an urgent queue is left free by the lowest priority, a twenty-fifth by the middle one. - A gang was spread over many nearly full workers, and the loss of any one ended it: the fewest workers are used now. - Slow, standing and flapping workers were given work like any other. The progress in the agents' reports, compared with that of sibling tasks, shows slow ones; a new life without notice an unsteady one. Both are used last for some seconds, and urgent jobs leave workers of a slower kind to others.

--- a/packages/core/src/peridothatch_core/schedule/cycle.py
+++ b/packages/core/src/peridothatch_core/schedule/cycle.py
@@ -8,7 +8,7 @@
 from peridothatch_core.model import agents, steps, tables
 from peridothatch_core.order import runtimes
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import fit, progress, reclaim, tickets
+from peridothatch_core.schedule import fit, progress, reclaim, speeds, tickets
 from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
@@ -21,6 +21,12 @@
 NOTE_PERIOD_MS = 2000
 """Least time between log lines that say why a step waits."""
 
+HEADROOM = {1: 0.04}
+"""Part of a service's accelerators that jobs of a priority leave free for urgent ones."""
+
+MOST_HEADROOM = 0.1
+"""The same for all lower priorities. Room that is free costs less than work that is stopped."""
+
 FAR_PATIENCE = 0.5
 """Wait for a place at full speed, as a part of what a slower place would cost."""
 
@@ -221,19 +227,21 @@
     now_ms: int,
 ) -> None:
     step = job.steps[step_progress.step]
-    if len(waiting) < step.count:
+    if len(waiting) < step.count or _allowance(state, job, step, found) < step.count:
         return
-    avoid = _avoided(state, job, step_progress)
+    avoid = _avoided(state, job, step_progress, now_ms)
     near = fit.near_groups(step, job.service, found)
     chosen = fit.place_gang(step, job.service, near, avoid)
-    if chosen is None and _make_room(state, job, step_progress, waiting, near, protected, now_ms):
+    if chosen is None and _make_room(
+        state, job, step_progress, waiting, near, avoid, protected, now_ms
+    ):
         return
     if chosen is None and _may_be_far(state, job, step_progress, near, protected, now_ms):
         everywhere = fit.any_groups(found)
         chosen = fit.place_gang(step, job.service, everywhere, avoid)
         if chosen is None:
             suited = [room for room in found if fit.takes(room, step, job.service)]
-            _make_room(state, job, step_progress, waiting, [suited], protected, now_ms)
+            _make_room(state, job, step_progress, waiting, [suited], avoid, protected, now_ms)
     if chosen is None:
         _note_waiting(state, job, step_progress, len(waiting), found, now_ms)
         return
@@ -256,17 +264,18 @@
     on_node: dict[str, int] = {}
     for run_ in step_progress.runs:
         on_node[run_.node] = on_node.get(run_.node, 0) + 1
-    avoid = _avoided(state, job, step_progress)
+    avoid = _avoided(state, job, step_progress, now_ms)
     near = fit.near_groups(step, job.service, found)
     usable = found
     if not _may_be_far(state, job, step_progress, near, protected, now_ms):
         usable = near[0]
+    waiting = waiting[: _allowance(state, job, step, found)]
     for position, index in enumerate(waiting):
         room = fit.place_one(step, job.service, usable, on_node, avoid)
         if room is None:
             suited = [room for room in usable if fit.takes(room, step, job.service)]
             rest = waiting[position:]
-            _make_room(state, job, step_progress, rest, [suited], protected, now_ms)
+            _make_room(state, job, step_progress, rest, [suited], avoid, protected, now_ms)
             _note_waiting(state, job, step_progress, len(rest), found, now_ms)
             return position
         on_node[room.agent.node] = on_node.get(room.agent.node, 0) + 1
@@ -275,6 +284,27 @@
     return len(waiting)
 
 
+def _allowance(
+    state: states.State, job: steps.Job, step: steps.Step, found: list[fit.Room]
+) -> int:
+    """Return how many tasks a step may start without taking the room left for urgent jobs."""
+    needed = step.demand.accelerators
+    queues = state.desired.queues if state.desired else ()
+    urgent = any(
+        queue.service == job.service and queue.priority == reclaim.URGENT_PRIORITY
+        for queue in queues
+    )
+    if job.priority == reclaim.URGENT_PRIORITY or not needed or not urgent:
+        return step.count
+    rooms = [room for room in found if room.worker.service == job.service]
+    total = sum(room.worker.capacity.accelerators for room in rooms)
+    kept = int(HEADROOM.get(job.priority, MOST_HEADROOM) * total)
+    # A gang that needs nearly everything must be able to start some time.
+    kept = max(0, min(kept, total - needed * (step.count if step.gang else 1)))
+    free = sum(room.free[2] for room in rooms)
+    return max(0, (free - kept) // needed)
+
+
 def _note_waiting(
     state: states.State,
     job: steps.Job,
@@ -304,10 +334,17 @@
     step_progress: steps.StepProgress,
     waiting: list[int],
     groups: list[list[fit.Room]],
+    avoid: set[str],
     protected: set[str],
     now_ms: int,
 ) -> bool:
-    return reclaim.make_room(state, job, step_progress, waiting, groups, protected, now_ms)
+    """Make room on sound workers, or on any where those cannot hold the tasks."""
+    sound = [[room for room in group if room.agent.node not in avoid] for group in groups]
+    for choice in (sound, groups) if avoid else (groups,):
+        plan = reclaim.plan(state, job, step_progress, waiting, choice, protected, now_ms)
+        if plan is not None:
+            return reclaim.carry_out(state, job, step_progress, plan, protected)
+    return False
 
 
 def _may_be_far(
@@ -335,10 +372,18 @@
     return now_ms - since >= 1000.0 * patience
 
 
-def _avoided(state: states.State, job: steps.Job, step_progress: steps.StepProgress) -> set[str]:
-    """Return the nodes where this step has failed, or any other and nothing succeeded since."""
+def _avoided(
+    state: states.State, job: steps.Job, step_progress: steps.StepProgress, now_ms: int
+) -> set[str]:
+    """Return the nodes that a step uses last.
+
+    The step has failed there, or any other and nothing succeeded since, or the worker is slow;
+    urgent jobs, whose objectives are tight, also leave workers of a slower kind to others.
+    """
     own = state.avoid.get((job.id, step_progress.occurrence, step_progress.step), set())
-    return own | state.health.by_worker.keys()
+    urgent = job.priority == reclaim.URGENT_PRIORITY
+    slow = speeds.avoided_nodes(state, now_ms, lasting=urgent)
+    return own | state.health.by_worker.keys() | slow
 
 
 def _order(
--- a/packages/core/src/peridothatch_core/schedule/fit.py
+++ b/packages/core/src/peridothatch_core/schedule/fit.py
@@ -164,12 +164,15 @@
 
 
 def _fill(step: steps.Step, members: list[Room], avoid: Collection[str]) -> list[Room] | None:
-    """Place all members on the given workers; the rooms are left as they were."""
+    """Place all members on the given workers; the rooms are left as they were.
+
+    The fewest workers are used: the loss of any one of them ends the whole gang.
+    """
     needed = states.counted(step)
     free = {room.agent.node: list(room.free) for room in members}
     on_node: dict[str, int] = {}
     chosen: list[Room] = []
-    for room in sorted(members, key=lambda room: _preference(step, room, needed, avoid)):
+    for room in sorted(members, key=lambda room: _gang_preference(step, room, needed, avoid)):
         left = free[room.agent.node]
         while len(chosen) < step.count and holds(left, needed):
             if not _below_limit(step, room, on_node):
@@ -199,6 +202,18 @@
     )
 
 
+def _gang_preference(
+    step: steps.Step, room: Room, needed: tuple[int, int, int], avoid: Collection[str]
+) -> tuple[typing.Any, ...]:
+    disturbed, avoided, away, *rest = _preference(step, room, needed, avoid)
+    return (disturbed, avoided, away, -min(step.count, _tasks_that_fit(room.free, needed)), *rest)
+
+
+def _tasks_that_fit(free: Iterable[int], needed: Iterable[int]) -> int:
+    limits = [have // need for have, need in zip(free, needed, strict=True) if need]
+    return max(0, min(limits, default=0))
+
+
 def _below_limit(step: steps.Step, room: Room, on_node: dict[str, int]) -> bool:
     return not step.spread_limit or on_node.get(room.agent.node, 0) < step.spread_limit
 
--- a/packages/core/src/peridothatch_core/schedule/reclaim.py
+++ b/packages/core/src/peridothatch_core/schedule/reclaim.py
@@ -1,4 +1,4 @@
-"""Room for urgent jobs: which other work stops, with the least work lost."""
+"""Room for jobs that come first: which other work stops for them, with the least work lost."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import typing
 
 from peridothatch_core.model import desired, steps
+from peridothatch_core.order import runtimes
 from peridothatch_core.schedule import fit
 from peridothatch_core.schedule import state as states
 
@@ -15,9 +16,16 @@
 RESTART_SECONDS = 1.0
 """Work of a run that a stop costs in any case: the restart, and what no checkpoint holds."""
 
-MOST_LOST = 800.0
-"""Core-seconds that may be lost for an urgent job beyond its customer's guarantee. Above it the
-work thrown away costs more than an urgent job that is late."""
+URGENT_LOSS = 500.0
+"""Core-seconds that may be lost for any urgent job beyond its customer's guarantee."""
+
+URGENT_LOSS_SHARE = 0.5
+"""Work that may be lost for such a job besides, as a part of its own work: large jobs are worth
+more. Above it the work thrown away costs more than an urgent job that is late."""
+
+UNDECLARED_SECONDS = 1.0
+"""Duration of tasks that declare none, while none of their queue has ended: little is stopped
+for work of unknown size."""
 
 
 MayStop = typing.Callable[[steps.Job], bool]
@@ -46,6 +54,10 @@
         return sum(victim.cost for victim in self.victims)
 
 
+Candidates = typing.Callable[[str], list[Victim]]
+"""Returns what may stop on a node, the cheapest first."""
+
+
 def protected_jobs(state: states.State) -> set[str]:
     """Return the urgent jobs of customers whose urgent jobs all fit their guarantee."""
     if state.desired is None:
@@ -66,7 +78,7 @@
     }
 
 
-def make_room(
+def plan(
     state: states.State,
     job: steps.Job,
     progress: steps.StepProgress,
@@ -74,47 +86,83 @@
     groups: list[list[fit.Room]],
     protected: set[str],
     now_ms: int,
-) -> bool:
-    """Stop the cheapest runs so that the tasks will fit, and keep that room for them.
+) -> Plan | None:
+    """Return the cheapest way to make room for tasks, or ``None``.
 
-    A guaranteed job may stop any run that is not of a guaranteed job; another urgent job only
-    runs of lower priority, and not at any cost.
+    A guaranteed job may stop any run that is not of a guaranteed job; another one only runs of
+    lower priority.
 
     Parameters
     ----------
     groups : list of list of Room
         Workers of the kind that the step needs; all tasks go to one of the groups.
-
-    Returns
-    -------
-    bool
-        Whether the tasks will fit; nothing is stopped otherwise.
     """
-    if job.priority != URGENT_PRIORITY:
-        return False
     guaranteed = job.id in protected
+    if not guaranteed and job.priority >= _lowest_priority(state):
+        return None
 
     def may_stop(other: steps.Job) -> bool:
         return other.id not in protected and (guaranteed or other.priority > job.priority)
 
     step = job.steps[progress.step]
     plans = [_plan(state, step, len(indexes), group, may_stop, now_ms) for group in groups]
-    possible = [plan for plan in plans if plan is not None]
-    if not possible:
-        return False
-    plan = min(possible, key=lambda plan: plan.cost)
-    if not guaranteed and plan.cost > MOST_LOST:
+    possible = [found for found in plans if found is not None]
+    return min(possible, key=lambda found: found.cost, default=None)
+
+
+def carry_out(
+    state: states.State,
+    job: steps.Job,
+    progress: steps.StepProgress,
+    chosen: Plan,
+    protected: set[str],
+) -> bool:
+    """Stop the runs of a plan, unless that costs too much, and keep the room for the tasks.
+
+    Where it costs too much the room is still kept as it becomes free, so that lesser work does
+    not fill each hole before the tasks fit.
+
+    Returns
+    -------
+    bool
+        Whether the tasks will fit soon; nothing is stopped otherwise.
+    """
+    step = job.steps[progress.step]
+    for room in chosen.targets:
+        fit.subtract(room, states.counted(step))
+    guaranteed = job.id in protected
+    if not guaranteed and chosen.cost > _bearable_loss(state, job, step, len(chosen.targets)):
         return False
-    kind = "guaranteed" if guaranteed else "urgent"
-    for victim in plan.victims:
+    kind = "guaranteed" if guaranteed else f"priority {job.priority}"
+    for victim in chosen.victims:
         for run in victim.runs:
             reason = f"room for the {kind} job {job.id}"
             states.stop_run(state, victim.job, victim.progress, run, reason)
-    for room in plan.targets:
-        fit.subtract(room, states.counted(step))
     return True
 
 
+def _lowest_priority(state: states.State) -> int:
+    return max(
+        (job.priority for job in state.jobs.values() if job.state not in steps.FINAL_STATES),
+        default=URGENT_PRIORITY,
+    )
+
+
+def _bearable_loss(state: states.State, job: steps.Job, step: steps.Step, count: int) -> float:
+    """Return the core-seconds that may be lost so that tasks of a job begin at once.
+
+    Only urgent jobs stop others; the rest wait for room that is kept for them.
+    """
+    if job.priority != URGENT_PRIORITY:
+        return 0.0
+    hint_seconds = step.estimate_ms / 1000.0 or UNDECLARED_SECONDS
+    seconds = runtimes.estimate(
+        state.runtimes, job.customer, job.queue, hint_seconds, quantile=0.5
+    )
+    own_work = count * _width(step) * seconds
+    return URGENT_LOSS + URGENT_LOSS_SHARE * own_work
+
+
 def _plan(
     state: states.State,
     step: steps.Step,
@@ -126,10 +174,17 @@
     """Return the cheapest way to place so many tasks on a group of workers."""
     needed = states.counted(step)
     soon = {room.agent.node: list(room.soon) for room in group}
+    found: dict[str, list[Victim]] = {}
+
+    def candidates(node: str) -> list[Victim]:
+        if node not in found:
+            found[node] = _candidates(state, node, may_stop, now_ms)
+        return found[node]
+
     plan = Plan()
     on_node: dict[str, int] = {}
     for _ in range(count):
-        room = _next_room(state, step, group, soon, plan.victims, on_node, may_stop, now_ms)
+        room = _next_room(step, group, soon, plan.victims, on_node, candidates)
         if room is None:
             return None
         for place, amount in enumerate(needed):
@@ -140,14 +195,12 @@
 
 
 def _next_room(
-    state: states.State,
     step: steps.Step,
     suited: list[fit.Room],
     soon: dict[str, list[int]],
     stopped: list[Victim],
     on_node: dict[str, int],
-    may_stop: MayStop,
-    now_ms: int,
+    candidates: Candidates,
 ) -> fit.Room | None:
     """Return the worker where one more task costs least, and stop what is in its way."""
     needed = states.counted(step)
@@ -156,7 +209,7 @@
         node = room.agent.node
         if step.spread_limit and on_node.get(node, 0) >= step.spread_limit:
             continue
-        victims = _victims(state, node, soon[node], needed, stopped, may_stop, now_ms)
+        victims = _victims(node, soon[node], needed, stopped, candidates)
         if victims is None:
             continue
         cost = sum(victim.cost for victim in victims)
@@ -175,13 +228,11 @@
 
 
 def _victims(
-    state: states.State,
     node: str,
     soon: list[int],
     needed: tuple[int, int, int],
     stopped: list[Victim],
-    may_stop: MayStop,
-    now_ms: int,
+    candidates: Candidates,
 ) -> list[Victim] | None:
     """Return the cheapest runs on a node that make room for one task, or ``None``."""
     left = list(soon)
@@ -189,9 +240,7 @@
         return []
     gone = {id(run) for victim in stopped for run in victim.runs}
     chosen: list[Victim] = []
-    for victim in sorted(
-        _candidates(state, node, may_stop, now_ms), key=lambda victim: victim.cost
-    ):
+    for victim in candidates(node):
         if any(id(run) in gone for run in victim.runs):
             continue
         chosen.append(victim)
@@ -221,6 +270,7 @@
 
 
 def _candidates(state: states.State, node: str, may_stop: MayStop, now_ms: int) -> list[Victim]:
+    """Return what may stop on a node, the cheapest first."""
     found: list[Victim] = []
     for job, progress, run in state.runs.get(node, ()):
         if run.stopping or not may_stop(job):
@@ -232,13 +282,17 @@
         if any(victim.runs[0] is runs[0] for victim in found):
             continue
         found.append(Victim(job, progress, runs, _cost(step, runs, now_ms)))
-    return found
+    return sorted(found, key=lambda victim: victim.cost)
 
 
 def _cost(step: steps.Step, runs: list[steps.Run], now_ms: int) -> float:
     """Return the work that stopping loses, in core-seconds; an accelerator counts as 8 cores."""
-    width = step.demand.cpu_millis / 1000.0 + 8.0 * step.demand.accelerators
     worked = [max(0, now_ms - run.ordered_ms) / 1000.0 for run in runs]
     if step.checkpointing:
         worked = [min(seconds, RESTART_SECONDS) for seconds in worked]
-    return width * sum(seconds + RESTART_SECONDS for seconds in worked)
+    return _width(step) * sum(seconds + RESTART_SECONDS for seconds in worked)
+
+
+def _width(step: steps.Step) -> float:
+    """Return what a task takes, in cores."""
+    return step.demand.cpu_millis / 1000.0 + 8.0 * step.demand.accelerators
--- /dev/null
+++ b/packages/core/src/peridothatch_core/schedule/speeds.py
@@ -0,0 +1,145 @@
+"""How fast and steadily workers work, learnt from their agents' reports.
+
+Declared durations are far off, but tasks of one step are alike, so the progress of a task is
+compared with that of its siblings, and with its own earlier progress where it has none.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import statistics
+import typing
+
+from peridothatch_core.model import agents, steps
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.schedule import state as states
+
+LEAST_INTERVAL_MS = 1000
+"""Least time between two reports that are compared; progress is in whole percent."""
+
+SLOW_SHARE = 0.5
+"""Part of the usual progress below which a worker counts as slow for now."""
+
+SLOW_MS = 5000
+"""Time for which a worker counts as slow after a report that showed it."""
+
+UNSTEADY_MS = 8000
+"""Time for which work goes elsewhere after a worker has started a new life without notice."""
+
+LASTING_SHARE = 0.87
+"""Part of the usual progress below which a worker is of a slower kind, on average."""
+
+LEARNT_SHARE = 0.3
+"""Weight of a new comparison in the average."""
+
+ENOUGH = 3
+"""Comparisons before the average of a worker is used."""
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerSpeed:
+    """What is known of one worker.
+
+    Attributes
+    ----------
+    average : float
+        Progress as a part of the usual one.
+    avoid_until_ms : int
+        Store time until which the worker counts as slow or unsteady.
+    """
+
+    average: float = 1.0
+    compared: int = 0
+    avoid_until_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Speeds:
+    """Speeds by node, and the latest progress of runs in percent a second."""
+
+    workers: dict[str, WorkerSpeed] = dataclasses.field(default_factory=dict)
+    rates: dict[tuple[str, int], float] = dataclasses.field(default_factory=dict)
+
+
+def observe(state: states.State, old: agents.Agent, new: agents.Agent) -> None:
+    """Compare two reports of an agent; the promises of their leases tell the time between."""
+    if old.worker and new.worker and old.worker.born_ms != new.worker.born_ms:
+        _restarted(state, old, new)
+        return
+    interval_ms = new.hold_until_ms - old.hold_until_ms
+    if interval_ms < LEAST_INTERVAL_MS:
+        return
+    before = {(report.task, report.attempt): report.percent for report in old.runs}
+    compared = []
+    for report in new.runs:
+        key = (report.task, report.attempt)
+        if key not in before or report.percent >= 100:
+            continue
+        rate = max(0.0, 1000.0 * (report.percent - before[key]) / interval_ms)
+        usual = _usual(state, new.node, key)
+        state.speeds.rates[key] = rate
+        if usual:
+            compared.append(rate / usual)
+    if compared:
+        _learn(state, new, statistics.median(compared))
+
+
+def forget_run(state: states.State, task: str, attempt: int) -> None:
+    """Drop the progress of a run that has ended."""
+    state.speeds.rates.pop((task, attempt), None)
+
+
+def avoided_nodes(state: states.State, now_ms: int, *, lasting: bool) -> set[str]:
+    """Return the nodes of workers that are slow or unsteady now.
+
+    Parameters
+    ----------
+    lasting : bool
+        Include workers of a slower kind.
+    """
+    return {
+        node
+        for node, speed in state.speeds.workers.items()
+        if speed.avoid_until_ms > now_ms
+        or (lasting and speed.compared >= ENOUGH and speed.average < LASTING_SHARE)
+    }
+
+
+def _usual(state: states.State, node: str, key: tuple[str, int]) -> float:
+    """Return the progress of the siblings of a run on other workers, or its own before."""
+    parsed = steps.parse_task(key[0])
+    job = state.jobs.get(parsed[0]) if parsed else None
+    if job is None or parsed is None:
+        return 0.0
+    rates = []
+    for progress in job.progress:
+        if (progress.occurrence, progress.step) != parsed[1:3]:
+            continue
+        if job.steps[progress.step].long_running:
+            return 0.0
+        for run in progress.runs:
+            sibling = (
+                steps.task_name(job.id, progress.occurrence, progress.step, run.index),
+                run.attempt,
+            )
+            if run.node != node and sibling in state.speeds.rates:
+                rates.append(state.speeds.rates[sibling])
+    return statistics.median(rates) if rates else state.speeds.rates.get(key, 0.0)
+
+
+def _restarted(state: states.State, old: agents.Agent, new: agents.Agent) -> None:
+    """Forget a life that has ended; the next one may be of another kind."""
+    speed = WorkerSpeed()
+    if old.worker is not None and old.worker.state is not agents.WorkerState.DRAINING:
+        speed.avoid_until_ms = new.hold_until_ms - state.limits.hold_ms + UNSTEADY_MS
+    state.speeds.workers[new.node] = speed
+
+
+def _learn(state: states.State, agent: agents.Agent, share: float) -> None:
+    speed = state.speeds.workers.setdefault(agent.node, WorkerSpeed())
+    if share < SLOW_SHARE:
+        speed.avoid_until_ms = agent.hold_until_ms - state.limits.hold_ms + SLOW_MS
+        return
+    speed.compared += 1
+    speed.average += LEARNT_SHARE * (min(share, 2.0) - speed.average)
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -8,6 +8,7 @@
 from peridothatch_core.model import steps, tables
 from peridothatch_core.order import runtimes
 from peridothatch_core.place import ejection
+from peridothatch_core.schedule import speeds
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.message import rows
@@ -150,6 +151,7 @@
     requests: list[tickets.Request] = dataclasses.field(default_factory=list)
     runtimes: runtimes.History = dataclasses.field(default_factory=runtimes.History)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
+    speeds: speeds.Speeds = dataclasses.field(default_factory=speeds.Speeds)
     changes: dict[str, Change] = dataclasses.field(default_factory=dict)
     lapsing: dict[str, agents.Agent] = dataclasses.field(default_factory=dict)
     notes: list[Note] = dataclasses.field(default_factory=list)
@@ -189,13 +191,21 @@
     pending = change(state, job.id)
     pending.save = True
     pending.writes.append((tables.order(run.node, order.task, run.attempt), order))
-    detail = f"for {order.instance}, resumed" if order.checkpoint else f"for {order.instance}"
+    demand = job.steps[progress.step].demand
+    detail = (
+        f"for {order.instance}, {demand.cpu_millis / 1000:g} cores, "
+        f"{demand.accelerators} accelerators"
+    )
+    detail += ", checkpointing" if order.checkpointing else ""
+    detail += ", resumed" if order.checkpoint else ""
     state.notes.append(Note("ordered", job.id, order.task, run.attempt, run.node, detail))
 
 
 def close_run(state: State, job: steps.Job, progress: steps.StepProgress, run: steps.Run) -> None:
     """Remove a run that is over and free its room."""
     progress.runs.remove(run)
+    task = steps.task_name(job.id, progress.occurrence, progress.step, run.index)
+    speeds.forget_run(state, task, run.attempt)
     _index(state, job, progress, run, -1)
     change(state, job.id).save = True
 
--- a/packages/core/tests/schedule/test_cycle.py
+++ b/packages/core/tests/schedule/test_cycle.py
@@ -395,3 +395,14 @@
     harness.run(own)
     assert harness.open_runs(filling)[0].stopping
     assert len(harness.open_runs(serving)) == 1
+
+
+def test_a_gang_uses_the_fewest_workers():
+    # Each worker more is one more whose loss ends the whole gang.
+    gang = harness.job("gang", harness.step(4, 2, gang=True))
+    small = steps.Demand(64_000, 256_000, 2)
+    nodes = [harness.agent(f"n{number}", capacity=small) for number in range(3)]
+    nodes.append(harness.agent("n3"))
+    own = harness.scheduler([gang], nodes)
+    harness.run(own)
+    assert {run.node for run in harness.open_runs(gang)} == {"n3"}
--- a/packages/core/tests/schedule/test_reclaim.py
+++ b/packages/core/tests/schedule/test_reclaim.py
@@ -1,6 +1,8 @@
+import dataclasses
+
 import schedule_harness as harness
 
-from peridothatch_core.model import steps
+from peridothatch_core.model import desired, steps
 from peridothatch_core.schedule import reclaim, state
 
 
@@ -122,3 +124,71 @@
     _add(own, _urgent())
     harness.run(own)
     assert [run.stopping for run in harness.open_runs(gang)] == [True, True]
+
+
+def _small_tasks(**changes):
+    """Return a scheduler whose worker is full of small tasks of the lowest priority."""
+    small = harness.job("small", harness.step(12, 1, **changes), priority=2)
+    own = harness.scheduler([small], [harness.agent("n1")])
+    harness.run(own)
+    assert len(harness.open_runs(small)) == 8
+    return own, small
+
+
+def test_lesser_work_does_not_take_the_room_that_a_wide_task_waits_for():
+    # Gangs waited for 18 s while small tasks of lower priority took each hole that opened.
+    own, small = _small_tasks()
+    wide = harness.job("wide", harness.step(1, 8, estimate_ms=4_000), submitted_ms=1)
+    _add(own, wide)
+    now_ms = harness.NOW_MS + 10_000
+    harness.renew(own, now_ms)
+    harness.run(own, now_ms)
+    for run in harness.open_runs(small):
+        assert not run.stopping
+        harness.end(own, small, run, steps.EndKind.DONE, now_ms=now_ms)
+    assert len(harness.open_runs(wide)) == 1
+
+
+def _wide_idle_fleet():
+    nodes = [harness.agent(f"n{number}") for number in range(10)]
+    return harness.scheduler([], nodes, {"ministry": 0})
+
+
+def _with_urgent_queue(own):
+    queue = desired.Queue("urgent", "h", "/u/", "render", 0, 3, 1.5, 500)
+    own.desired = dataclasses.replace(own.desired, queues=(queue,))
+
+
+def test_work_of_the_lowest_priority_leaves_room_for_urgent_jobs():
+    # Small tasks filled all workers, and each urgent job had to throw some of them away.
+    own = _wide_idle_fleet()
+    _with_urgent_queue(own)
+    small = harness.job("small", harness.step(200, 1), priority=2)
+    _add(own, small)
+    for _ in range(4):
+        harness.run(own)
+    left = 80 - len(harness.open_runs(small))
+    assert left == 8
+    urgent = harness.job("urgent", harness.step(1, 8), priority=0, submitted_ms=1)
+    _add(own, urgent)
+    harness.run(own)
+    assert len(harness.open_runs(urgent)) == 1
+    assert not any(run.stopping for run in harness.open_runs(small))
+
+
+def test_without_urgent_queues_no_room_is_left():
+    own = _wide_idle_fleet()
+    small = harness.job("small", harness.step(200, 1), priority=2)
+    _add(own, small)
+    for _ in range(4):
+        harness.run(own)
+    assert len(harness.open_runs(small)) == 80
+
+
+def test_a_gang_that_needs_all_workers_starts_on_an_idle_fleet():
+    own = _wide_idle_fleet()
+    _with_urgent_queue(own)
+    everything = harness.job("all", harness.step(10, 8, gang=True))
+    _add(own, everything)
+    harness.run(own)
+    assert len(harness.open_runs(everything)) == 10
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -400,6 +400,7 @@
         retry_at=old.retry_at,
         ready_at=old.ready_at,
         tickets=old.tickets,
+        speeds=old.speeds,
         runtimes=old.runtimes,
     )
     own.schedule = fresh
