Split the reception and the cycle, and log when a feed is back

Functions moved without changes. A feed that answers again after a failure is logged, as the loss was.

--- a/packages/daemon/src/peridothatch_daemon/hosted/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/agent.py
@@ -58,7 +58,7 @@
         metrics.latency(exported, "keeper_start_seconds", "Time until a start is confirmed"),
     )
     feed = await store.follow(
-        machine.store, tables.orders(machine.node), clock.now, deliver, _lost
+        machine.store, tables.orders(machine.node), clock.now, deliver, _lost, _regained
     )
     identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "agent"}
     observed = observe.application(identity, {"keeper": inbox}, exported)
@@ -88,6 +88,10 @@
     log.event("agent:stopped")
 
 
+def _regained(table: str) -> None:
+    log.event("feed:regained", table=table)
+
+
 def _lost(table: str, reason: str) -> None:
     log.event("feed:lost", table=table, reason=reason)
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -37,3 +37,18 @@
     starts_unanswered: int = 0
     stops_unanswered: int = 0
     writes_failed: int = 0
+
+
+def count(counted: Scheduler, kind: str) -> None:
+    """Count a decision of the scheduler by the kind of its log line."""
+    match kind:
+        case "ordered":
+            counted.runs_ordered += 1
+        case "stopping":
+            counted.runs_stopped += 1
+        case "ended done":
+            counted.runs_done += 1
+        case "ended failed":
+            counted.runs_failed += 1
+        case _ if kind.startswith("ended"):
+            counted.runs_lost += 1
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -84,13 +84,16 @@
         (front.inbox, leader.inbox),
     )
     feeds = [
-        await store.follow(machine.store, store.OPERATOR_TABLE, clock.now, desired, _lost),
+        await store.follow(
+            machine.store, store.OPERATOR_TABLE, clock.now, desired, _lost, _regained
+        ),
         await store.follow(
             machine.store,
             tables.WORK,
             clock.now,
             _both(front.inbox, leader.inbox),
             _lost_and_tell(front.inbox),
+            _regained,
         ),
         await store.follow(
             machine.store,
@@ -98,6 +101,7 @@
             clock.now,
             _both(leader.inbox),
             _lost,
+            _regained,
             MEMBERS_PAUSE_SECONDS,
         ),
     ]
@@ -190,5 +194,9 @@
     return lost
 
 
+def _regained(table: str) -> None:
+    log.event("feed:regained", table=table)
+
+
 def _lost(table: str, reason: str) -> None:
     log.event("feed:lost", table=table, reason=reason)
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -215,7 +215,7 @@
             epoch=own.leadership.epoch,
             store_ms=now_ms,
         )
-        _count(own.counters, note.kind)
+        counters.count(own.counters, note.kind)
     schedule.notes.clear()
     for request in schedule.requests:
         _ask_for_tickets(own, request)
@@ -485,20 +485,6 @@
     return int(PATIENCE_ROUND_TRIPS * own.round_trip_ms) + spread
 
 
-def _count(counted: counters.Scheduler, kind: str) -> None:
-    match kind:
-        case "ordered":
-            counted.runs_ordered += 1
-        case "stopping":
-            counted.runs_stopped += 1
-        case "ended done":
-            counted.runs_done += 1
-        case "ended failed":
-            counted.runs_failed += 1
-        case _ if kind.startswith("ended"):
-            counted.runs_lost += 1
-
-
 def _dump(own: _State) -> dict[str, typing.Any]:
     schedule = own.schedule
     return {
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
@@ -0,0 +1,240 @@
+"""Calls of consumers that wait for the store, and their answers."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from peridothatch_core.message import rows
+from peridothatch_core.model import steps, storeclock, tables, verdict
+from peridothatch_core.reception import admission, calls, store_health, view
+from peridothatch_daemon.hosted import clock, counters, log, messages, records
+from peridothatch_wire import mailbox
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.model import desired
+    from peridothatch_daemon.observe import metrics
+
+ANSWER_MARGIN_SECONDS = 0.06
+"""Time of a caller's budget that is left for the way of the answer."""
+
+LEAST_TRY_SECONDS = 0.03
+"""Least time for a call to the store; one in the same region takes half of it."""
+
+TRY_SECONDS = 0.5
+"""Wait for one answer of the store. A store that is sixty times slower than usual answers within
+it from the other region, and a lost answer leaves time for another try."""
+
+RETRY_PAUSE_SECONDS = 0.06
+"""Pause before a call to the store is sent again."""
+
+REFUSAL_SHARE = 0.25
+"""Part of the objective after which a call that the store refuses is given up."""
+
+LEAST_PATIENCE_SECONDS = 0.25
+
+UNSURE_SECONDS = 1.0
+"""Time after which a call whose outcome is unknown is answered so: the caller repeats it at
+another entry, which may reach the store."""
+
+
+@dataclasses.dataclass(slots=True)
+class Pending:
+    """A call that waits for the store.
+
+    Attributes
+    ----------
+    unsure : bool
+        A write without an answer may still take effect.
+    """
+
+    call: calls.Call
+    admitted: admission.Admitted
+    reply: mailbox.Reply
+    transaction: rows.Transaction | None
+    give_up_at: float
+    answer_by: float
+    arrived_at: float
+    unsure: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """State of the task that answers consumers.
+
+    Attributes
+    ----------
+    desired_at : float
+        When the store was last asked for the desired state and answered, in local seconds.
+    health : StoreHealth
+        What the feed of jobs shows of the store.
+    view : View
+        Jobs as the feed shows them.
+    """
+
+    revoke_seconds: float
+    store: mailbox.Mailbox
+    inbox: mailbox.Mailbox
+    record: metrics.Record
+    clock: storeclock.StoreClock = dataclasses.field(default_factory=storeclock.StoreClock)
+    desired: desired.DesiredState | None = None
+    desired_at: float = -1e9
+    health: store_health.StoreHealth = dataclasses.field(default_factory=store_health.StoreHealth)
+    view: view.View = dataclasses.field(default_factory=view.View)
+    counters: counters.Reception = dataclasses.field(default_factory=counters.Reception)
+
+
+def begin(
+    state: State,
+    call: calls.Call,
+    admitted: admission.Admitted,
+    reply: mailbox.Reply,
+    transaction: rows.Transaction | None,
+    now: float,
+) -> None:
+    """Send a call to the store, or refuse it while the store is out of reach."""
+    patience = max(LEAST_PATIENCE_SECONDS, REFUSAL_SHARE * admitted.queue.objective_ms / 1000.0)
+    answer_by = now + call.budget_seconds - ANSWER_MARGIN_SECONDS
+    pending = Pending(call, admitted, reply, transaction, now + patience, answer_by, now)
+    outage = store_health.outage(state.health, now)
+    if outage:
+        refuse(state, call, reply, unavailable(outage))
+        return
+    send(state, pending)
+
+
+def send(state: State, pending: Pending) -> None:
+    """Send a call to the store as long as the caller still waits."""
+    rest = pending.answer_by - clock.now()
+    if rest <= LEAST_TRY_SECONDS:
+        _give_up(state, pending, "the caller's time is over")
+        return
+    timeout = min(TRY_SECONDS, rest)
+    if pending.transaction is None:
+        key = tables.job(pending.admitted.rest)
+        ask: typing.Any = rows.Fetch(pending, key.table, key.key, timeout, _post(state))
+    else:
+        ask = rows.Commit(pending, pending.transaction, timeout, _post(state))
+    if not mailbox.post(state.store, ask):
+        _give_up(state, pending, "too many calls to the store wait")
+
+
+def _post(state: State) -> typing.Callable[[typing.Any], None]:
+    def post(answer: typing.Any) -> None:
+        mailbox.post(state.inbox, answer)
+
+    return post
+
+
+def committed(state: State, done: rows.Committed) -> None:
+    """Answer a call by the outcome of its write, or send it again."""
+    pending: Pending = done.token
+    if done.now_ms:
+        storeclock.observe(state.clock, done.now_ms, done.asked_at, done.answered_at)
+    match done.outcome:
+        case rows.Outcome.COMMITTED | rows.Outcome.CONFLICT:
+            # A job under the id that exists already is the same job.
+            accept(
+                state,
+                pending.call,
+                pending.admitted,
+                pending.reply,
+                pending.arrived_at,
+                done.outcome.name.lower(),
+            )
+        case rows.Outcome.UNKNOWN:
+            pending.unsure = True
+            _try_again(state, pending, pending.arrived_at + UNSURE_SECONDS, done.reason)
+        case rows.Outcome.NOT_DONE if pending.unsure:
+            _try_again(state, pending, pending.arrived_at + UNSURE_SECONDS, done.reason)
+        case rows.Outcome.NOT_DONE:
+            _try_again(state, pending, pending.give_up_at, done.reason)
+
+
+def fetched(state: State, done: rows.Fetched) -> None:
+    """Answer a call by the row that was read, or send it again."""
+    pending: Pending = done.token
+    if done.rows is None:
+        _try_again(state, pending, pending.give_up_at, done.reason)
+        return
+    row = next((row for row in done.rows if row.value is not None), None)
+    if row is None:
+        mailbox.answer(pending.reply, calls.Absent())
+        return
+    job = records.decode(records.JOB, row.value or b"")
+    if pending.call.action is not calls.Action.CANCEL:
+        mailbox.answer(pending.reply, calls.Reported(job.state))
+    elif job.state in steps.FINAL_STATES:
+        mailbox.answer(pending.reply, calls.Absent())
+    else:
+        pending.transaction = cancellation(job.id)
+        send(state, pending)
+
+
+def _try_again(state: State, pending: Pending, until: float, reason: str) -> None:
+    """Send a call again after a pause, or answer it when its time is over."""
+    if clock.now() + RETRY_PAUSE_SECONDS < until:
+        messages.later(state.inbox, messages.Retry(pending), RETRY_PAUSE_SECONDS)
+    else:
+        _give_up(state, pending, reason)
+
+
+def _give_up(state: State, pending: Pending, reason: str) -> None:
+    kind = verdict.Verdict.MAY_HAVE_RUN if pending.unsure else verdict.Verdict.NOT_RUN
+    code = verdict.Code.STORE_UNAVAILABLE
+    refuse(state, pending.call, pending.reply, verdict.Refusal(kind, code, reason))
+
+
+def accept(
+    state: State,
+    call: calls.Call,
+    admitted: admission.Admitted,
+    reply: mailbox.Reply,
+    arrived_at: float,
+    outcome: str,
+) -> None:
+    """Answer that the job or its cancellation is stored."""
+    state.counters.calls_accepted += 1
+    state.record(clock.now() - arrived_at)
+    log.event(
+        "reception:accepted",
+        job=admitted.rest,
+        action=call.action.name.lower(),
+        queue=admitted.queue.name,
+        customer=admitted.customer,
+        desired_version=state.desired.version if state.desired else None,
+        outcome=outcome,
+        took_ms=round(1000 * (clock.now() - arrived_at)),
+    )
+    mailbox.answer(reply, calls.Accepted())
+
+
+def refuse(state: State, call: calls.Call, reply: mailbox.Reply, refusal: verdict.Refusal) -> None:
+    """Answer with a refusal and log what decided it."""
+    if refusal.verdict is verdict.Verdict.NOT_RUN:
+        state.counters.calls_refused += 1
+    else:
+        state.counters.calls_unclear += 1
+    log.event(
+        "reception:refused",
+        path=call.path,
+        host=call.host,
+        action=call.action.name.lower(),
+        verdict=str(refusal.verdict),
+        code=str(refusal.code),
+        reason=refusal.detail,
+        desired_version=state.desired.version if state.desired else None,
+        desired_age_ms=round(1000 * min(1e6, clock.now() - state.desired_at)),
+        store_age_ms=round(1000 * min(1e6, clock.now() - state.health.answered_at)),
+    )
+    mailbox.answer(reply, refusal)
+
+
+def cancellation(job_id: str) -> rows.Transaction:
+    """Return the transaction that cancels a job."""
+    return rows.Transaction((), ((tables.cancel(job_id), b"{}"),))
+
+
+def unavailable(detail: str) -> verdict.Refusal:
+    """Return the refusal of a call that needs the store."""
+    return verdict.Refusal(verdict.Verdict.NOT_RUN, verdict.Code.STORE_UNAVAILABLE, detail)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -63,7 +63,7 @@
     lost = []
     feed = await client_module.follow(
         store.address, "work", time.monotonic, delivered.put_nowait,
-        lambda _, reason: lost.append(reason),
+        lambda _, reason: lost.append(reason), lambda table: lost.append(f"{table} regained"),
     )  # fmt: skip
     first = await asyncio.wait_for(delivered.get(), 5)
     assert isinstance(first, rows.Snapshot)
@@ -75,6 +75,12 @@
     while not isinstance(await asyncio.wait_for(delivered.get(), 5), rows.Snapshot):
         pass
     assert "history" in lost[-1]
+    store.mode = "refuse"
+    while "503" not in lost[-1]:
+        await asyncio.sleep(0.05)
+    store.mode = "up"
+    while lost[-1] != "work regained":
+        await asyncio.sleep(0.05)
     await client_module.unfollow(feed)
     await _close(client)
 
