--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -60,10 +60,10 @@
     client = await _start(store)
     await _commit(client, rows.Transaction((), ((KEY, b"one"),)))
     delivered = asyncio.Queue()
-    lost = []
+    lost = asyncio.Queue()
     feed = await client_module.follow(
         store.address, "work", time.monotonic, delivered.put_nowait,
-        lambda _, reason: lost.append(reason), lambda table: lost.append(f"{table} regained"),
+        lambda _, reason: lost.put_nowait(reason), lambda table: lost.put_nowait(f"{table} back"),
     )  # fmt: skip
     first = await asyncio.wait_for(delivered.get(), 5)
     assert isinstance(first, rows.Snapshot)
@@ -74,13 +74,12 @@
     store.mode = "forgotten"
     while not isinstance(await asyncio.wait_for(delivered.get(), 5), rows.Snapshot):
         pass
-    assert "history" in lost[-1]
+    assert "history" in await asyncio.wait_for(lost.get(), 5)
     store.mode = "refuse"
-    while "503" not in lost[-1]:
-        await asyncio.sleep(0.05)
+    assert "503" in await asyncio.wait_for(lost.get(), 5)
     store.mode = "up"
-    while lost[-1] != "work regained":
-        await asyncio.sleep(0.05)
+    while await asyncio.wait_for(lost.get(), 5) != "work back":
+        pass
     await client_module.unfollow(feed)
     await _close(client)
 
