Write the agent's row once when its worker is gone

Cause (found in the read-through): after a worker had left, each refused call to its closed port recorded the departure again and marked the row as changed, so that the agent wrote it four times a second for as long as the process lived.

Ruled out: a slower call to a worker that is gone, which would also delay the notice of its return.

Change: the departure is recorded once. Over 3.3 s the test counts the write of the end and the regular renewals, at most 4; without the change it fails.

--- a/packages/core/src/peridothatch_core/hold/worker.py
+++ b/packages/core/src/peridothatch_core/hold/worker.py
@@ -76,8 +76,11 @@
     if not state.left and not departed:
         return False
     _lose_runs(state, "the worker has left", startable=True)
-    state.worker = dataclasses.replace(state.worker, state=agents.WorkerState.ABSENT)
-    state.dirty = True
+    state.left = False
+    state.leaves_at = None
+    if state.worker.state is not agents.WorkerState.ABSENT:
+        state.worker = dataclasses.replace(state.worker, state=agents.WorkerState.ABSENT)
+        state.dirty = True
     return True
 
 
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -213,6 +213,23 @@
     assert [end.kind for end in held.ends.values()] == [steps.EndKind.LOST]
 
 
+def test_a_worker_that_is_gone_causes_no_further_writes():
+    # Each failed call wrote the agent's row again, four times a second.
+    held = _departing()
+    held.writing = False
+    harness.tick(held, 11.0, 13.0)
+    written = []
+    for number in range(12):
+        now = 13.1 + 0.3 * number
+        held.writing = False
+        effects = step.step(held, exchange.Looked(None, no_listener=True), now)
+        for write in [effect for effect in effects if isinstance(effect, exchange.WriteRow)]:
+            written.append(now)
+            step.step(held, harness.committed(write, now), now)
+    # The end of the run, and the regular renewals of 3.3 s.
+    assert len(written) <= 4
+
+
 def test_a_departing_worker_that_is_only_unreachable_keeps_its_runs():
     for no_listener, times in ((False, (13.1, 13.4, 13.7)), (True, (11.6, 12.0, 12.9))):
         held = _departing()
