Keep the room of a waiting gang once, and say when headroom holds a step back

One waiting gang could thus block twice what it needs. - Where room on sound workers cost more than is borne, no plan for the others was made, so that an urgent job waited although room on a worker used last was cheap. - A step that the headroom held back left no line in the log.

Change: a plan is made, judged and carried out apart; only when nothing starts or stops is the room of one plan kept. Two tests fail without the change.

--- a/packages/core/src/peridothatch_core/schedule/reclaim.py
+++ b/packages/core/src/peridothatch_core/schedule/reclaim.py
@@ -82,7 +82,7 @@
     state: states.State,
     job: steps.Job,
     progress: steps.StepProgress,
-    indexes: list[int],
+    count: int,
     groups: list[list[fit.Room]],
     protected: set[str],
     now_ms: int,
@@ -94,6 +94,8 @@
 
     Parameters
     ----------
+    count : int
+        Tasks to place.
     groups : list of list of Room
         Workers of the kind that the step needs; all tasks go to one of the groups.
     """
@@ -105,40 +107,36 @@
         return other.id not in protected and (guaranteed or other.priority > job.priority)
 
     step = job.steps[progress.step]
-    plans = [_plan(state, step, len(indexes), group, may_stop, now_ms) for group in groups]
+    plans = [_plan_group(state, step, count, group, may_stop, now_ms) for group in groups]
     possible = [found for found in plans if found is not None]
     return min(possible, key=lambda found: found.cost, default=None)
 
 
-def carry_out(
-    state: states.State,
-    job: steps.Job,
-    progress: steps.StepProgress,
-    chosen: Plan,
-    protected: set[str],
+def bearable(
+    state: states.State, job: steps.Job, step: steps.Step, chosen: Plan, protected: set[str]
 ) -> bool:
-    """Stop the runs of a plan, unless that costs too much, and keep the room for the tasks.
+    """Tell whether the work that a plan loses is worth it."""
+    if job.id in protected:
+        return True
+    return chosen.cost <= _bearable_loss(state, job, step, len(chosen.targets))
 
-    Where it costs too much the room is still kept as it becomes free, so that lesser work does
-    not fill each hole before the tasks fit.
 
-    Returns
-    -------
-    bool
-        Whether the tasks will fit soon; nothing is stopped otherwise.
-    """
-    step = job.steps[progress.step]
-    for room in chosen.targets:
-        fit.subtract(room, states.counted(step))
-    guaranteed = job.id in protected
-    if not guaranteed and chosen.cost > _bearable_loss(state, job, step, len(chosen.targets)):
-        return False
-    kind = "guaranteed" if guaranteed else f"priority {job.priority}"
+def carry_out(
+    state: states.State, job: steps.Job, step: steps.Step, chosen: Plan, protected: set[str]
+) -> None:
+    """Stop the runs of a plan, and keep the room for the tasks."""
+    keep_room(step, chosen)
+    kind = "guaranteed" if job.id in protected else f"priority {job.priority}"
     for victim in chosen.victims:
         for run in victim.runs:
             reason = f"room for the {kind} job {job.id}"
             states.stop_run(state, victim.job, victim.progress, run, reason)
-    return True
+
+
+def keep_room(step: steps.Step, chosen: Plan) -> None:
+    """Keep the room of a plan, so that lesser work does not fill each hole before all fit."""
+    for room in chosen.targets:
+        fit.subtract(room, states.counted(step))
 
 
 def _lowest_priority(state: states.State) -> int:
@@ -163,7 +161,7 @@
     return URGENT_LOSS + URGENT_LOSS_SHARE * own_work
 
 
-def _plan(
+def _plan_group(
     state: states.State,
     step: steps.Step,
     count: int,
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -100,22 +100,32 @@
     now_ms: int,
 ) -> None:
     step = job.steps[step_progress.step]
-    if len(waiting) < step.count or _allowance(state, job, step, found) < step.count:
+    if len(waiting) < step.count:
+        return
+    if _allowance(state, job, step, found) < step.count:
+        _note_waiting(state, job, step_progress, len(waiting), found, now_ms)
         return
     avoid = _avoided(state, job, step_progress, now_ms)
     near = fit.near_groups(step, job.service, found)
     chosen = fit.place_gang(step, job.service, near, avoid)
-    if chosen is None and _make_room(
-        state, job, step_progress, waiting, near, avoid, protected, now_ms
-    ):
-        return
+    plan = None
+    if chosen is None:
+        plan = _plan(state, job, step_progress, step.count, near, avoid, protected, now_ms)
+        if _stop_for(state, job, step, plan, protected):
+            return
     if chosen is None and _may_be_far(state, job, step_progress, near, protected, now_ms):
-        everywhere = fit.any_groups(found)
-        chosen = fit.place_gang(step, job.service, everywhere, avoid)
+        chosen = fit.place_gang(step, job.service, fit.any_groups(found), avoid)
         if chosen is None:
             suited = [room for room in found if fit.takes(room, step, job.service)]
-            _make_room(state, job, step_progress, waiting, [suited], avoid, protected, now_ms)
+            anywhere = _plan(
+                state, job, step_progress, step.count, [suited], avoid, protected, now_ms
+            )
+            if _stop_for(state, job, step, anywhere, protected):
+                return
+            plan = plan or anywhere
     if chosen is None:
+        if plan is not None:
+            reclaim.keep_room(step, plan)
         _note_waiting(state, job, step_progress, len(waiting), found, now_ms)
         return
     step_progress.attempts[0] += 1
@@ -142,14 +152,19 @@
     usable = found
     if not _may_be_far(state, job, step_progress, near, protected, now_ms):
         usable = near[0]
-    waiting = waiting[: _allowance(state, job, step, found)]
+    allowed = _allowance(state, job, step, found)
+    if allowed < len(waiting):
+        _note_waiting(state, job, step_progress, len(waiting) - allowed, found, now_ms)
+    waiting = waiting[:allowed]
     for position, index in enumerate(waiting):
         room = fit.place_one(step, job.service, usable, on_node, avoid)
         if room is None:
             suited = [room for room in usable if fit.takes(room, step, job.service)]
-            rest = waiting[position:]
-            _make_room(state, job, step_progress, rest, [suited], avoid, protected, now_ms)
-            _note_waiting(state, job, step_progress, len(rest), found, now_ms)
+            rest = len(waiting) - position
+            plan = _plan(state, job, step_progress, rest, [suited], avoid, protected, now_ms)
+            if plan is not None and not _stop_for(state, job, step, plan, protected):
+                reclaim.keep_room(step, plan)
+            _note_waiting(state, job, step_progress, rest, found, now_ms)
             return position
         on_node[room.agent.node] = on_node.get(room.agent.node, 0) + 1
         step_progress.attempts[index] += 1
@@ -201,23 +216,40 @@
     state.notes.append(states.Note("waiting", job.id, detail=detail))
 
 
-def _make_room(
+def _plan(
     state: states.State,
     job: steps.Job,
     step_progress: steps.StepProgress,
-    waiting: list[int],
+    count: int,
     groups: list[list[fit.Room]],
     avoid: set[str],
     protected: set[str],
     now_ms: int,
-) -> bool:
-    """Make room on sound workers, or on any where those cannot hold the tasks."""
+) -> reclaim.Plan | None:
+    """Return a plan for sound workers, or for any where those cannot or must not make room."""
+    step = job.steps[step_progress.step]
     sound = [[room for room in group if room.agent.node not in avoid] for group in groups]
+    first = None
     for choice in (sound, groups) if avoid else (groups,):
-        plan = reclaim.plan(state, job, step_progress, waiting, choice, protected, now_ms)
-        if plan is not None:
-            return reclaim.carry_out(state, job, step_progress, plan, protected)
-    return False
+        found = reclaim.plan(state, job, step_progress, count, choice, protected, now_ms)
+        if found is not None and reclaim.bearable(state, job, step, found, protected):
+            return found
+        first = first or found
+    return first
+
+
+def _stop_for(
+    state: states.State,
+    job: steps.Job,
+    step: steps.Step,
+    plan: reclaim.Plan | None,
+    protected: set[str],
+) -> bool:
+    """Carry a plan out if its loss is bearable; return whether the tasks will fit soon."""
+    if plan is None or not reclaim.bearable(state, job, step, plan, protected):
+        return False
+    reclaim.carry_out(state, job, step, plan, protected)
+    return True
 
 
 def _may_be_far(
--- a/packages/core/tests/schedule/test_reclaim.py
+++ b/packages/core/tests/schedule/test_reclaim.py
@@ -192,3 +192,39 @@
     _add(own, everything)
     harness.run(own)
     assert len(harness.open_runs(everything)) == 10
+
+
+def test_a_gang_that_waits_keeps_its_room_once():
+    # The room in one rack was kept, and then that of a plan for all workers besides.
+    racks = {"n1": "r1", "n2": "r1", "n3": "r2", "n4": "r2"}
+    nodes = [harness.agent(node, rack=rack) for node, rack in racks.items()]
+    own = harness.scheduler([], nodes, {"ministry": 0})
+    low = [harness.job(f"low{number}", harness.step(1, 4), priority=2) for number in range(8)]
+    for item in low:
+        _add(own, item)
+    harness.run(own)
+    assert all(harness.open_runs(item) for item in low)
+    gang = harness.step(2, 8, gang=True, same_rack=True, estimate_ms=1)
+    _add(own, harness.job("wide", gang, submitted_ms=1))
+    small = harness.job("small", harness.step(1, 4), priority=2)
+    _add(own, small)
+    for now_ms in (harness.NOW_MS + 20_000, harness.NOW_MS + 21_000):
+        harness.renew(own, now_ms)
+        harness.run(own, now_ms)
+    # One rack is kept; an end in the other one leaves room for lesser work.
+    for node in ("n1", "n3"):
+        item = next(item for item in low if harness.open_runs(item)[0].node == node)
+        harness.end(own, item, harness.open_runs(item)[0], steps.EndKind.DONE, now_ms=now_ms)
+        low.remove(item)
+    assert len(harness.open_runs(small)) == 1
+
+
+def test_room_on_an_avoided_worker_is_made_when_sound_ones_cost_too_much():
+    own, items = _filled(checkpointing=(False, True))
+    cheap = harness.open_runs(items[1])[0]
+    own.health.by_worker[cheap.node] = {"another": harness.NOW_MS / 1000.0}
+    _add(own, _urgent(customer="hotels"))
+    now_ms = harness.NOW_MS + 15_000
+    harness.renew(own, now_ms)
+    harness.run(own, now_ms)
+    assert [harness.open_runs(item)[0].stopping for item in items] == [False, True]
