Split the scheduler's task, and count an epoch once

Cause of the change in behaviour (found in the read-through): when the feed brings the own claim's row before the claim's answer, the epoch was counted twice, and since the entry also took the lead twice and read all rows twice. A claim that is under way is left to its answer now, the epoch is the one that was claimed, and a claim whose answer is lost after its row was seen is recognised when the call times out.

Three tests of the leadership are new or stricter; two fail without the change.

--- a/packages/core/src/peridothatch_core/schedule/leadership.py
+++ b/packages/core/src/peridothatch_core/schedule/leadership.py
@@ -47,6 +47,12 @@
         Unique for each process start, so that a restarted process is another holder.
     leading : bool
         This process holds the epoch.
+    epoch : int
+        Epoch of the newest row that is known.
+    epoch_holder : str
+        Who took it; empty once this process knows that another has.
+    claimed_epoch : int
+        Epoch of the own last claim.
     epoch_version, lease_version : int
         Versions of the two rows; 0 while they do not exist.
     sent_at : float or None
@@ -61,6 +67,8 @@
     leading: bool = False
     lease: Lease | None = None
     epoch: int = 0
+    epoch_holder: str = ""
+    claimed_epoch: int = 0
     epoch_version: int = 0
     lease_version: int = 0
     sent_at: float | None = None
@@ -85,7 +93,8 @@
     state: Leadership, now_ms: int, encode: typing.Callable[[typing.Any], bytes]
 ) -> rows.Transaction:
     """Return the transaction that takes the leadership over."""
-    lease = Lease(state.me, state.epoch + 1, now_ms + LEASE_MS)
+    state.claimed_epoch = state.epoch + 1
+    lease = Lease(state.me, state.claimed_epoch, now_ms + LEASE_MS)
     return rows.Transaction(
         (
             rows.Condition(tables.EPOCH, state.epoch_version),
@@ -121,15 +130,16 @@
         return False
     state.epoch_version = version
     state.epoch = lease.epoch
+    state.epoch_holder = lease.holder
     lost = state.leading and lease.holder != state.me
     if lost:
         state.leading = False
     return lost
 
 
-def won_unanswered(state: Leadership, lease: Lease) -> bool:
-    """Tell whether the newest epoch row is an own claim whose answer was lost."""
-    return lease.holder == state.me and lease.epoch == state.epoch and not state.leading
+def won_unanswered(state: Leadership) -> bool:
+    """Tell whether the newest epoch row is an own claim that has no answer any more."""
+    return state.epoch_holder == state.me and not state.leading and state.sent_at is None
 
 
 def observe_lease(state: Leadership, lease: Lease, version: int) -> None:
@@ -140,8 +150,15 @@
 
 
 def lead(state: Leadership, version: int, sent_at: float) -> None:
-    """Record that the claim has committed."""
+    """Record that the claim has committed; its row may have been observed before."""
     state.leading = True
-    state.epoch += 1
+    state.epoch = state.claimed_epoch
+    state.epoch_holder = state.me
     state.epoch_version = version
     state.renewed_at = sent_at
+
+
+def lose(state: Leadership) -> None:
+    """Record that another process has taken the epoch, or that this one gives it up."""
+    state.leading = False
+    state.epoch_holder = ""
--- a/packages/core/tests/schedule/test_leadership.py
+++ b/packages/core/tests/schedule/test_leadership.py
@@ -34,6 +34,7 @@
 
 def test_a_renewal_fails_once_another_has_taken_the_epoch():
     own = _following()
+    leadership.claim(own, 10_101, _encode)
     leadership.lead(own, 30, 1.0)
     assert leadership.renewal(own, 11_000, _encode).conditions == (
         rows.Condition(tables.EPOCH, 30),
@@ -42,6 +43,7 @@
 
 def test_a_leader_that_sees_another_holder_of_the_epoch_leads_no_more():
     own = _following()
+    leadership.claim(own, 10_101, _encode)
     leadership.lead(own, 30, 1.0)
     assert leadership.observe_epoch(own, leadership.Lease("c/9", 6, 0), 40)
     assert not own.leading
@@ -49,6 +51,7 @@
 
 def test_news_that_is_older_than_the_own_claim_does_not_end_the_leadership():
     own = _following()
+    leadership.claim(own, 10_101, _encode)
     leadership.lead(own, 30, 1.0)
     assert not leadership.observe_epoch(own, leadership.Lease("a/1", 4, 0), 20)
     assert own.leading
@@ -63,8 +66,27 @@
 def test_an_own_claim_whose_answer_was_lost_is_recognised_by_its_row():
     # The entry waited for its own lease to end before it claimed again.
     own = _following()
-    mine = leadership.Lease("b/2", 5, 11_500)
-    assert not leadership.observe_epoch(own, mine, 30)
-    assert leadership.won_unanswered(own, mine)
+    leadership.claim(own, 10_101, _encode)
+    assert not leadership.observe_epoch(own, leadership.Lease("b/2", 5, 11_500), 30)
+    assert leadership.won_unanswered(own)
     leadership.observe_epoch(own, leadership.Lease("c/9", 6, 13_000), 40)
-    assert not leadership.won_unanswered(own, mine)
+    assert not leadership.won_unanswered(own)
+
+
+def test_a_claim_that_is_still_under_way_is_left_to_its_answer():
+    # The feed may bring the row first; the epoch was counted twice then.
+    own = _following()
+    leadership.claim(own, 10_101, _encode)
+    own.sent_at = 1.0
+    leadership.observe_epoch(own, leadership.Lease("b/2", 5, 11_500), 30)
+    assert not leadership.won_unanswered(own)
+    leadership.lead(own, 30, 1.0)
+    assert (own.epoch, own.leading) == (5, True)
+
+
+def test_an_epoch_that_is_known_to_be_lost_is_not_taken_again():
+    own = _following()
+    leadership.claim(own, 10_101, _encode)
+    leadership.lead(own, 30, 1.0)
+    leadership.lose(own)
+    assert not leadership.won_unanswered(own)
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
@@ -0,0 +1,86 @@
+"""State of the task that schedules, and its calls to the store."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from peridothatch_core.message import rows
+from peridothatch_core.model import storeclock
+from peridothatch_core.schedule import state
+from peridothatch_daemon.hosted import counters
+from peridothatch_wire import mailbox
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.model import desired
+    from peridothatch_core.schedule import leadership, writes
+    from peridothatch_daemon.observe import metrics
+
+READ_SECONDS = 2.5
+
+RETRY_SECONDS = 0.08
+"""Pause before a call that was certainly not done is sent again."""
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """State of the task.
+
+    Attributes
+    ----------
+    loading : bool
+        The rows are being read after a takeover or a conflict.
+    work : tuple of Row or None
+        Rows of the work table of the read that is under way.
+    missed : list
+        News that feeds brought while the rows were being read; the read may not contain them.
+    floor : int
+        Newest version of the work rows that were read; older news of their feed is known.
+    batches : list
+        Transactions that are still to be sent; the first one is under way.
+    """
+
+    node: str
+    store: mailbox.Mailbox
+    ticket_service: mailbox.Mailbox | None
+    inbox: mailbox.Mailbox
+    leadership: leadership.Leadership
+    limits: state.Limits
+    record: metrics.Record
+    clock: storeclock.StoreClock = dataclasses.field(default_factory=storeclock.StoreClock)
+    round_trip_ms: float = 50.0
+    schedule: state.State = dataclasses.field(default_factory=state.State)
+    desired: desired.DesiredState | None = None
+    evacuated: frozenset[str] = frozenset()
+    loading: bool = False
+    work: tuple[rows.Row, ...] | None = None
+    missed: list[tuple[str, rows.Row]] = dataclasses.field(default_factory=list)
+    floor: int = 0
+    batches: list[writes.Batch] = dataclasses.field(default_factory=list)
+    sending: bool = False
+    resigning: mailbox.Reply | None = None
+    counters: counters.Scheduler = dataclasses.field(default_factory=counters.Scheduler)
+
+
+def commit(
+    own: State, token: typing.Any, transaction: rows.Transaction, timeout_seconds: float
+) -> None:
+    """Send a transaction; its outcome comes back as a message."""
+
+    def answer(done: rows.Committed) -> None:
+        mailbox.post(own.inbox, done)
+
+    message = rows.Commit(token, transaction, timeout_seconds, answer)
+    if not mailbox.post(own.store, message):
+        answer(rows.Committed(token, rows.Outcome.NOT_DONE, reason="the queue is full"))
+
+
+def fetch(own: State, table: str) -> None:
+    """Read a table; its rows come back as a message with the table as the token."""
+
+    def answer(done: rows.Fetched) -> None:
+        mailbox.post(own.inbox, done)
+
+    message = rows.Fetch(table, table, "", READ_SECONDS, answer)
+    if not mailbox.post(own.store, message):
+        answer(rows.Fetched(table, None, reason="the queue is full"))
