--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -213,6 +213,11 @@
     held: dict[exchange.RunKey, Held] = dataclasses.field(default_factory=dict)
 
 
+def lease_ms(longest_ms: int) -> int:
+    """Return the length of an agent's lease for the longest that workers grant."""
+    return longest_ms - HOLD_BELOW_LONGEST_MS
+
+
 def horizon(state: State) -> float:
     """Return the local time up to which the promise in the store lets runs live."""
     if not state.clock.now_ms:
--- a/packages/core/src/peridothatch_core/schedule/fit.py
+++ b/packages/core/src/peridothatch_core/schedule/fit.py
@@ -53,7 +53,7 @@
 
 
 def takes(room: Room, step: steps.Step, service: str) -> bool:
-    """Tell whether a worker is of the kind that a step needs."""
+    """Tell whether a worker is of the kind that a step needs and none that it would disturb."""
     worker = room.worker
     if worker.service != service:
         return False
--- a/packages/core/src/peridothatch_core/schedule/speeds.py
+++ b/packages/core/src/peridothatch_core/schedule/speeds.py
@@ -70,14 +70,17 @@
     interval_ms = new.hold_until_ms - old.hold_until_ms
     if interval_ms < LEAST_INTERVAL_MS:
         return
-    before = {(report.task, report.attempt): report.percent for report in old.runs}
+    before, after = _percents(old), _percents(new)
     compared = []
-    for report in new.runs:
-        key = (report.task, report.attempt)
-        if key not in before or report.percent >= 100:
+    for job, progress, run in state.runs.get(new.node, ()):
+        # A run that is being stopped makes no progress on a sound worker either.
+        if run.stopping or job.steps[progress.step].long_running:
             continue
-        rate = max(0.0, 1000.0 * (report.percent - before[key]) / interval_ms)
-        usual = _usual(state, new.node, key)
+        key = _key(job, progress, run)
+        if key not in before or not before[key] <= after.get(key, 100) < 100:
+            continue
+        rate = 1000.0 * (after[key] - before[key]) / interval_ms
+        usual = _usual(state, job, progress, run)
         state.speeds.rates[key] = rate
         if usual:
             compared.append(rate / usual)
@@ -85,9 +88,11 @@
         _learn(state, new, statistics.median(compared))
 
 
-def forget_run(state: states.State, task: str, attempt: int) -> None:
+def forget_run(
+    state: states.State, job: steps.Job, progress: steps.StepProgress, run: steps.Run
+) -> None:
     """Drop the progress of a run that has ended."""
-    state.speeds.rates.pop((task, attempt), None)
+    state.speeds.rates.pop(_key(job, progress, run), None)
 
 
 def avoided_nodes(state: states.State, now_ms: int, *, lasting: bool) -> set[str]:
@@ -106,26 +111,29 @@
     }
 
 
-def _usual(state: states.State, node: str, key: tuple[str, int]) -> float:
+def _percents(agent: agents.Agent) -> dict[tuple[str, int], int]:
+    return {(report.task, report.attempt): report.percent for report in agent.runs}
+
+
+def _key(job: steps.Job, progress: steps.StepProgress, run: steps.Run) -> tuple[str, int]:
+    task = steps.task_name(job.id, progress.occurrence, progress.step, run.index)
+    return task, run.attempt
+
+
+def _usual(
+    state: states.State, job: steps.Job, progress: steps.StepProgress, run: steps.Run
+) -> float:
     """Return the progress of the siblings of a run on other workers, or its own before."""
-    parsed = steps.parse_task(key[0])
-    job = state.jobs.get(parsed[0]) if parsed else None
-    if job is None or parsed is None:
-        return 0.0
-    rates = []
-    for progress in job.progress:
-        if (progress.occurrence, progress.step) != parsed[1:3]:
-            continue
-        if job.steps[progress.step].long_running:
-            return 0.0
-        for run in progress.runs:
-            sibling = (
-                steps.task_name(job.id, progress.occurrence, progress.step, run.index),
-                run.attempt,
-            )
-            if run.node != node and sibling in state.speeds.rates:
-                rates.append(state.speeds.rates[sibling])
-    return statistics.median(rates) if rates else state.speeds.rates.get(key, 0.0)
+    rates = [
+        state.speeds.rates[key]
+        for sibling in progress.runs
+        if sibling.node != run.node and (key := _key(job, progress, sibling)) in state.speeds.rates
+    ]
+    return (
+        statistics.median(rates)
+        if rates
+        else state.speeds.rates.get(_key(job, progress, run), 0.0)
+    )
 
 
 def _restarted(state: states.State, old: agents.Agent, new: agents.Agent) -> None:
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -204,8 +204,7 @@
 def close_run(state: State, job: steps.Job, progress: steps.StepProgress, run: steps.Run) -> None:
     """Remove a run that is over and free its room."""
     progress.runs.remove(run)
-    task = steps.task_name(job.id, progress.occurrence, progress.step, run.index)
-    speeds.forget_run(state, task, run.attempt)
+    speeds.forget_run(state, job, progress, run)
     _index(state, job, progress, run, -1)
     change(state, job.id).save = True
 
--- a/packages/core/tests/schedule/test_speeds.py
+++ b/packages/core/tests/schedule/test_speeds.py
@@ -39,22 +39,22 @@
 def test_a_worker_whose_task_stands_still_gets_work_last():
     # New tasks went on being placed on workers on which all tasks stood still.
     own, item = _running()
-    for percents in ((0, 0, 0), (20, 20, 20), (40, 20, 40)):
+    for percents in ((0, 0, 0), (20, 20, 20), (20, 40, 40)):
         _report(own, item, dict(zip(NODES, percents, strict=True)))
     now_ms = harness.NOW_MS + 3 * INTERVAL_MS
-    assert speeds.avoided_nodes(own, now_ms, lasting=False) == {"n2"}
-    assert "n2" not in _started_on(own, priority=1)
+    assert speeds.avoided_nodes(own, now_ms, lasting=False) == {"n1"}
+    assert "n1" not in _started_on(own, priority=1)
     assert speeds.avoided_nodes(own, now_ms + speeds.SLOW_MS, lasting=False) == set()
 
 
 def test_urgent_work_prefers_workers_of_a_faster_kind():
     own, item = _running()
     for round_ in range(6):
-        percents = {"n1": 10 * round_, "n2": 8 * round_, "n3": 10 * round_}
+        percents = {"n1": 8 * round_, "n2": 10 * round_, "n3": 10 * round_}
         _report(own, item, percents)
-    assert speeds.avoided_nodes(own, harness.NOW_MS, lasting=True) == {"n2"}
+    assert speeds.avoided_nodes(own, harness.NOW_MS, lasting=True) == {"n1"}
     assert speeds.avoided_nodes(own, harness.NOW_MS, lasting=False) == set()
-    assert "n2" not in _started_on(own, priority=0)
+    assert "n1" not in _started_on(own, priority=0)
 
 
 def test_a_lone_task_is_compared_with_its_own_earlier_progress():
@@ -93,3 +93,27 @@
     old = harness.agent("n2", state=agents.WorkerState.DRAINING)
     speeds.observe(own, old, harness.agent("n2", born_ms=2))
     assert speeds.avoided_nodes(own, harness.NOW_MS, lasting=False) == set()
+
+
+def test_a_run_that_is_being_stopped_does_not_make_its_worker_slow():
+    own, item = _running()
+    for percents in ((0, 0, 0), (20, 20, 20)):
+        _report(own, item, dict(zip(NODES, percents, strict=True)))
+    for run in harness.open_runs(item):
+        run.stopping = run.node == "n1"
+    _report(own, item, {"n1": 20, "n2": 40, "n3": 40})
+    assert speeds.avoided_nodes(own, harness.NOW_MS, lasting=False) == set()
+
+
+def test_the_reports_of_a_run_that_has_ended_are_not_kept():
+    own, item = _running()
+    runs = {run.node: run for run in harness.open_runs(item)}
+    _report(own, item, dict.fromkeys(NODES, 0))
+    late = own.agents["n1"]
+    harness.end(own, item, runs["n1"], steps.EndKind.DONE)
+    report = agents.RunReport(late.runs[0].task, late.runs[0].attempt, "", 50)
+    new = agents.Agent(
+        "n1", late.zone, 1, 0, late.hold_until_ms + INTERVAL_MS, late.worker, (report,)
+    )
+    speeds.observe(own, late, new)
+    assert not own.speeds.rates
--- a/packages/daemon/src/peridothatch_daemon/hosted/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/agent.py
@@ -7,7 +7,7 @@
 
 from peridothatch_core.hold import state
 from peridothatch_core.model import tables
-from peridothatch_daemon.hosted import clock, entry, keeper, log, observe, serving
+from peridothatch_daemon.hosted import clock, keeper, log, observe, serving
 from peridothatch_daemon.observe import metrics
 from peridothatch_platform import checkins, settings, store, worker
 from peridothatch_wire import mailbox
@@ -47,7 +47,7 @@
 
     client = await store.start(machine.store, clock.now)
     calls = await worker.start(machine.worker, clock.now, deliver)
-    held = state.State(machine.node, machine.data_centre, entry.hold_ms(machine))
+    held = state.State(machine.node, machine.data_centre, state.lease_ms(machine.longest_hold_ms))
     exported = metrics.start(machine.node)
     running = keeper.start(
         held,
@@ -58,7 +58,12 @@
         metrics.latency(exported, "keeper_start_seconds", "Time until a start is confirmed"),
     )
     feed = await store.follow(
-        machine.store, tables.orders(machine.node), clock.now, deliver, _lost, _regained
+        machine.store,
+        tables.orders(machine.node),
+        clock.now,
+        deliver,
+        log.feed_lost,
+        log.feed_regained,
     )
     identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "agent"}
     observed = observe.application(identity, {"keeper": inbox}, exported)
@@ -88,13 +93,5 @@
     log.event("agent:stopped")
 
 
-def _regained(table: str) -> None:
-    log.event("feed:regained", table=table)
-
-
-def _lost(table: str, reason: str) -> None:
-    log.event("feed:lost", table=table, reason=reason)
-
-
 def _rejected(instance: str, reason: str) -> None:
     log.event("check_in:rejected", instance=instance, reason=reason)
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -68,7 +68,9 @@
     tickets = (
         await ticket_service.start(machine.ticket_service) if machine.ticket_service else None
     )
-    limits = state.Limits(machine.retention_ms, hold_ms(machine), machine.remote_factor)
+    limits = state.Limits(
+        machine.retention_ms, hold_state.lease_ms(machine.longest_hold_ms), machine.remote_factor
+    )
     leader = scheduler.start(
         machine.node,
         secrets.token_hex(4),
@@ -85,23 +87,28 @@
     )
     feeds = [
         await store.follow(
-            machine.store, store.OPERATOR_TABLE, clock.now, desired, _lost, _regained
+            machine.store,
+            store.OPERATOR_TABLE,
+            clock.now,
+            desired,
+            log.feed_lost,
+            log.feed_regained,
         ),
         await store.follow(
             machine.store,
             tables.WORK,
             clock.now,
             _both(front.inbox, leader.inbox),
-            _lost_and_tell(front.inbox),
-            _regained,
+            _log_and_report(front.inbox),
+            log.feed_regained,
         ),
         await store.follow(
             machine.store,
             tables.MEMBERS,
             clock.now,
             _both(leader.inbox),
-            _lost,
-            _regained,
+            log.feed_lost,
+            log.feed_regained,
             MEMBERS_PAUSE_SECONDS,
         ),
     ]
@@ -136,11 +143,6 @@
     log.event("entry:stopped")
 
 
-def hold_ms(machine: settings.Machine) -> int:
-    """Return the length of an agent's lease."""
-    return machine.longest_hold_ms - hold_state.HOLD_BELOW_LONGEST_MS
-
-
 async def _serve(entry: Entry) -> None:
     machine = entry.machine
 
@@ -186,17 +188,9 @@
     return deliver
 
 
-def _lost_and_tell(inbox: mailbox.Mailbox) -> typing.Callable[[str, str], None]:
+def _log_and_report(inbox: mailbox.Mailbox) -> typing.Callable[[str, str], None]:
     def lost(table: str, reason: str) -> None:
-        _lost(table, reason)
+        log.feed_lost(table, reason)
         mailbox.post(inbox, messages.FeedFailed())
 
     return lost
-
-
-def _regained(table: str) -> None:
-    log.event("feed:regained", table=table)
-
-
-def _lost(table: str, reason: str) -> None:
-    log.event("feed:lost", table=table, reason=reason)
--- a/packages/daemon/src/peridothatch_daemon/hosted/log.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/log.py
@@ -45,6 +45,16 @@
     eliot.log_message(message_type=message_type, **fields)
 
 
+def feed_lost(table: str, reason: str) -> None:
+    """Log that a call of a feed failed."""
+    event("feed:lost", table=table, reason=reason)
+
+
+def feed_regained(table: str) -> None:
+    """Log that a feed is answered again."""
+    event("feed:regained", table=table)
+
+
 def _write(writer: _Writer, node: str, message: dict[str, typing.Any]) -> None:
     now = clock.now()
     refill = (now - writer._filled_at) * LINES_PER_SECOND
--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -199,7 +199,7 @@
         stored_calls.begin(state, call, admitted, reply, None, now)
         return
     if seen.state in steps.FINAL_STATES:
-        mailbox.answer(reply, calls.Absent())
+        stored_calls.absent(state, call, reply, f"the job is {seen.state}")
         return
     stored_calls.begin(state, call, admitted, reply, stored_calls.cancellation(admitted.rest), now)
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
@@ -159,13 +159,13 @@
         return
     row = next((row for row in done.rows if row.value is not None), None)
     if row is None:
-        mailbox.answer(pending.reply, calls.Absent())
+        absent(state, pending.call, pending.reply, "no such job")
         return
     job = records.decode(records.JOB, row.value or b"")
     if pending.call.action is not calls.Action.CANCEL:
         mailbox.answer(pending.reply, calls.Reported(job.state))
     elif job.state in steps.FINAL_STATES:
-        mailbox.answer(pending.reply, calls.Absent())
+        absent(state, pending.call, pending.reply, f"the job is {job.state}")
     else:
         pending.transaction = cancellation(job.id)
         send(state, pending)
@@ -209,6 +209,18 @@
     mailbox.answer(reply, calls.Accepted())
 
 
+def absent(state: State, call: calls.Call, reply: mailbox.Reply, reason: str) -> None:
+    """Answer that there is no such job to report or to cancel."""
+    log.event(
+        "reception:absent",
+        path=call.path,
+        action=call.action.name.lower(),
+        reason=reason,
+        store_age_ms=round(1000 * min(1e6, clock.now() - state.health.answered_at)),
+    )
+    mailbox.answer(reply, calls.Absent())
+
+
 def refuse(state: State, call: calls.Call, reply: mailbox.Reply, refusal: verdict.Refusal) -> None:
     """Answer with a refusal and log what decided it."""
     if refusal.verdict is verdict.Verdict.NOT_RUN:
--- a/packages/daemon/src/peridothatch_daemon/observe/metrics.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metrics.py
@@ -8,7 +8,7 @@
 
 import prometheus_client
 from opentelemetry import metrics as otel
-from opentelemetry.exporter.prometheus import PrometheusMetricReader  # noqa: N813
+from opentelemetry.exporter import prometheus as exporter
 from opentelemetry.sdk import metrics as sdk
 from opentelemetry.sdk import resources
 
@@ -44,7 +44,9 @@
     def __init__(self, process_id: str) -> None:
         self._dump: Dump = {"tasks": {}}
         self._registry = prometheus_client.CollectorRegistry()
-        self._reader = PrometheusMetricReader(disable_target_info=False, registry=self._registry)
+        self._reader = exporter.PrometheusMetricReader(
+            disable_target_info=False, registry=self._registry
+        )
         identity = resources.Resource.create({"service.instance.id": process_id})
         self._provider = sdk.MeterProvider([self._reader], resource=identity)
         self._meter = self._provider.get_meter("peridothatch")
