--- a/packages/core/src/peridothatch_core/hold/exchange.py
+++ b/packages/core/src/peridothatch_core/hold/exchange.py
@@ -36,7 +36,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Look:
+class ListRuns:
     """Call: extend the deadline of all runs and list runs and ends.
 
     Attributes
@@ -73,7 +73,7 @@
     fence: int
 
 
-Effect = Start | Stop | Look | WriteRow | ReadRow | Replaced
+Effect = Start | Stop | ListRuns | WriteRow | ReadRow | Replaced
 
 
 class StartOutcome(enum.Enum):
@@ -97,7 +97,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListedEnd:
-    """An end in a worker's list; numbers rise within a life of the worker."""
+    """An end in a worker's list; numbers rise within an incarnation of the worker."""
 
     number: int
     task: str
@@ -108,18 +108,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
-    """A worker's answer to ``Look``.
+    """A worker's answer to ``ListRuns``.
 
     Attributes
     ----------
-    born_ms : int
-        Start of the life that answered; 0 when it did not say.
+    started_ms : int
+        Start of the incarnation that answered; 0 when it did not say.
     asked_at, answered_at : float
         Local seconds around the call.
     """
 
     instance: str
-    born_ms: int
+    started_ms: int
     worker_clock_ms: int
     running: tuple[ListedRun, ...]
     ended: tuple[ListedEnd, ...]
@@ -128,7 +128,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CheckedIn:
+class Heartbeat:
     """The worker has described itself."""
 
     worker: agents.Worker
@@ -136,8 +136,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Left:
-    """A life of the worker has ended in order."""
+class Deregistered:
+    """An incarnation of the worker has ended in order."""
 
     instance: str
 
@@ -191,7 +191,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Looked:
+class RunsListed:
     """The worker's list, or ``None`` when it gave none.
 
     Attributes
@@ -228,15 +228,15 @@
 
 
 Event = (
-    CheckedIn
-    | Left
+    Heartbeat
+    | Deregistered
     | OrdersLoaded
     | OrderAdded
     | OrderRemoved
     | StopAdded
     | StartAnswered
     | StopAnswered
-    | Looked
+    | RunsListed
     | RowRead
     | rows.Committed
     | StoreTime
--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -109,7 +109,7 @@
 
 def _forget_written(state: states.State) -> None:
     """Drop ends that are in the store, so that the worker may forget them as well."""
-    state.look_retry_at = 0.0
+    state.list_retry_at = 0.0
     for number, end in state.written_ends.items():
         state.ends.pop(number, None)
         state.held.pop((end.task, end.attempt), None)
--- a/packages/core/src/peridothatch_core/hold/listing.py
+++ b/packages/core/src/peridothatch_core/hold/listing.py
@@ -8,7 +8,7 @@
 
 
 def take(state: states.State, listing: exchange.Listing) -> None:
-    """Take over a list of the present life of the worker."""
+    """Take over a list of the current incarnation of the worker."""
     state.worker_clock_ms = listing.worker_clock_ms
     state.worker_clock_at = listing.answered_at
     state.heard_at = listing.answered_at
--- a/packages/core/src/peridothatch_core/hold/orders.py
+++ b/packages/core/src/peridothatch_core/hold/orders.py
@@ -11,13 +11,13 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Iterator
 
-LONG_LOOK_MS = 1000
+LONG_LIST_MS = 1000
 """Time that a list of runs may wait for an end; it also renews the worker's deadline."""
 
-IDLE_LOOK_MS = 2000
+IDLE_LIST_MS = 2000
 """The same while nothing runs."""
 
-STOPPING_LOOK_MS = 100
+STOPPING_LIST_MS = 100
 """The same while a stop may have barred a run that never began, which no end will tell."""
 
 
@@ -67,7 +67,7 @@
     """Yield the calls to the worker that are due."""
     if not state.registered or not state.loaded or state.worker is None:
         return
-    yield from _look(state, now)
+    yield from _list_runs(state, now)
     if not state.listed:
         return
     for key, held in list(state.held.items()):
@@ -119,21 +119,21 @@
         held.retry_at = now + states.RETRY_SECONDS
 
 
-def _look(state: states.State, now: float) -> Iterator[exchange.Effect]:
-    if state.looking or now < state.look_retry_at or state.worker is None:
+def _list_runs(state: states.State, now: float) -> Iterator[exchange.Effect]:
+    if state.list_pending or now < state.list_retry_at or state.worker is None:
         return
-    state.looking = True
+    state.list_pending = True
     active = any(held.phase is not states.Phase.ENDED for held in state.held.values())
     stopping = any(
         held.stopped_at is not None and held.phase is states.Phase.WAITING
         for held in state.held.values()
     )
-    patience_ms = LONG_LOOK_MS if active else IDLE_LOOK_MS
+    patience_ms = LONG_LIST_MS if active else IDLE_LIST_MS
     if not state.worker_clock_ms:
         patience_ms = 0
     elif stopping:
-        patience_ms = STOPPING_LOOK_MS
-    yield exchange.Look(
+        patience_ms = STOPPING_LIST_MS
+    yield exchange.ListRuns(
         state.worker.instance,
         states.lease_end_ms(state, now),
         state.fence,
@@ -152,8 +152,8 @@
             held.stop = f"the worker is {worker.state}"
         elif storeclock.latest_ms(state.clock, now) > held.order.start_by_ms:
             held.stop = "the order came too late to be started"
-        elif (held.order.instance, held.order.born_ms) != (worker.instance, worker.born_ms):
-            held.stop = "the order is for another life of the worker"
+        elif (held.order.instance, held.order.started_ms) != (worker.instance, worker.started_ms):
+            held.stop = "the order is for another incarnation of the worker"
         return
     leaves_soon = state.leaves_at is not None and (
         state.leaves_at - now < states.STOP_AHEAD_SECONDS
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -38,14 +38,14 @@
 PAUSED_SECONDS = 1.0
 """Time without any event after which the agent itself was paused; ticks come more often."""
 
-LOOK_PAUSE_SECONDS = 0.05
+LIST_PAUSE_SECONDS = 0.05
 """Least pause between lists: a worker may answer at once instead of waiting for an end."""
 
 LISTED_PAUSE_SECONDS = 0.3
 """Pause between lists while ends wait to be recorded."""
 
 SILENT_SECONDS = 4.0
-"""Time without a check-in or a list after which a worker counts as absent."""
+"""Time without a heartbeat or a list after which a worker counts as absent."""
 
 STOP_AHEAD_SECONDS = 1.5
 """Time before a draining worker leaves at which checkpointing runs are stopped: the stop takes
@@ -58,7 +58,7 @@
 
 
 DEPARTED_SECONDS = 2.0
-"""Silence, longer than the time between check-ins, that such a worker must have kept as well."""
+"""Silence, longer than the time between heartbeats, that such a worker must have kept as well."""
 
 
 class Phase(enum.Enum):
@@ -90,7 +90,7 @@
     retry_at : float
         When the next call may be sent.
     listed : bool
-        The present life of the worker has listed the run.
+        The current incarnation of the worker has listed the run.
     percent : int
         Progress as last listed.
     end : End or None
@@ -144,15 +144,15 @@
     worker : Worker or None
         The worker's last description.
     sequence : int
-        Number of the worker's last check-in in this life.
+        Number of the worker's last heartbeat in this incarnation.
     heard_at : float
-        Last sign of life of the worker, or when the agent woke from a pause.
+        Last sign of incarnation of the worker, or when the agent woke from a pause.
     stepped_at : float
         When the last event was taken over.
     leaves_at : float or None
         When a draining worker may leave, in local seconds.
-    left : bool
-        The worker has said goodbye and has not checked in since.
+    deregistered : bool
+        The worker has deregistered and has sent no heartbeat since.
     absent_calls : int
         Calls in a row that found nothing listening at the worker's address.
     worker_clock_ms, worker_clock_at : int, float
@@ -160,10 +160,10 @@
     given_lease_end_ms : int
         Latest deadline that the worker was sent, on its own clock.
     inherited_until_ms : int
-        Store time by which deadlines of an earlier process, or for an earlier life of the
+        Store time by which deadlines of an earlier process, or for an earlier incarnation of the
         worker, have passed.
     reports : dict
-        Runs in the row that an earlier process of this node wrote; a new life of the worker
+        Runs in the row that an earlier process of this node wrote; a new incarnation of the worker
         does not know their checkpoints.
     recorded_through : int
         Ends up to this number are in the store, so that the worker may forget them.
@@ -171,7 +171,7 @@
         Ends that wait to be recorded, by number.
     ignorable : set
         Numbers of ends that need no record.
-    looking : bool
+    list_pending : bool
         A list of the worker's runs is under way.
     """
 
@@ -197,7 +197,7 @@
     heard_at: float = 0.0
     stepped_at: float = 0.0
     leaves_at: float | None = None
-    left: bool = False
+    deregistered: bool = False
     absent_calls: int = 0
     worker_clock_ms: int = 0
     worker_clock_at: float = 0.0
@@ -208,8 +208,8 @@
     ends: dict[int, steps.End] = dataclasses.field(default_factory=dict)
     ignorable: set[int] = dataclasses.field(default_factory=set)
     own_ends: int = 0
-    looking: bool = False
-    look_retry_at: float = 0.0
+    list_pending: bool = False
+    list_retry_at: float = 0.0
     held: dict[exchange.RunKey, Held] = dataclasses.field(default_factory=dict)
 
 
@@ -237,5 +237,5 @@
 
 
 def instance(state: State) -> str:
-    """Return the id of the present life of the worker, empty when none is known."""
+    """Return the id of the current incarnation of the worker, empty when none is known."""
     return state.worker.instance if state.worker else ""
--- a/packages/core/src/peridothatch_core/hold/step.py
+++ b/packages/core/src/peridothatch_core/hold/step.py
@@ -31,10 +31,10 @@
     state: states.State, event: exchange.Event, now: float
 ) -> typing.Iterator[exchange.Effect]:
     match event:
-        case exchange.CheckedIn(described, sequence):
-            worker.check_in(state, described, sequence, now)
-        case exchange.Left(instance):
-            worker.leave(state, instance)
+        case exchange.Heartbeat(described, sequence):
+            worker.heartbeat(state, described, sequence, now)
+        case exchange.Deregistered(instance):
+            worker.deregister(state, instance)
         case exchange.OrdersLoaded(ordered, stops):
             orders.load(state, ordered)
             for key, order in stops.items():
@@ -49,8 +49,8 @@
             orders.started(state, key, outcome, reason, now)
         case exchange.StopAnswered(key, confirmed):
             orders.stopped(state, key, confirmed, now)
-        case exchange.Looked(listed, no_listener):
-            _looked(state, listed, now)
+        case exchange.RunsListed(listed, no_listener):
+            _runs_listed(state, listed, now)
             worker.listens(state, not no_listener, now)
         case rows.Committed():
             storeclock.observe(state.clock, event.now_ms, event.asked_at, event.answered_at)
@@ -66,20 +66,20 @@
             pass
 
 
-def _looked(state: states.State, listed: exchange.Listing | None, now: float) -> None:
-    state.looking = False
-    state.look_retry_at = now + states.LOOK_PAUSE_SECONDS
+def _runs_listed(state: states.State, listed: exchange.Listing | None, now: float) -> None:
+    state.list_pending = False
+    state.list_retry_at = now + states.LIST_PAUSE_SECONDS
     if listed is None:
-        state.look_retry_at = now + states.RETRY_SECONDS
+        state.list_retry_at = now + states.RETRY_SECONDS
         return
     known = state.worker
     if known is None or listed.instance != known.instance:
         return
-    if listed.born_ms and listed.born_ms != known.born_ms:
-        # A life that has not checked in yet; its check-in describes it.
-        state.look_retry_at = now + states.RETRY_SECONDS
+    if listed.started_ms and listed.started_ms != known.started_ms:
+        # An incarnation that has sent no heartbeat yet; its heartbeat describes it.
+        state.list_retry_at = now + states.RETRY_SECONDS
         return
     listing.take(state, listed)
     if state.ends:
         # The worker answers at once as long as it lists ends that it may not forget yet.
-        state.look_retry_at = now + states.LISTED_PAUSE_SECONDS
+        state.list_retry_at = now + states.LISTED_PAUSE_SECONDS
--- a/packages/core/src/peridothatch_core/hold/worker.py
+++ b/packages/core/src/peridothatch_core/hold/worker.py
@@ -1,4 +1,4 @@
-"""The worker's check-ins, and lives of the worker that have ended."""
+"""The worker's heartbeats, and incarnations of the worker that have ended."""
 
 from __future__ import annotations
 
@@ -13,24 +13,24 @@
 """Longest time that a worker takes to end its runs after their deadline."""
 
 
-def check_in(state: states.State, worker: agents.Worker, sequence: int, now: float) -> bool:
-    """Take over a check-in.
+def heartbeat(state: states.State, worker: agents.Worker, sequence: int, now: float) -> bool:
+    """Take over a heartbeat.
 
     Returns
     -------
     bool
-        Whether it was news; a check-in of an earlier life, or an earlier one of this life, is
-        none.
+        Whether it was news; a heartbeat of an earlier incarnation, or an earlier one of this
+        incarnation, is none.
     """
     known = state.worker
     if known is not None:
-        if (worker.born_ms, sequence) <= (known.born_ms, state.sequence):
+        if (worker.started_ms, sequence) <= (known.started_ms, state.sequence):
             return False
-        if worker.born_ms != known.born_ms or worker.instance != known.instance:
-            _new_life(state, now)
+        if worker.started_ms != known.started_ms or worker.instance != known.instance:
+            _new_incarnation(state, now)
     state.sequence = sequence
     state.heard_at = now
-    state.left = False
+    state.deregistered = False
     if worker.state is agents.WorkerState.DRAINING:
         leaves_at = now + worker.leaves_in_ms / 1000.0
         state.leaves_at = leaves_at if state.leaves_at is None else min(state.leaves_at, leaves_at)
@@ -42,17 +42,17 @@
     return True
 
 
-def leave(state: states.State, instance: str) -> bool:
-    """Take over that a worker says goodbye; return whether it is the present one.
+def deregister(state: states.State, instance: str) -> bool:
+    """Take over that a worker deregisters; return whether it is the present one.
 
-    The message may be late and a new life may have the same id, so the runs end only when the
-    worker's address is closed as well.
+    The message may be late and a new incarnation may have the same id, so the runs end only when
+    the worker's address is closed as well.
     """
     if state.worker is None or state.worker.instance != instance:
         return False
-    state.left = True
+    state.deregistered = True
     state.worker = dataclasses.replace(state.worker, state=agents.WorkerState.ABSENT)
-    # The next check-in of a life that goes on describes the worker anew.
+    # The next heartbeat of an incarnation that goes on describes the worker anew.
     state.sequence = -1
     state.dirty = True
     return True
@@ -73,10 +73,10 @@
         and now - state.heard_at >= states.DEPARTED_SECONDS
         and state.absent_calls >= states.ABSENT_CALLS
     )
-    if not state.left and not departed:
+    if not state.deregistered and not departed:
         return False
     _lose_runs(state, "the worker has left", startable=True)
-    state.left = False
+    state.deregistered = False
     state.leaves_at = None
     if state.worker.state is not agents.WorkerState.ABSENT:
         state.worker = dataclasses.replace(state.worker, state=agents.WorkerState.ABSENT)
@@ -99,7 +99,7 @@
     if now - state.heard_at < states.SILENT_SECONDS:
         return False
     state.worker = dataclasses.replace(worker, state=agents.WorkerState.ABSENT)
-    # The next check-in describes the worker anew, whatever its number.
+    # The next heartbeat describes the worker anew, whatever its number.
     state.sequence = -1
     state.dirty = True
     return True
@@ -117,7 +117,8 @@
 def _deadlines_passed(state: states.State, now: float) -> bool:
     """Tell whether even the slowest clock of the worker has passed all deadlines.
 
-    Deadlines of an earlier process or for an earlier life came before the promise of that time.
+    Deadlines of an earlier process or for an earlier incarnation came before the promise of that
+    time.
     """
     inherited_ms = state.inherited_until_ms + KILL_MARGIN_MS
     if storeclock.earliest_ms(state.clock, now) <= inherited_ms:
@@ -132,13 +133,13 @@
     return (*dataclasses.astuple(dataclasses.replace(worker, leaves_in_ms=0)),)
 
 
-def _new_life(state: states.State, now: float) -> None:
-    """Forget the worker's former life, which ended with all that it ran.
+def _new_incarnation(state: states.State, now: float) -> None:
+    """Forget the worker's previous incarnation, which ended with all that it ran.
 
-    A start that was sent before this check-in may have reached the new life already, if it has
-    the same id, and one without an answer may still reach it. Runs that the former life has
-    listed are lost at once; the next list tells which of the others the new life has, and the
-    rest are stopped and then lost.
+    A start that was sent before this heartbeat may have reached the new incarnation already, if it
+    has the same id, and one without an answer may still reach it. Runs that the previous
+    incarnation has listed are lost at once; the next list tells which of the others the new
+    incarnation has, and the rest are stopped and then lost.
     """
     if any(held.phase is not states.Phase.ENDED for held in state.held.values()):
         # Such a start carried a deadline on the former clock; the worker shortens it to the
@@ -146,7 +147,7 @@
         granted_ms = state.hold_ms + states.HOLD_BELOW_LONGEST_MS
         latest_ms = storeclock.latest_ms(state.clock, now) + granted_ms
         state.inherited_until_ms = max(state.inherited_until_ms, latest_ms)
-    reason = "the worker has started a new life"
+    reason = "the worker has started a new incarnation"
     for key, held in list(state.held.items()):
         pending = held.unsure or held.calling
         if held.phase is states.Phase.WAITING and pending:
@@ -162,7 +163,7 @@
     state.inherited_until_ms = max(state.inherited_until_ms, state.hold_until_ms)
     state.recorded_through = 0
     state.ignorable.clear()
-    # Numbers of ends start anew; ends of the former life keep numbers of our own.
+    # Numbers of ends start anew; ends of the previous incarnation keep numbers of our own.
     for number in [number for number in state.ends if number > 0]:
         state.own_ends -= 1
         state.ends[state.own_ends] = state.ends.pop(number)
--- a/packages/core/src/peridothatch_core/model/agents.py
+++ b/packages/core/src/peridothatch_core/model/agents.py
@@ -22,15 +22,15 @@
 
     Attributes
     ----------
-    instance, born_ms : str, int
-        Id of the worker, and the start of its life since 1970-01-01 UTC; a new life under an
-        old id knows nothing of before.
+    instance, started_ms : str, int
+        Id of the worker, and the start of its incarnation since 1970-01-01 UTC; a new incarnation
+        under an old id knows nothing of before.
     leaves_in_ms : int
         Least time until a draining worker leaves.
     """
 
     instance: str
-    born_ms: int
+    started_ms: int
     service: str
     zone: str
     state: WorkerState
--- a/packages/core/src/peridothatch_core/model/steps.py
+++ b/packages/core/src/peridothatch_core/model/steps.py
@@ -25,7 +25,7 @@
     """How a run of a task ended.
 
     ``REJECTED`` and ``LOST`` are decided by the agent: the run never began, or it ended with the
-    life of its worker.
+    incarnation of its worker.
     """
 
     DONE = "done"
@@ -245,8 +245,8 @@
     ----------
     start_by_ms : int
         Store time after which the agent must not send the start any more.
-    instance, born_ms : str, int
-        The life of the worker that the order is meant for.
+    instance, started_ms : str, int
+        The incarnation of the worker that the order is meant for.
     checkpointing : bool
         A stop saves the work so far.
     ticket : str
@@ -257,7 +257,7 @@
     task: str
     attempt: int
     instance: str
-    born_ms: int
+    started_ms: int
     start_by_ms: int
     checkpoint: str = ""
     checkpointing: bool = False
--- a/packages/core/src/peridothatch_core/reception/__init__.py
+++ b/packages/core/src/peridothatch_core/reception/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions on the calls of consumers about jobs."""
+"""Decisions on the calls of callers about jobs."""
--- a/packages/core/src/peridothatch_core/reception/calls.py
+++ b/packages/core/src/peridothatch_core/reception/calls.py
@@ -1,4 +1,4 @@
-"""Calls of consumers about jobs, and the answers to them."""
+"""Calls of callers about jobs, and the answers to them."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class Action(enum.Enum):
-    """What a consumer asks for."""
+    """What a caller asks for."""
 
     SUBMIT = enum.auto()
     STATE = enum.auto()
@@ -21,7 +21,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Submission:
-    """A job as a consumer describes it."""
+    """A job as a caller describes it."""
 
     spec: str
     steps: tuple[steps.Step, ...]
--- a/packages/core/src/peridothatch_core/schedule/progress.py
+++ b/packages/core/src/peridothatch_core/schedule/progress.py
@@ -171,7 +171,7 @@
 def cancel(state: states.State, job: steps.Job, now_ms: int) -> None:
     """Cancel a job that has not ended and stop its runs."""
     if job.state not in steps.FINAL_STATES:
-        finish(state, job, steps.JobState.CANCELLED, "cancelled by its consumer", now_ms)
+        finish(state, job, steps.JobState.CANCELLED, "cancelled by its caller", now_ms)
 
 
 def finish(
--- a/packages/core/src/peridothatch_core/schedule/speeds.py
+++ b/packages/core/src/peridothatch_core/schedule/speeds.py
@@ -25,7 +25,8 @@
 """Time for which a worker counts as slow after a report that showed it."""
 
 UNSTEADY_MS = 8000
-"""Time for which work goes elsewhere after a worker has started a new life without notice."""
+"""Time for which work goes elsewhere after a worker has started a new incarnation without
+notice."""
 
 LASTING_SHARE = 0.87
 """Part of the usual progress below which a worker is of a slower kind, on average."""
@@ -64,7 +65,7 @@
 
 def observe(state: states.State, old: agents.Agent, new: agents.Agent) -> None:
     """Compare two reports of an agent; the promises of their leases tell the time between."""
-    if old.worker and new.worker and old.worker.born_ms != new.worker.born_ms:
+    if old.worker and new.worker and old.worker.started_ms != new.worker.started_ms:
         _restarted(state, old, new)
         return
     interval_ms = new.hold_until_ms - old.hold_until_ms
@@ -137,7 +138,7 @@
 
 
 def _restarted(state: states.State, old: agents.Agent, new: agents.Agent) -> None:
-    """Forget a life that has ended; the next one may be of another kind."""
+    """Forget an incarnation that has ended; the next one may be of another kind."""
     speed = WorkerSpeed()
     if old.worker is not None and old.worker.state is not agents.WorkerState.DRAINING:
         speed.avoid_until_ms = new.hold_until_ms - state.limits.hold_ms + UNSTEADY_MS
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -313,7 +313,7 @@
         task=task,
         attempt=attempt,
         instance=room.worker.instance,
-        born_ms=room.worker.born_ms,
+        started_ms=room.worker.started_ms,
         start_by_ms=now_ms + states.START_WINDOW_MS,
         checkpoint=step_progress.saved[steps.slot(step, index)],
         checkpointing=step.checkpointing,
--- a/packages/core/src/peridothatch_core/schedule/tickets.py
+++ b/packages/core/src/peridothatch_core/schedule/tickets.py
@@ -1,7 +1,7 @@
 """Tickets for queues whose policy lets only some workers run a step.
 
-A service outside the product grants them for one step and one life of a worker. It is slow and
-answers in time proportional to the workers that are named, so the scheduler names a few at a
+A service outside the product grants them for one step and one incarnation of a worker. It is slow
+and answers in time proportional to the workers that are named, so the scheduler names a few at a
 time, and more only when those that were granted are not enough.
 """
 
--- a/packages/core/tests/hold/hold_harness.py
+++ b/packages/core/tests/hold/hold_harness.py
@@ -12,7 +12,7 @@
 def worker(**changes):
     fields = {
         "instance": "w-1",
-        "born_ms": BORN_MS,
+        "started_ms": BORN_MS,
         "service": "render",
         "zone": "accra-a",
         "state": agents.WorkerState.READY,
@@ -25,14 +25,14 @@
 
 def order(task=TASK, attempt=1, start_by_ms=12_000, **changes):
     fields = {"job": task.split(".")[0], "task": task, "attempt": attempt, "instance": "w-1",
-              "born_ms": BORN_MS, "start_by_ms": start_by_ms}  # fmt: skip
+              "started_ms": BORN_MS, "start_by_ms": start_by_ms}  # fmt: skip
     return steps.Order(**fields | changes)
 
 
-def listing(now, running=(), ended=(), born_ms=BORN_MS, worker_clock_ms=None):
+def listing(now, running=(), ended=(), started_ms=BORN_MS, worker_clock_ms=None):
     return exchange.Listing(
         "w-1",
-        born_ms,
+        started_ms,
         int(1000 * now) if worker_clock_ms is None else worker_clock_ms,
         tuple(exchange.ListedRun(*run) for run in running),
         tuple(exchange.ListedEnd(*end) for end in ended),
@@ -65,13 +65,13 @@
     step.step(held, exchange.StoreTime(int(1000 * now), now - 0.01, now), now)
     effects = step.step(held, exchange.RowRead(True, None, 0), now)
     write = only(effects, exchange.WriteRow)
-    step.step(held, exchange.CheckedIn(worker(), 1), now)
+    step.step(held, exchange.Heartbeat(worker(), 1), now)
     effects = step.step(held, committed(write, now, version=7), now)
     write = only(effects, exchange.WriteRow)
     step.step(held, committed(write, now, version=8), now)
     step.step(held, exchange.OrdersLoaded(orders or {}, stops or {}), now)
     if listed:
-        step.step(held, exchange.Looked(listing(now)), now)
+        step.step(held, exchange.RunsListed(listing(now)), now)
     return held
 
 
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -22,7 +22,7 @@
     assert not held.held[harness.KEY].stop
     harness.none(step.step(held, exchange.Tick(), 10.2), exchange.Stop)
     running = harness.listing(10.3, running=[(harness.TASK, 1, "c1", 40)])
-    harness.none(step.step(held, exchange.Looked(running), 10.3), exchange.Stop)
+    harness.none(step.step(held, exchange.RunsListed(running), 10.3), exchange.Stop)
     assert held.held[harness.KEY].phase is state.Phase.RUNNING
 
 
@@ -42,14 +42,14 @@
     assert not held.ends
     effects = step.step(held, exchange.StopAnswered(harness.KEY, True), 12.6)
     assert not held.ends
-    step.step(held, exchange.Looked(harness.listing(12.8)), 12.8)
+    step.step(held, exchange.RunsListed(harness.listing(12.8)), 12.8)
     assert [end.kind for end in held.ends.values()] == [steps.EndKind.REJECTED]
 
 
 def test_the_worker_may_forget_an_end_only_when_it_is_in_the_store():
     held = harness.registered(orders={harness.KEY: harness.order()})
     ended = harness.listing(11.0, ended=[(1, harness.TASK, 1, steps.EndKind.DONE, "")])
-    write = harness.only(step.step(held, exchange.Looked(ended), 11.0), exchange.WriteRow)
+    write = harness.only(step.step(held, exchange.RunsListed(ended), 11.0), exchange.WriteRow)
     assert [end.kind for end in write.ends] == [steps.EndKind.DONE]
     assert held.recorded_through == 0
     step.step(held, harness.committed(write, 11.1), 11.1)
@@ -62,14 +62,14 @@
     held = harness.registered(orders={harness.KEY: harness.order()})
     held.writing = True
     ended = harness.listing(11.0, ended=[(1, harness.TASK, 1, steps.EndKind.DONE, "")])
-    harness.none(step.step(held, exchange.Looked(ended), 11.0), exchange.Look)
-    harness.only(step.step(held, exchange.Tick(), 11.5), exchange.Look)
+    harness.none(step.step(held, exchange.RunsListed(ended), 11.0), exchange.ListRuns)
+    harness.only(step.step(held, exchange.Tick(), 11.5), exchange.ListRuns)
 
 
 def test_a_lost_answer_is_settled_by_reading_the_row_back():
     held = harness.registered(orders={harness.KEY: harness.order()})
     ended = harness.listing(11.0, ended=[(1, harness.TASK, 1, steps.EndKind.DONE, "")])
-    write = harness.only(step.step(held, exchange.Looked(ended), 11.0), exchange.WriteRow)
+    write = harness.only(step.step(held, exchange.RunsListed(ended), 11.0), exchange.WriteRow)
     unknown = harness.committed(write, 12.0, rows.Outcome.UNKNOWN)
     harness.only(step.step(held, unknown, 12.0), exchange.ReadRow)
     step.step(held, exchange.RowRead(True, write.row, 55), 12.1)
@@ -90,7 +90,7 @@
 def test_a_draining_worker_gets_no_start():
     held = harness.registered()
     leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=5_000)
-    step.step(held, exchange.CheckedIn(leaving, 2), 10.1)
+    step.step(held, exchange.Heartbeat(leaving, 2), 10.1)
     effects = step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.2)
     harness.none(effects, exchange.Start)
     assert [end.kind for end in held.ends.values()] == [steps.EndKind.REJECTED]
@@ -100,9 +100,9 @@
     adopted = {harness.KEY: harness.order(checkpointing=True)}
     held = harness.registered(orders=adopted, listed=False)
     running = harness.listing(10.1, running=[(harness.TASK, 1, "c1", 40)])
-    step.step(held, exchange.Looked(running), 10.1)
+    step.step(held, exchange.RunsListed(running), 10.1)
     leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=3_000)
-    harness.none(step.step(held, exchange.CheckedIn(leaving, 2), 10.2), exchange.Stop)
+    harness.none(step.step(held, exchange.Heartbeat(leaving, 2), 10.2), exchange.Stop)
     harness.only(step.step(held, exchange.Tick(), 11.9), exchange.Stop)
 
 
@@ -111,53 +111,53 @@
     step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.01)
     step.step(held, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.STARTED), 10.05)
     running = harness.listing(10.1, running=[(harness.TASK, 1, "c1", 40)])
-    step.step(held, exchange.Looked(running), 10.1)
-    step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000), 0), 10.5)
+    step.step(held, exchange.RunsListed(running), 10.1)
+    step.step(held, exchange.Heartbeat(harness.worker(started_ms=9_000), 0), 10.5)
     assert [(end.kind, end.saved) for end in held.ends.values()] == [(steps.EndKind.LOST, "c1")]
     assert held.recorded_through == 0
 
 
 def test_an_adopted_run_is_barred_on_a_new_life_before_it_counts_as_lost():
-    # The start of an earlier process may still be carried out, by the new life.
+    # The start of an earlier process may still be carried out, by the new incarnation.
     late = {harness.KEY: harness.order(start_by_ms=1)}
     held = harness.registered(orders=late, listed=False)
     running = harness.listing(10.1, running=[(harness.TASK, 1, "c1", 40)])
-    step.step(held, exchange.Looked(running), 10.1)
-    step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000), 0), 10.5)
+    step.step(held, exchange.RunsListed(running), 10.1)
+    step.step(held, exchange.Heartbeat(harness.worker(started_ms=9_000), 0), 10.5)
     assert not held.ends
-    new = harness.listing(10.8, born_ms=9_000)
-    harness.only(step.step(held, exchange.Looked(new), 10.8), exchange.Stop)
+    new = harness.listing(10.8, started_ms=9_000)
+    harness.only(step.step(held, exchange.RunsListed(new), 10.8), exchange.Stop)
     step.step(held, exchange.StopAnswered(harness.KEY, True), 10.9)
-    step.step(held, exchange.Looked(harness.listing(11.2, born_ms=9_000)), 11.2)
+    step.step(held, exchange.RunsListed(harness.listing(11.2, started_ms=9_000)), 11.2)
     assert [(end.kind, end.saved) for end in held.ends.values()] == [(steps.EndKind.LOST, "c1")]
 
 
-def _started_across_lives():
-    """Return an agent that sent a start before it heard of the worker's new life."""
+def _started_across_incarnations():
+    """Return an agent that sent a start before it heard of the worker's new incarnation."""
     held = harness.registered()
     step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
     step.step(held, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.STARTED), 10.2)
-    step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000), 0), 10.5)
+    step.step(held, exchange.Heartbeat(harness.worker(started_ms=9_000), 0), 10.5)
     return held
 
 
 def test_a_start_that_reached_the_new_life_is_not_taken_for_lost():
     # Soak seed 9: the run was reported as lost and started elsewhere while it went on.
-    held = _started_across_lives()
+    held = _started_across_incarnations()
     assert not held.ends
-    running = harness.listing(10.8, running=[(harness.TASK, 1, "", 5)], born_ms=9_000)
-    harness.none(step.step(held, exchange.Looked(running), 10.8), exchange.Stop)
+    running = harness.listing(10.8, running=[(harness.TASK, 1, "", 5)], started_ms=9_000)
+    harness.none(step.step(held, exchange.RunsListed(running), 10.8), exchange.Stop)
     assert not held.ends
     assert held.held[harness.KEY].phase is state.Phase.RUNNING
 
 
 def test_a_start_that_did_not_reach_the_new_life_is_barred_and_then_lost():
-    held = _started_across_lives()
-    effects = step.step(held, exchange.Looked(harness.listing(10.8, born_ms=9_000)), 10.8)
+    held = _started_across_incarnations()
+    effects = step.step(held, exchange.RunsListed(harness.listing(10.8, started_ms=9_000)), 10.8)
     harness.only(effects, exchange.Stop)
     assert not held.ends
     step.step(held, exchange.StopAnswered(harness.KEY, True), 10.9)
-    step.step(held, exchange.Looked(harness.listing(11.2, born_ms=9_000)), 11.2)
+    step.step(held, exchange.RunsListed(harness.listing(11.2, started_ms=9_000)), 11.2)
     assert [end.kind for end in held.ends.values()] == [steps.EndKind.LOST]
 
 
@@ -165,32 +165,32 @@
     held = harness.registered()
     effects = step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
     harness.only(effects, exchange.Start)
-    step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000), 0), 10.5)
+    step.step(held, exchange.Heartbeat(harness.worker(started_ms=9_000), 0), 10.5)
     assert not held.ends
     step.step(held, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.NO_ANSWER), 10.9)
     harness.only(step.step(held, exchange.Tick(), 11.2), exchange.Stop)
     assert not held.ends
 
 
-def test_a_late_goodbye_of_a_former_life_ends_nothing():
-    # A new life under the same id was taken for gone, and its runs were started elsewhere.
+def test_a_late_deregistration_of_a_previous_incarnation_ends_nothing():
+    # A new incarnation under the same id was taken for gone, and its runs were started elsewhere.
     held = harness.registered(orders={harness.KEY: harness.order()})
     running = harness.listing(10.5, running=[(harness.TASK, 1, "c1", 40)])
-    step.step(held, exchange.Looked(running), 10.5)
-    step.step(held, exchange.Left("w-1"), 10.6)
+    step.step(held, exchange.RunsListed(running), 10.5)
+    step.step(held, exchange.Deregistered("w-1"), 10.6)
     assert not held.ends
-    step.step(held, exchange.CheckedIn(harness.worker(), 2), 11.0)
+    step.step(held, exchange.Heartbeat(harness.worker(), 2), 11.0)
     assert held.worker.state is agents.WorkerState.READY
-    step.step(held, exchange.Looked(None, no_listener=True), 11.1)
+    step.step(held, exchange.RunsListed(None, no_listener=True), 11.1)
     assert not held.ends
 
 
-def test_a_goodbye_ends_the_runs_once_the_address_is_closed():
+def test_a_deregistration_ends_the_runs_once_the_address_is_closed():
     held = harness.registered(orders={harness.KEY: harness.order()})
     running = harness.listing(10.5, running=[(harness.TASK, 1, "c1", 40)])
-    step.step(held, exchange.Looked(running), 10.5)
-    step.step(held, exchange.Left("w-1"), 10.6)
-    step.step(held, exchange.Looked(None, no_listener=True), 10.9)
+    step.step(held, exchange.RunsListed(running), 10.5)
+    step.step(held, exchange.Deregistered("w-1"), 10.6)
+    step.step(held, exchange.RunsListed(None, no_listener=True), 10.9)
     assert [(end.kind, end.saved) for end in held.ends.values()] == [(steps.EndKind.LOST, "c1")]
 
 
@@ -198,9 +198,9 @@
     """Return an agent whose worker runs a task and leaves at 13.0."""
     held = harness.registered(orders={harness.KEY: harness.order()})
     running = harness.listing(10.5, running=[(harness.TASK, 1, "c1", 40)])
-    step.step(held, exchange.Looked(running), 10.5)
+    step.step(held, exchange.RunsListed(running), 10.5)
     leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=2_000)
-    step.step(held, exchange.CheckedIn(leaving, 2), 11.0)
+    step.step(held, exchange.Heartbeat(leaving, 2), 11.0)
     return held
 
 
@@ -209,7 +209,7 @@
     held = _departing()
     harness.tick(held, 11.0, 13.0)
     for now in (13.1, 13.4, 13.7):
-        step.step(held, exchange.Looked(None, no_listener=True), now)
+        step.step(held, exchange.RunsListed(None, no_listener=True), now)
     assert [end.kind for end in held.ends.values()] == [steps.EndKind.LOST]
 
 
@@ -222,7 +222,7 @@
     for number in range(12):
         now = 13.1 + 0.3 * number
         held.writing = False
-        effects = step.step(held, exchange.Looked(None, no_listener=True), now)
+        effects = step.step(held, exchange.RunsListed(None, no_listener=True), now)
         for write in [effect for effect in effects if isinstance(effect, exchange.WriteRow)]:
             written.append(now)
             step.step(held, harness.committed(write, now), now)
@@ -235,31 +235,31 @@
         held = _departing()
         harness.tick(held, 11.0, times[0])
         for now in times:
-            step.step(held, exchange.Looked(None, no_listener=no_listener), now)
+            step.step(held, exchange.RunsListed(None, no_listener=no_listener), now)
         assert not held.ends
 
 
-def test_a_departing_worker_that_still_checks_in_keeps_its_runs():
+def test_a_departing_worker_that_still_sends_heartbeats_keeps_its_runs():
     held = _departing()
     leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=0)
     harness.tick(held, 11.0, 12.9)
-    step.step(held, exchange.CheckedIn(leaving, 3), 12.9)
+    step.step(held, exchange.Heartbeat(leaving, 3), 12.9)
     for now in (13.1, 13.4, 13.7):
-        step.step(held, exchange.Looked(None, no_listener=True), now)
+        step.step(held, exchange.RunsListed(None, no_listener=True), now)
     assert not held.ends
 
 
 def test_a_late_check_in_of_an_earlier_life_is_ignored():
     held = harness.registered()
-    step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000, instance="w-2"), 0), 10.5)
-    step.step(held, exchange.CheckedIn(harness.worker(), 50), 10.6)
+    step.step(held, exchange.Heartbeat(harness.worker(started_ms=9_000, instance="w-2"), 0), 10.5)
+    step.step(held, exchange.Heartbeat(harness.worker(), 50), 10.6)
     assert held.worker.instance == "w-2"
 
 
 def test_a_run_that_no_order_asks_for_is_stopped():
     held = harness.registered()
     running = harness.listing(10.1, running=[(harness.TASK, 1, "", 40)])
-    effects = step.step(held, exchange.Looked(running), 10.2)
+    effects = step.step(held, exchange.RunsListed(running), 10.2)
     assert harness.only(effects, exchange.Stop).key == harness.KEY
 
 
@@ -267,7 +267,7 @@
     # The scheduler waits for the end of each run that it has ordered to stop.
     held = harness.registered(stops={harness.KEY: harness.order()})
     step.step(held, exchange.StopAnswered(harness.KEY, True), 10.3)
-    step.step(held, exchange.Looked(harness.listing(10.6)), 10.6)
+    step.step(held, exchange.RunsListed(harness.listing(10.6)), 10.6)
     assert [end.kind for end in held.ends.values()] == [steps.EndKind.REJECTED]
 
 
@@ -343,13 +343,13 @@
 
 
 def test_checkpoints_outlive_a_loss_of_power_of_agent_and_worker():
-    # The new life knows nothing of them, and the new process had forgotten the old row.
+    # The new incarnation knows nothing of them, and the new process had forgotten the old row.
     report = agents.RunReport(harness.TASK, 1, "c9", 70)
     held = _restarted(_row(33_000, (report,)))
-    step.step(held, exchange.CheckedIn(harness.worker(born_ms=9_000), 0), 30.5)
+    step.step(held, exchange.Heartbeat(harness.worker(started_ms=9_000), 0), 30.5)
     step.step(held, exchange.StopAnswered(harness.KEY, True), 30.6)
-    listing = harness.listing(31.0, born_ms=9_000)
-    step.step(held, exchange.Looked(listing), 31.0)
+    listing = harness.listing(31.0, started_ms=9_000)
+    step.step(held, exchange.RunsListed(listing), 31.0)
     assert [(end.kind, end.saved) for end in held.ends.values()] == [(steps.EndKind.LOST, "c9")]
 
 
@@ -366,9 +366,9 @@
     step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
     step.step(held, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.STARTED), 10.2)
     running = harness.listing(10.3, running=[(harness.TASK, 1, "c1", 40)])
-    step.step(held, exchange.Looked(running), 10.3)
+    step.step(held, exchange.RunsListed(running), 10.3)
     step.step(held, exchange.Tick(), 30.0)
     assert not held.ends
     ended = harness.listing(30.2, ended=[(1, harness.TASK, 1, steps.EndKind.DONE, "")])
-    step.step(held, exchange.Looked(ended), 30.2)
+    step.step(held, exchange.RunsListed(ended), 30.2)
     assert [end.kind for end in held.ends.values()] == [steps.EndKind.DONE]
--- a/packages/core/tests/reception/test_store_health.py
+++ b/packages/core/tests/reception/test_store_health.py
@@ -18,7 +18,7 @@
 
 
 def test_calls_that_fail_one_after_the_other_show_an_outage():
-    # Calls were held until the consumer's time was over while the store reset connections.
+    # Calls were held until the caller's time was over while the store reset connections.
     health = _answered(10.0)
     store_health.failed(health)
     store_health.failed(health)
--- a/packages/core/tests/schedule/schedule_harness.py
+++ b/packages/core/tests/schedule/schedule_harness.py
@@ -11,7 +11,7 @@
 def worker(node, **changes):
     fields = {
         "instance": f"w-{node}",
-        "born_ms": 1,
+        "started_ms": 1,
         "service": "render",
         "zone": "accra-a",
         "state": agents.WorkerState.READY,
--- a/packages/core/tests/schedule/test_speeds.py
+++ b/packages/core/tests/schedule/test_speeds.py
@@ -80,7 +80,7 @@
     own, _ = _running()
     old = own.agents["n2"]
     new = agents.Agent(
-        "n2", old.zone, 1, 0, old.hold_until_ms + INTERVAL_MS, harness.worker("n2", born_ms=2)
+        "n2", old.zone, 1, 0, old.hold_until_ms + INTERVAL_MS, harness.worker("n2", started_ms=2)
     )
     speeds.observe(own, old, new)
     now_ms = harness.NOW_MS + INTERVAL_MS
@@ -91,7 +91,7 @@
 def test_a_planned_replacement_does_not_count_as_unsteady():
     own, _ = _running()
     old = harness.agent("n2", state=agents.WorkerState.DRAINING)
-    speeds.observe(own, old, harness.agent("n2", born_ms=2))
+    speeds.observe(own, old, harness.agent("n2", started_ms=2))
     assert speeds.avoided_nodes(own, harness.NOW_MS, lasting=False) == set()
 
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/agent.py
@@ -7,9 +7,9 @@
 
 from peridothatch_core.hold import state
 from peridothatch_core.model import tables
-from peridothatch_daemon.hosted import clock, keeper, log, observe, serving
+from peridothatch_daemon.hosted import clock, log, observe, serving, supervisor
 from peridothatch_daemon.observe import metrics
-from peridothatch_platform import checkins, settings, store, worker
+from peridothatch_platform import heartbeats, settings, store, worker
 from peridothatch_wire import mailbox
 
 
@@ -20,7 +20,7 @@
     store: store.Client
     calls: worker.Client
     feed: store.Feed
-    keeper: keeper.Keeper
+    supervisor: supervisor.Supervisor
     servers: list[serving.Server]
     exported: metrics.Metrics
 
@@ -36,11 +36,11 @@
     Raises
     ------
     ValueError
-        The settings name no worker or no address for its check-ins.
+        The settings name no worker or no address for its heartbeats.
     """
-    if machine.worker is None or machine.check_ins is None:
+    if machine.worker is None or machine.heartbeats is None:
         raise ValueError("app, listen.control: an agent needs both addresses")
-    inbox = mailbox.create("keeper")
+    inbox = mailbox.create("supervisor")
 
     def deliver(message: typing.Any) -> None:
         mailbox.post(inbox, message)
@@ -49,13 +49,13 @@
     calls = await worker.start(machine.worker, clock.now, deliver)
     held = state.State(machine.node, machine.data_centre, state.lease_ms(machine.longest_hold_ms))
     exported = metrics.start(machine.node)
-    running = keeper.start(
+    running = supervisor.start(
         held,
         inbox,
         client.inbox,
         calls.inbox,
         on_replaced,
-        metrics.latency(exported, "keeper_start_seconds", "Time until a start is confirmed"),
+        metrics.latency(exported, "supervisor_start_seconds", "Time until a start is confirmed"),
     )
     feed = await store.follow(
         machine.store,
@@ -66,13 +66,13 @@
         log.feed_regained,
     )
     identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "agent"}
-    observed = observe.application(identity, {"keeper": inbox}, exported)
+    observed = observe.application(identity, {"supervisor": inbox}, exported)
     servers = [
         await serving.start(
-            "check-ins",
-            machine.check_ins.host,
-            machine.check_ins.port,
-            checkins.application(deliver, _rejected),
+            "heartbeats",
+            machine.heartbeats.host,
+            machine.heartbeats.port,
+            heartbeats.application(deliver, _rejected),
         ),
         await serving.start("metrics", machine.metrics.host, machine.metrics.port, observed),
     ]
@@ -86,7 +86,7 @@
     for server in agent.servers:
         await serving.close(server)
     await store.unfollow(agent.feed)
-    await keeper.close(agent.keeper)
+    await supervisor.close(agent.supervisor)
     await worker.close(agent.calls)
     await store.close(agent.store)
     metrics.close(agent.exported)
@@ -94,4 +94,4 @@
 
 
 def _rejected(instance: str, reason: str) -> None:
-    log.event("check_in:rejected", instance=instance, reason=reason)
+    log.event("heartbeat:rejected", instance=instance, reason=reason)
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -7,7 +7,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Reception:
-    """Counters of the task that answers consumers."""
+    """Counters of the task that answers callers."""
 
     calls_accepted: int = 0
     calls_refused: int = 0
@@ -29,7 +29,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Keeper:
+class Supervisor:
     """Counters of the task that keeps a worker's runs."""
 
     starts_confirmed: int = 0
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -167,7 +167,7 @@
     tasks = {"reception": entry.reception.inbox, "scheduler": entry.scheduler.inbox}
     identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "entry"}
     applications = [
-        ("consumers", machine.callers, ingress.consumers(ask)),
+        ("callers", machine.callers, ingress.callers(ask)),
         ("readiness", machine.readiness, ingress.readiness(ready)),
         ("metrics", machine.metrics, observe.application(identity, tasks, entry.exported)),
     ]
--- a/packages/daemon/src/peridothatch_daemon/hosted/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/messages.py
@@ -15,7 +15,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Asked:
-    """A consumer's call; the reply takes a ``calls.Answer``."""
+    """A caller's call; the reply takes a ``calls.Answer``."""
 
     call: calls.Call
     reply: mailbox.Reply
--- a/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
@@ -1,4 +1,4 @@
-"""Calls of consumers that wait for the store, and their answers."""
+"""Calls of callers that wait for the store, and their answers."""
 
 from __future__ import annotations
 
@@ -60,7 +60,7 @@
 
 @dataclasses.dataclass(slots=True)
 class State:
-    """State of the task that answers consumers.
+    """State of the task that answers callers.
 
     Attributes
     ----------
--- a/packages/daemon/src/peridothatch_daemon/hosted/keeper.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
@@ -48,11 +48,11 @@
     specs: dict[str, str] = dataclasses.field(default_factory=dict)
     started: dict[exchange.RunKey, float] = dataclasses.field(default_factory=dict)
     starts: dict[str, list[exchange.Start]] = dataclasses.field(default_factory=dict)
-    counters: counters.Keeper = dataclasses.field(default_factory=counters.Keeper)
+    counters: counters.Supervisor = dataclasses.field(default_factory=counters.Supervisor)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Keeper:
+class Supervisor:
     """The running task."""
 
     inbox: mailbox.Mailbox
@@ -67,7 +67,7 @@
     worker: mailbox.Mailbox,
     on_replaced: typing.Callable[[], None],
     record: metrics.Record,
-) -> Keeper:
+) -> Supervisor:
     """Start the task.
 
     Parameters
@@ -86,17 +86,17 @@
     def handle(message: typing.Any) -> None:
         _handle(own, message)
 
-    return Keeper(
+    return Supervisor(
         inbox,
-        task.start("keeper", loop.run(inbox, handle)),
-        task.start("keeper ticks", task.every(TICK_SECONDS, inbox, exchange.Tick())),
+        task.start("supervisor", loop.run(inbox, handle)),
+        task.start("supervisor ticks", task.every(TICK_SECONDS, inbox, exchange.Tick())),
     )
 
 
-async def close(keeper: Keeper) -> None:
+async def close(supervisor: Supervisor) -> None:
     """Stop the task; runs live on until their lease ends or another process renews it."""
-    await task.close(keeper.ticking)
-    await task.close(keeper.running)
+    await task.close(supervisor.ticking)
+    await task.close(supervisor.running)
 
 
 def _handle(own: _State, message: typing.Any) -> None:
@@ -119,9 +119,9 @@
                 _start(own, effect)
             case exchange.Stop():
                 held = own.hold.held.get(effect.key)
-                log.event("keeper:stop", run=effect.key, reason=held.stop if held else "")
+                log.event("supervisor:stop", run=effect.key, reason=held.stop if held else "")
                 mailbox.post(own.worker, effect)
-            case exchange.Look():
+            case exchange.ListRuns():
                 mailbox.post(own.worker, effect)
             case exchange.WriteRow():
                 _write(own, effect)
@@ -129,7 +129,7 @@
                 key = tables.agent(own.hold.node)
                 _fetch(own, "row", key.table, key.key)
             case exchange.Replaced(fence):
-                log.event("keeper:replaced", own_fence=own.hold.fence, other_fence=fence)
+                log.event("supervisor:replaced", own_fence=own.hold.fence, other_fence=fence)
                 own.on_replaced()
 
 
@@ -137,7 +137,7 @@
     spec = own.specs.get(call.order.job)
     if spec is not None:
         log.event(
-            "keeper:start",
+            "supervisor:start",
             run=call.key,
             lease_end_ms=call.lease_end_ms,
             fence=call.fence,
@@ -189,7 +189,7 @@
     waiting = own.starts.pop(job_id, [])
     row = next((row for row in done.rows or () if row.value is not None), None)
     if row is None:
-        log.event("keeper:no_spec", job=job_id, reason=done.reason or "the row is absent")
+        log.event("supervisor:no_spec", job=job_id, reason=done.reason or "the row is absent")
         for call in waiting:
             # Nothing was sent, so the start is tried again while its time lasts.
             _step(own, exchange.StartAnswered(call.key, exchange.StartOutcome.BUSY, "no spec"))
@@ -222,7 +222,7 @@
             continue
         order = records.decode(records.ORDER, row.value)
         log.event(
-            "keeper:order",
+            "supervisor:order",
             run=key,
             stop=is_stop,
             version=row.version,
@@ -240,7 +240,7 @@
 def _log_event(own: _State, event: exchange.Event) -> None:
     match event:
         case exchange.StartAnswered(key, outcome, reason):
-            log.event("keeper:start_answered", run=key, outcome=outcome.name, reason=reason)
+            log.event("supervisor:start_answered", run=key, outcome=outcome.name, reason=reason)
             match outcome:
                 case exchange.StartOutcome.STARTED:
                     own.counters.starts_confirmed += 1
@@ -250,13 +250,13 @@
                 case _:
                     own.counters.starts_unanswered += 1
         case exchange.StopAnswered(key, confirmed):
-            log.event("keeper:stop_answered", run=key, confirmed=confirmed)
+            log.event("supervisor:stop_answered", run=key, confirmed=confirmed)
             own.counters.stops_unanswered += not confirmed
         case rows.Committed(outcome=rows.Outcome.COMMITTED):
             for end in own.hold.written_ends.values():
                 own.started.pop((end.task, end.attempt), None)
                 log.event(
-                    "keeper:end_recorded",
+                    "supervisor:end_recorded",
                     run=(end.task, end.attempt),
                     how=str(end.kind),
                     saved=end.saved,
@@ -265,23 +265,23 @@
                 )
         case rows.Committed(outcome=outcome):
             own.counters.writes_failed += 1
-            log.event("keeper:write_failed", outcome=outcome.name, reason=event.reason)
-        case exchange.CheckedIn(worker, sequence):
+            log.event("supervisor:write_failed", outcome=outcome.name, reason=event.reason)
+        case exchange.Heartbeat(worker, sequence):
             known = own.hold.worker
-            if known is None or (known.instance, known.born_ms, known.state) != (
+            if known is None or (known.instance, known.started_ms, known.state) != (
                 worker.instance,
-                worker.born_ms,
+                worker.started_ms,
                 worker.state,
             ):
                 log.event(
-                    "keeper:worker",
+                    "supervisor:worker",
                     instance=worker.instance,
-                    born_ms=worker.born_ms,
+                    started_ms=worker.started_ms,
                     state=str(worker.state),
                     sequence=sequence,
                 )
-        case exchange.Left(instance):
-            log.event("keeper:worker_left", instance=instance)
+        case exchange.Deregistered(instance):
+            log.event("supervisor:worker_left", instance=instance)
 
 
 def _dump(own: _State) -> dict[str, typing.Any]:
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -224,7 +224,7 @@
 _KEEPER = {
     "starts_confirmed": Text("Starts that the worker confirmed.", "None; shows the work."),
     "starts_refused": Text(
-        "Starts that the worker refused.", "Look at the reason in `keeper:start_answered`."
+        "Starts that the worker refused.", "Look at the reason in `supervisor:start_answered`."
     ),
     "starts_unanswered": Text(
         "Starts without a usable answer; they may be carried out late.", "Check the worker."
@@ -246,5 +246,5 @@
     "members": _MEMBERS,
     "reception": _RECEPTION,
     "scheduler": _SCHEDULER,
-    "keeper": _KEEPER,
+    "supervisor": _KEEPER,
 }
--- a/scripts/generate_references.py
+++ b/scripts/generate_references.py
@@ -37,7 +37,7 @@
     "intake/status.py": "http",
     "hosted/reception.py": "reception",
     "hosted/scheduler.py": "scheduler",
-    "hosted/keeper.py": "keeper",
+    "hosted/supervisor.py": "supervisor",
 }
 # Modules whose function ``count`` raises a counter of the task.
 COUNTING = {"flight": "dispatch", "holding": "slots"}
@@ -46,7 +46,7 @@
     "members": member_state.Counters,
     "reception": counters.Reception,
     "scheduler": counters.Scheduler,
-    "keeper": counters.Keeper,
+    "supervisor": counters.Supervisor,
 }
 EVERY_PROCESS = "every process"
 TEXTS = {EVERY_PROCESS: metric_texts.FIXED, **metric_texts.TASKS}
--- a/specs/hosted_run.py
+++ b/specs/hosted_run.py
@@ -1,11 +1,11 @@
 """Specification: a task runs at most once at a time on the users' platform.
 
-One task with an order for worker A, which the leader may give to worker B instead once A's run
-is certainly over. The agent of A promises in the store how long runs may live; its renewals and
-its starts may arrive at any later time, and answers may be lost. The worker may start a new life
-under its old id, which knows nothing of before; a start in flight to the old life is lost, and
-one that is sent later reaches the new life, of which the agent has not heard. Time passes in
-ticks.
+One task with an order for worker A, which the leader may give to worker B instead once A's run is
+certainly over. The agent of A promises in the store how long runs may live; its renewals and its
+starts may arrive at any later time, and answers may be lost. The worker may start a new
+incarnation under its old id, which knows nothing of before; a start in flight to the old
+incarnation is lost, and one that is sent later reaches the new incarnation, of which the agent has
+not heard. Time passes in ticks.
 
 A renewal that is applied after the lapse does no harm here, because the order is too old by
 then; the condition on the agent's row is a second safeguard, which is not modelled.
@@ -27,7 +27,7 @@
     "an unanswered start is barred before it is given up": "one_run_at_a_time",
     "the leader waits for the promise to pass": "one_run_at_a_time",
     "an order is carried out soon or never": "one_run_at_a_time",
-    "a run is barred on a new life before it counts as lost": "one_run_at_a_time",
+    "a run is barred on a new incarnation before it counts as lost": "one_run_at_a_time",
 }
 
 
@@ -37,9 +37,9 @@
     ``window`` is when the agent may send the start. ``promise`` is what the store holds and
     ``known`` what the agent has read of it; ``renewal`` and ``start`` are in flight, the latter
     with ``start_until``; ``deadline`` is the worker's; ``run_a`` and ``run_b`` are the runs;
-    ``stopped`` is a stop that the worker has confirmed, ``barred`` what its present life knows of
-    it; ``rejected`` is an end that the agent has recorded; ``reborn`` tells that the worker has
-    started a new life, and ``heard`` that the agent knows.
+    ``stopped`` is a stop that the worker has confirmed, ``barred`` what its current incarnation
+    knows of it; ``rejected`` is an end that the agent has recorded; ``restarted`` tells that the
+    worker has started a new incarnation, and ``heard`` that the agent knows.
     """
 
     window: int = START_TICKS
@@ -52,7 +52,7 @@
     run_a: int = 0
     stopped: int = 0
     barred: int = 0
-    reborn: int = 0
+    restarted: int = 0
     heard: int = 0
     rejected: int = 0
     lapsed: int = 0
@@ -112,9 +112,9 @@
         yield "agent extends the deadline", state._replace(deadline=max(state.deadline, given))
     if state.rejected:
         return
-    if state.reborn and not state.heard:
-        lost = "a run is barred on a new life before it counts as lost" in removed
-        yield "agent hears of the new life", state._replace(heard=1, rejected=int(lost))
+    if state.restarted and not state.heard:
+        lost = "a run is barred on a new incarnation before it counts as lost" in removed
+        yield "agent hears of the new incarnation", state._replace(heard=1, rejected=int(lost))
     if "an unanswered start is barred before it is given up" in removed:
         if not state.run_a:
             yield "agent gives the start up", state._replace(rejected=1)
@@ -125,10 +125,10 @@
 
 
 def _worker(state: State, removed: frozenset[str]) -> typing.Iterator[tuple[str, State]]:
-    if not state.reborn:
+    if not state.restarted:
         yield (
-            "worker starts a new life",
-            state._replace(reborn=1, run_a=0, barred=0, deadline=0, start=0),
+            "worker starts a new incarnation",
+            state._replace(restarted=1, run_a=0, barred=0, deadline=0, start=0),
         )
     if not state.start:
         return
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -33,7 +33,7 @@
 def test_a_check_in_with_a_wrong_field_names_no_worker(change):
     good = {"service": "render", "zone": "accra-a", "state": "ready", "seq": 4, "born": 77,
             "capacity": {"cpu": 1, "mem_mb": 2, "gpu": 3}, "labels": ["a", "r1-3"]}  # fmt: skip
-    described, sequence = worker.decode_check_in("w-1", json.dumps(good).encode())
-    assert (described.kind, described.rack, described.born_ms, sequence) == ("a", "r1-3", 77, 4)
+    described, sequence = worker.decode_heartbeat("w-1", json.dumps(good).encode())
+    assert (described.kind, described.rack, described.started_ms, sequence) == ("a", "r1-3", 77, 4)
     with pytest.raises(ValueError):
-        worker.decode_check_in("w-1", json.dumps(good | change).encode())
+        worker.decode_heartbeat("w-1", json.dumps(good | change).encode())
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -12,7 +12,7 @@
 
 JOB = "/jobs/00000000000000aa"
 ONE_TASK = {"spec": "text", "phases": [{"count": 1, "cpu": 100, "gpu": 1}]}
-CHECK_IN = {
+HEARTBEAT = {
     "service": "render",
     "zone": "accra-a",
     "state": "ready",
@@ -20,25 +20,25 @@
     "capacity": {"cpu": 64000, "mem_mb": 1000, "gpu": 8},
     "labels": ["a", "r1"],
 }
-HISTOGRAMS = ("reception_seconds", "keeper_start_seconds")
+HISTOGRAMS = ("reception_seconds", "supervisor_start_seconds")
 STEP_SECONDS = 0.05
 PATIENCE_SECONDS = 20.0
 
 
 @dataclasses.dataclass
 class System:
-    """A running entry and agent, and a consumer."""
+    """A running entry and agent, and a caller."""
 
     store: object
     worker: object
     entry: entry.Entry
     agent: agent.Agent
     machines: tuple
-    consumer: aiohttp.ClientSession
+    caller: aiohttp.ClientSession
 
     async def call(self, method, path=JOB, body=None, key="k1", deadline_ms="3000"):
         headers = {"Host": "a.example", "Api-Key": key, "X-Request-Deadline": deadline_ms}
-        async with self.consumer.request(method, path, json=body, headers=headers) as response:
+        async with self.caller.request(method, path, json=body, headers=headers) as response:
             payload = await response.json() if response.content_length else {}
             return response.status, payload, response.headers
 
@@ -58,10 +58,10 @@
         store, worker, await entry.start(front), await agent.start(side, lambda: None),
         (front, side), aiohttp.ClientSession(f"http://{front.callers.text}"),
     )  # fmt: skip
-    await _check_in(side)
+    await _heartbeat(side)
     await _until(lambda: _known(started))
     yield started
-    await started.consumer.close()
+    await started.caller.close()
     await agent.close(started.agent)
     await entry.close(started.entry)
 
@@ -124,7 +124,7 @@
 
 
 async def test_a_call_is_not_held_while_the_store_resets_connections(system):
-    # The call was sent again until the consumer's time was over.
+    # The call was sent again until the caller's time was over.
     system.store.mode = "reset"
     async with asyncio.timeout(PATIENCE_SECONDS):
         status, body, _ = await system.call("POST", body=ONE_TASK, deadline_ms="600000")
@@ -139,7 +139,7 @@
 
 
 async def test_an_entry_without_the_store_is_not_ready(system):
-    # Consumers kept connecting to an entry that could only refuse them.
+    # Callers kept connecting to an entry that could only refuse them.
     assert await _ready(system) == 200
     system.store.mode = "refuse"
     await _until(lambda: _is(_ready(system), 503))
@@ -169,7 +169,7 @@
     await _until(lambda: _async(bool(system.worker.running)))
     await agent.close(system.agent)
     system.agent = await agent.start(system.machines[1], lambda: None)
-    await _check_in(system.machines[1], sequence=9)
+    await _heartbeat(system.machines[1], sequence=9)
     await system.until_state("completed")
     assert len(system.worker.starts) == 1
 
@@ -196,7 +196,7 @@
         data_centres={"accra-a": "gh-south"},
         callers=None if worker else address(),
         readiness=None if worker else address(),
-        check_ins=address() if worker else None,
+        heartbeats=address() if worker else None,
         worker=worker.address if worker else None,
         metrics=address(),
         store=store.address,
@@ -207,10 +207,10 @@
     )
 
 
-async def _check_in(machine, sequence=1):
-    async with aiohttp.ClientSession(f"http://{machine.check_ins.text}") as session:
+async def _heartbeat(machine, sequence=1):
+    async with aiohttp.ClientSession(f"http://{machine.heartbeats.text}") as session:
         path = "/peridothatch/instances/w-1"
-        async with session.put(path, json=CHECK_IN | {"seq": sequence}) as response:
+        async with session.put(path, json=HEARTBEAT | {"seq": sequence}) as response:
             assert response.status == 200
 
 
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -47,7 +47,7 @@
         if run.task in self.doing:
             self.breach("at_most_once", f"{run} while {self.doing[run.task]} runs")
         if run.task in self.noted_done:
-            self.breach("at_most_once", f"{run} after an end that was taken note of")
+            self.breach("at_most_once", f"{run} after an end that was acknowledged")
         if job not in self.attempted:
             self.breach("unasked", f"{run}: nobody sent this job")
         elif run.spec != self.attempted[job]:
@@ -67,17 +67,20 @@
         if how == "done":
             self.done[run.task] = (run, number)
 
-    def noted(self, worker, life, number):
+    def noted(self, worker, incarnation, number):
         """Record that a worker was told to forget ends up to a number."""
         for task, (run, end_number) in self.done.items():
-            known = (run.worker, run.life) == (worker, life) and number >= end_number
+            known = (run.worker, run.incarnation) == (worker, incarnation) and number >= end_number
             if known and run not in self.void:
                 self.noted_done.add(task)
 
-    def lapsed(self, worker, life):
-        """Record that a lease lapsed: ends before it that were not taken note of count no more."""
+    def lapsed(self, worker, incarnation):
+        """Record that a lease lapsed: ends before it that were not acknowledged count no more."""
         for task, (run, _) in self.done.items():
-            if (run.worker, run.life) == (worker, life) and task not in self.noted_done:
+            if (run.worker, run.incarnation) == (
+                worker,
+                incarnation,
+            ) and task not in self.noted_done:
                 self.void.add(run)
 
     def disturbed(self):
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -65,7 +65,7 @@
     workers: list
     processes: list
     fronts: list
-    check_ins: list
+    heartbeats: list
     runners: list
     logs: pathlib.Path
     config_version: int = 1
@@ -75,7 +75,7 @@
 async def run(seed, folder, plan=None):
     """Run one seed and return what was seen; processes write their logs to ``folder``."""
     soak = await _start(plan or soak_plan.make(seed), pathlib.Path(folder))
-    background = [asyncio.create_task(_check_in(soak)), asyncio.create_task(_work(soak))]
+    background = [asyncio.create_task(_heartbeat(soak)), asyncio.create_task(_work(soak))]
     try:
         await _until_ready(soak)
         began = time.monotonic()
@@ -118,7 +118,7 @@
         app = await soak_proxy.start(await _serve(worker.application(), runners))
         text = _settings(f"side-{number}", seen.zones[number], "side", metrics, proxy.port,
                          control=control, app=app.port)  # fmt: skip
-        soak.check_ins.append(control)
+        soak.heartbeats.append(control)
         soak.processes.append(_process(folder, f"side-{number}", "agent", text, proxy, app))
     _configure(soak, (KEY, REVOKED_KEY))
     for process in soak.processes:
@@ -210,16 +210,16 @@
     soak.store.put("op", "", "config", platform_standin.encode(config))
 
 
-async def _check_in(soak):
-    """Let each worker check in twice a second."""
+async def _heartbeat(soak):
+    """Let each worker send a heartbeat twice a second."""
     while True:
-        await asyncio.gather(*(_check_in_one(soak, worker) for worker in soak.workers))
+        await asyncio.gather(*(_heartbeat_one(soak, worker) for worker in soak.workers))
         await asyncio.sleep(0.5)
 
 
-async def _check_in_one(soak, worker):
-    path = f"http://{HOST}:{soak.check_ins[worker.number]}/peridothatch/instances/"
-    body = worker.check_in(soak.seen.zones[worker.number])
+async def _heartbeat_one(soak, worker):
+    path = f"http://{HOST}:{soak.heartbeats[worker.number]}/peridothatch/instances/"
+    body = worker.heartbeat(soak.seen.zones[worker.number])
     with contextlib.suppress(aiohttp.ClientError, TimeoutError):
         async with soak.session.put(
             path + worker.instance, json=body, timeout=aiohttp.ClientTimeout(total=1.0)
--- a/tests/soak/soak_worker.py
+++ b/tests/soak/soak_worker.py
@@ -17,7 +17,7 @@
     """A start that a worker carried out, and when it ended."""
 
     worker: int
-    life: int
+    incarnation: int
     task: str
     attempt: int
     spec: str
@@ -27,14 +27,14 @@
 
 
 class SoakWorker:
-    """One worker; ``seen`` collects starts and ends of all its lives."""
+    """One worker; ``seen`` collects starts and ends of all its incarnations."""
 
     def __init__(self, number, rate, seen):
         self.number = number
         self.rate = rate
         self.seen = seen
         self.mode = "up"
-        self.life = 0
+        self.incarnation = 0
         self.restart()
 
     @property
@@ -42,11 +42,11 @@
         return f"w-{self.number}"
 
     def restart(self):
-        """Begin a new life under the old id: it holds and knows nothing of before."""
+        """Begin a new incarnation under the old id: it holds and knows nothing of before."""
         for started in getattr(self, "running", {}).values():
             self.seen.ended(started["run"], "crashed")
-        self.life += 1
-        self.born_ms = int(1000 * time.time())
+        self.incarnation += 1
+        self.started_ms = int(1000 * time.time())
         self.origin = time.monotonic()
         self.running, self.ends, self.barred = {}, [], {}
         self.fence = 0
@@ -56,10 +56,10 @@
     def clock_ms(self):
         return int(1000 * self.rate * (time.monotonic() - self.origin))
 
-    def check_in(self, zone):
+    def heartbeat(self, zone):
         self.sequence += 1
         return {
-            "service": "render", "zone": zone, "state": "ready", "born": self.born_ms,
+            "service": "render", "zone": zone, "state": "ready", "born": self.started_ms,
             "capacity": CAPACITY, "labels": ["a", f"r{self.number % 2}"], "seq": self.sequence,
         }  # fmt: skip
 
@@ -74,7 +74,7 @@
         """Let time pass: tasks end, and leases lapse."""
         lapsed = self.clock_ms() > self.deadline_ms
         if lapsed:
-            self.seen.lapsed(self.number, self.life)
+            self.seen.lapsed(self.number, self.incarnation)
         for key, held in list(self.running.items()):
             if lapsed:
                 self._end(key, "lapsed")
@@ -118,7 +118,8 @@
         taken = sum(held["spec"]["gpu"] for held in self.running.values())
         if taken + spec["gpu"] > CAPACITY["gpu"]:
             return self._answer(409, reason="room")
-        run = Started(self.number, self.life, *key, body["spec"], body.get("checkpoint", ""),
+        checkpoint = body.get("checkpoint", "")
+        run = Started(self.number, self.incarnation, *key, body["spec"], checkpoint,
                       spec["gpu"], time.monotonic())  # fmt: skip
         done_at = time.monotonic() + spec["seconds"]
         self.running[key] = {"spec": spec, "done_at": done_at, "run": run}
@@ -146,16 +147,16 @@
             return wrong
         self._extend(body)
         until = time.monotonic() + min(body.get("wait_ms", 0), 2000) / 1000.0
-        life = self.life
+        incarnation = self.incarnation
         while True:
             self.work()
-            self.seen.noted(self.number, life, body["last_seen"])
+            self.seen.noted(self.number, incarnation, body["last_seen"])
             news = [end for end in self.ends if end[0] > body["last_seen"]]
-            if news or time.monotonic() >= until or life != self.life:
+            if news or time.monotonic() >= until or incarnation != self.incarnation:
                 running = [[*key, "c", 50] for key in self.running]
                 return self._answer(200, running=running, finished=news[:500])
             await asyncio.sleep(0.03)
 
     def _answer(self, status, **fields):
-        body = {"clock_ms": self.clock_ms(), "born": self.born_ms, **fields}
+        body = {"clock_ms": self.clock_ms(), "born": self.started_ms, **fields}
         return web.json_response(body, status=status)
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -47,7 +47,7 @@
     assert _names(seen) == ["at_most_once"]
 
 
-def test_a_run_after_an_end_that_was_taken_note_of(seen):
+def test_a_run_after_an_end_that_was_acknowledged(seen):
     run = _run()
     seen.started(run)
     seen.ended(run, "done", 1)
@@ -56,7 +56,7 @@
     assert _names(seen) == ["at_most_once"]
 
 
-def test_an_end_counts_no_more_when_the_lease_lapsed_before_it_was_taken_note_of(seen):
+def test_an_end_counts_no_more_when_the_lease_lapsed_before_it_was_acknowledged(seen):
     run = _run()
     seen.started(run)
     seen.ended(run, "done", 1)
