--- /dev/null
+++ b/tests/soak/soak_callers.py
@@ -0,0 +1,84 @@
+"""Callers that submit and cancel jobs at any entry, and ask for their states."""
+
+import asyncio
+import contextlib
+import json
+import random
+import time
+
+import aiohttp
+import soak_installation
+
+PAUSE_SECONDS = 0.3
+
+TRIES = 12
+"""Calls after which a caller gives up."""
+
+SETTLE_SECONDS = 45.0
+"""Longest time that jobs may take to end after the last fault: lapsed leases, then the work."""
+
+
+async def use(soak, submission, began):
+    """Submit a job as a caller does: again at any entry until there is a final answer."""
+    await asyncio.sleep(max(0.0, began + submission.at - time.monotonic()))
+    luck = random.Random(soak.plan.seed * 1000 + submission.number)
+    job = f"{soak.plan.seed % 65536:06x}{submission.number:010x}"
+    prefix = "/urgent/" if submission.priority == 0 else "/jobs/"
+    spec = json.dumps({
+        "seconds": submission.task_seconds, "gpu": 1, "gang": submission.gang,
+        "width": submission.width, "checkpointing": submission.checkpointing,
+    })  # fmt: skip
+    phase = {"count": submission.width, "cpu": 100, "gpu": 1, "gang": submission.gang,
+             "checkpointing": submission.checkpointing}  # fmt: skip
+    soak.seen.attempted[job] = spec
+    body = {"spec": spec, "phases": [phase]}
+    key = luck.choice(
+        (soak_installation.KEY, soak_installation.KEY, soak_installation.REVOKED_KEY)
+    )
+    for _ in range(TRIES):
+        soak.seen.tries[job] = soak.seen.tries.get(job, 0) + 1
+        status = await _call(soak, luck, "POST", prefix + job, job, key, body)
+        if status in (200, 400, 401, 404):
+            break
+        await asyncio.sleep(PAUSE_SECONDS)
+    if status == 200 and submission.cancel_after is not None:
+        await asyncio.sleep(submission.cancel_after)
+        # The cancellation may take effect although no answer arrives.
+        soak.seen.cancel_sent.add(job)
+        for _ in range(TRIES):
+            if await _call(soak, luck, "DELETE", prefix + job, job, soak_installation.KEY) in (
+                200,
+                410,
+            ):
+                break
+            await asyncio.sleep(PAUSE_SECONDS)
+
+
+async def _call(soak, luck, method, path, job, key, body=None):
+    """Call one entry and check the answer; return the status, or 0 without an answer."""
+    port, _ = luck.choice(soak.fronts)
+    sent_at = time.monotonic()
+    headers = {"Host": "a.example", "Api-Key": key,
+               "X-Request-Deadline": str(int(1000 * soak_installation.CALL_SECONDS))}  # fmt: skip
+    with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+        url = f"http://{soak_installation.HOST}:{port}{path}"
+        async with soak.session.request(method, url, json=body, headers=headers) as response:
+            answer = await response.json(content_type=None) or {}
+            revoked = key == soak_installation.REVOKED_KEY
+            soak.seen.answered(job, method, response.status, answer, sent_at, revoked)
+            return response.status
+    return 0
+
+
+async def settle(soak):
+    """Ask for the state of all accepted jobs until each has its final one."""
+    luck = random.Random(soak.plan.seed)
+    deadline = time.monotonic() + SETTLE_SECONDS
+    while time.monotonic() < deadline:
+        left = [job for job in soak.seen.accepted if job not in soak.seen.final]
+        if not left:
+            return
+        for job in left:
+            prefix = "/jobs/"
+            await _call(soak, luck, "GET", prefix + job, job, soak_installation.KEY)
+        await asyncio.sleep(PAUSE_SECONDS)
--- /dev/null
+++ b/tests/soak/soak_faults.py
@@ -0,0 +1,113 @@
+"""Faults that a soak injects from outside of the processes."""
+
+import asyncio
+import signal
+import subprocess
+import time
+
+import platform_standin
+import soak_checks
+import soak_installation
+import soak_proxy
+
+NEAR_SECONDS = 5.0
+"""Time after a fault in which bounds in time do not hold; the platform calls it contact."""
+
+
+async def inject(soak, began):
+    async with asyncio.TaskGroup() as group:
+        for fault in soak.plan.faults:
+            group.create_task(_fault(soak, fault, began))
+
+
+async def _fault(soak, fault, began):
+    await asyncio.sleep(max(0.0, began + fault.at - time.monotonic()))
+    until = time.monotonic() + fault.seconds + NEAR_SECONDS
+    soak.seen.disturbed_until = max(soak.seen.disturbed_until, until)
+    process = soak.processes[fault.target]
+    await _FAULTS[fault.kind](soak, process, fault)
+
+
+async def _kill(soak, process, fault):
+    old = process.popen
+    soak_installation.send_signal(process, signal.SIGCONT)
+    soak_installation.send_signal(process, signal.SIGKILL)
+    old.wait()
+    await asyncio.sleep(fault.seconds)
+    if process.popen is old:
+        soak_installation.spawn(soak, process)
+
+
+async def _terminate(soak, process, fault):
+    """Stop a process as planned, and start it again while the old one may still be stopping."""
+    soak_installation.send_signal(process, signal.SIGTERM)
+    old = process.popen
+    try:
+        await asyncio.to_thread(old.wait, soak_installation.BOUNDS["grace_s"])
+    except subprocess.TimeoutExpired:
+        old.kill()
+        old.wait()
+    await asyncio.sleep(fault.seconds / 4)
+    if process.popen is old:
+        soak_installation.spawn(soak, process)
+
+
+async def _pause(soak, process, fault):
+    soak_installation.send_signal(process, signal.SIGSTOP)
+    await asyncio.sleep(fault.seconds)
+    soak_installation.send_signal(process, signal.SIGCONT)
+
+
+def _proxied(mode, which):
+    async def spell(soak, process, fault):
+        proxy = process.worker if which == "worker" and process.worker else process.store
+        soak_proxy.switch(proxy, mode)
+        await asyncio.sleep(fault.seconds)
+        soak_proxy.switch(proxy, "up")
+
+    return spell
+
+
+def _stored(mode):
+    async def spell(soak, process, fault):
+        soak.store.mode = mode
+        await asyncio.sleep(fault.seconds)
+        soak.store.mode = "up"
+
+    return spell
+
+
+async def _restart_worker(soak, process, fault):
+    soak.workers[fault.target % len(soak.workers)].restart()
+
+
+async def _fail_tasks(soak, process, fault):
+    worker = soak.workers[fault.target % len(soak.workers)]
+    worker.mode = "fails"
+    await asyncio.sleep(fault.seconds)
+    worker.mode = "up"
+
+
+async def _revoke(soak, process, fault):
+    soak_installation.configure(soak, (soak_installation.KEY,))
+    soak.seen.revoked_at = soak.seen.revoked_at or time.monotonic()
+
+
+async def _evacuate(soak, process, fault):
+    zone = soak_installation.ZONES[fault.target % len(soak_installation.ZONES)]
+    soak.store.put("op", "", f"evacuate/{zone}", platform_standin.encode({}))
+    soak.seen.evacuated.setdefault(zone, time.monotonic())
+    await asyncio.sleep(fault.seconds + soak_checks.EVACUATE_SECONDS)
+    soak.seen.evacuated.pop(zone, None)
+    soak.store.put("op", "", f"evacuate/{zone}", None)
+
+
+_FAULTS = {
+    "kill": _kill, "pause": _pause, "terminate": _terminate,
+    "store_reset": _proxied("reset", "store"), "store_silent": _proxied("silent", "store"),
+    "store_slow": _proxied("slow", "store"), "store_one_way": _proxied("one_way", "store"),
+    "store_lost": _stored("lost"), "store_refuse": _stored("refuse"),
+    "store_forgets": _stored("forgotten"), "worker_silent": _proxied("silent", "worker"),
+    "worker_reset": _proxied("reset", "worker"), "worker_restart": _restart_worker,
+    "worker_fails": _fail_tasks, "revoke": _revoke, "evacuate": _evacuate,
+}  # fmt: skip
