--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -1,4 +1,4 @@
-"""The task that answers the calls of callers."""
+"""The task that answers callers."""
 
 from __future__ import annotations
 
@@ -19,6 +19,9 @@
 
 ID_DIGITS = 16
 
+SHOWN_CHARACTERS = 100
+"""Part of a wrong value that a refusal repeats."""
+
 STALE_SECONDS = 2.5
 """Age up to which the followed rows of jobs are good enough to report a state."""
 
@@ -154,13 +157,13 @@
     now: float,
 ) -> None:
     if not _is_id(admitted.rest):
-        detail = f"expected {ID_DIGITS} hexadecimal digits"
-        stored_calls.refuse(state, call, reply, _invalid("id", admitted.rest, detail))
+        expected = f"{ID_DIGITS} hexadecimal digits"
+        refusal = verdict.invalid("id", admitted.rest[:SHOWN_CHARACTERS], expected)
+        stored_calls.refuse(state, call, reply, refusal)
         return
     if isinstance(call.submission, verdict.Refusal) or call.submission is None:
-        stored_calls.refuse(
-            state, call, reply, call.submission or _invalid("body", "", "expected a job")
-        )
+        refusal = call.submission or verdict.invalid("body", "", "a job")
+        stored_calls.refuse(state, call, reply, refusal)
         return
     too_large = limits.refusal(call.submission.steps, call.submission.timetable)
     if too_large is not None:
@@ -245,12 +248,6 @@
     return len(text) == ID_DIGITS and all(digit in "0123456789abcdefABCDEF" for digit in text)
 
 
-def _invalid(field: str, value: str, expected: str) -> verdict.Refusal:
-    return verdict.Refusal(
-        verdict.Verdict.NOT_RUN, verdict.Code.INVALID, expected, field, value[:100], expected
-    )
-
-
 def _dump(state: stored_calls.State) -> dict[str, typing.Any]:
     now = clock.now()
     return {
