--- a/packages/daemon/src/peridothatch_daemon/hosted/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/messages.py
@@ -54,13 +54,6 @@
     pending: typing.Any
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ask:
-    """Ask for a task's state for the state dump."""
-
-    reply: mailbox.Reply
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskReady:
     """Ask whether calls can be served now; the reply takes a bool."""
@@ -68,11 +61,6 @@
     reply: mailbox.Reply
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tick:
-    """A timer of the task is due."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Resign:
     """The process is about to stop; the reply is answered when the leadership is free."""
--- a/packages/daemon/src/peridothatch_daemon/hosted/observe.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/observe.py
@@ -8,7 +8,7 @@
 import orjson
 from starlette import applications, requests, responses, routing
 
-from peridothatch_daemon.hosted import messages
+from peridothatch_daemon import messages
 from peridothatch_daemon.observe import metrics
 from peridothatch_wire import mailbox
 
@@ -25,7 +25,7 @@
     Parameters
     ----------
     tasks : dict
-        Mailboxes by task name; each task answers ``messages.Ask``.
+        Mailboxes by task name; each task answers ``messages.DumpState``.
     """
 
     async def collect() -> dict[str, typing.Any]:
@@ -50,7 +50,7 @@
 
 async def _ask(inbox: mailbox.Mailbox) -> typing.Any:
     reply = mailbox.Reply()
-    if not mailbox.post(inbox, messages.Ask(reply)):
+    if not mailbox.post(inbox, messages.DumpState(reply)):
         return {"unavailable": "mailbox is full", "queued": inbox.depth}
     try:
         return await mailbox.wait(reply, ASK_SECONDS)
--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -10,6 +10,7 @@
 from peridothatch_core.message import rows
 from peridothatch_core.model import steps, storeclock, tables, verdict
 from peridothatch_core.reception import admission, calls, limits, store_health, view
+from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.decide import loop
 from peridothatch_daemon.hosted import clock, messages, records, stored_calls
 from peridothatch_wire import mailbox, task
@@ -84,7 +85,7 @@
             stored_calls.fetched(state, message)
         case messages.AskReady(reply):
             mailbox.answer(reply, _ready(state))
-        case messages.Ask(reply):
+        case daemon_messages.DumpState(reply):
             mailbox.answer(reply, _dump(state))
         case messages.Retry(pending):
             stored_calls.send(state, pending)
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -9,6 +9,7 @@
 from peridothatch_core.message import tickets as ticket_messages
 from peridothatch_core.model import steps, storeclock
 from peridothatch_core.schedule import cycle, leadership, state, tickets, writes
+from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.decide import loop
 from peridothatch_daemon.hosted import (
     clock,
@@ -78,7 +79,7 @@
     return Scheduler(
         inbox,
         task.start("scheduler", loop.run(inbox, handle)),
-        task.start("scheduler ticks", task.every(TICK_SECONDS, inbox, messages.Tick())),
+        task.start("scheduler ticks", task.every(TICK_SECONDS, inbox, daemon_messages.Tick())),
     )
 
 
@@ -114,14 +115,14 @@
             own.evacuated = data_centres
         case messages.Resign(reply):
             schedule_lease.resign(own, reply)
-        case messages.Ask(reply):
+        case daemon_messages.DumpState(reply):
             mailbox.answer(reply, _dump(own))
         case _Resend():
             _send_batch(own)
         case schedule_load.Reload():
             if own.loading:
                 schedule_load.load(own)
-        case messages.Tick():
+        case daemon_messages.Tick():
             pass
 
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
@@ -8,8 +8,9 @@
 from peridothatch_core.hold import exchange, state, step
 from peridothatch_core.message import rows
 from peridothatch_core.model import tables
+from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.decide import loop
-from peridothatch_daemon.hosted import clock, counters, log, messages, records
+from peridothatch_daemon.hosted import clock, counters, log, records
 from peridothatch_wire import mailbox, task
 
 if typing.TYPE_CHECKING:
@@ -101,7 +102,7 @@
 
 def _handle(own: _State, message: typing.Any) -> None:
     match message:
-        case messages.Ask(reply):
+        case daemon_messages.DumpState(reply):
             mailbox.answer(reply, _dump(own))
         case rows.Snapshot() | rows.Changes():
             _follow(own, message)
