Log how orders reach agents and how long jobs wait for them

The logs could not tell the hypotheses on late urgent jobs apart: not when a feed's call began and what it asked for, not the bounds on the store's time by which an order was judged, and not how long a job waited.

No decision changes.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 SITE ?=
 DAY ?= quiet-1
 
-.PHONY: platform setup test lint check format demo soak capacity bench docs clean
+.PHONY: platform played setup test lint check format demo soak capacity bench docs clean
 
 ifeq ($(VENV),.venv)
 setup: $(VENV)/installed
@@ -63,5 +63,10 @@
 	@test -x "$(BENCH)" || { echo "BENCH=$(BENCH): no such program; name the users' bench"; exit 2; }
 	$(BENCH) run $(SITE) $(DAY) --why "make platform"
 
+JOURNAL ?= $(lastword $(sort $(wildcard journal/*.json)))
+
+played: setup
+	$(PYTHON) -m peridothatch_platform.played_days $(JOURNAL)
+
 clean:
 	rm -rf .venv .pytest_cache .ruff_cache .hypothesis
--- a/packages/core/src/peridothatch_core/hold/orders.py
+++ b/packages/core/src/peridothatch_core/hold/orders.py
@@ -151,7 +151,12 @@
         if worker.state is not agents.WorkerState.READY:
             held.stop = f"the worker is {worker.state}"
         elif storeclock.latest_ms(state.clock, now) > held.order.start_by_ms:
-            held.stop = "the order came too late to be started"
+            earliest_ms = storeclock.earliest_ms(state.clock, now)
+            held.stop = (
+                f"the order came too late to be started: it is good until "
+                f"{held.order.start_by_ms}, and the store's time is between {earliest_ms} and "
+                f"{storeclock.latest_ms(state.clock, now)}"
+            )
         elif (held.order.instance, held.order.started_ms) != (worker.instance, worker.started_ms):
             held.stop = "the order is for another incarnation of the worker"
         return
--- a/packages/core/src/peridothatch_core/message/rows.py
+++ b/packages/core/src/peridothatch_core/message/rows.py
@@ -122,10 +122,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
-    """Rows of a followed table that changed since the last message; may be empty."""
+    """Rows of a followed table that changed since the last message; may be empty.
+
+    Attributes
+    ----------
+    after : int
+        Version of which the store was asked what came later.
+    """
 
     table: str
     rows: tuple[Row, ...]
     now_ms: int
     asked_at: float
     answered_at: float
+    after: int = 0
--- a/packages/core/src/peridothatch_core/model/steps.py
+++ b/packages/core/src/peridothatch_core/model/steps.py
@@ -289,6 +289,19 @@
     return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
 
 
+def summary(step: Step) -> str:
+    """Return a step's shape and declared duration as a short text for logs."""
+    demand = step.demand
+    traits = [name for name in ("gang", "checkpointing", "long_running") if getattr(step, name)]
+    return " ".join(
+        (
+            f"{step.count} x {demand.cpu_millis / 1000:g} cores and {demand.accelerators} "
+            f"accelerators for {step.estimate_ms} ms",
+            *traits,
+        )
+    )
+
+
 def slot(step: Step, index: int) -> int:
     """Return the entry of a task in the per-task lists: a gang shares the first one."""
     return 0 if step.gang else index
--- a/packages/core/src/peridothatch_core/schedule/progress.py
+++ b/packages/core/src/peridothatch_core/schedule/progress.py
@@ -134,7 +134,10 @@
     step = job.steps[progress.step]
     place = steps.slot(step, run.index)
     task = steps.task_name(job.id, progress.occurrence, progress.step, run.index)
-    state.notes.append(states.Note(f"ended {kind}", job.id, task, run.attempt, run.node, reason))
+    note = states.Note(
+        f"ended {kind}", job.id, task, run.attempt, run.node, reason, now_ms - run.ordered_ms
+    )
+    state.notes.append(note)
     if saved:
         progress.saved[place] = saved
     if job.state in steps.FINAL_STATES:
@@ -181,7 +184,8 @@
     job.state = final
     job.reason = reason
     job.ended_ms = now_ms
-    state.notes.append(states.Note(str(final), job.id, detail=reason))
+    took_ms = now_ms - job.submitted_ms
+    state.notes.append(states.Note(str(final), job.id, detail=reason, after_ms=took_ms))
     states.change(state, job.id).save = True
     for progress in job.progress:
         for run in list(progress.runs):
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -88,6 +88,8 @@
         What was decided.
     detail : str
         What it hung on.
+    after_ms : int or None
+        Time since the job's submission, or since the run's order for the end of a run.
     """
 
     kind: str
@@ -96,6 +98,7 @@
     attempt: int = 0
     node: str = ""
     detail: str = ""
+    after_ms: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -198,7 +201,10 @@
     )
     detail += ", checkpointing" if order.checkpointing else ""
     detail += ", resumed" if order.checkpoint else ""
-    state.notes.append(Note("ordered", job.id, order.task, run.attempt, run.node, detail))
+    waited_ms = run.ordered_ms - job.submitted_ms
+    state.notes.append(
+        Note("ordered", job.id, order.task, run.attempt, run.node, detail, waited_ms)
+    )
 
 
 def close_run(state: State, job: steps.Job, progress: steps.StepProgress, run: steps.Run) -> None:
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -78,6 +78,7 @@
         client.inbox,
         tickets.inbox if tickets else None,
         metrics.latency(exported, "scheduler_write_seconds", "Time of a write of decisions"),
+        metrics.latency(exported, "scheduler_wait_seconds", "Time from submission to an order"),
     )
     desired = desired_feed.filter_into(
         operator.desired_state,
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
@@ -47,6 +47,7 @@
     leadership: leadership.Leadership
     limits: state.Limits
     record: metrics.Record
+    record_wait: metrics.Record
     clock: storeclock.StoreClock = dataclasses.field(default_factory=storeclock.StoreClock)
     round_trip_ms: float = 50.0
     schedule: state.State = dataclasses.field(default_factory=state.State)
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -53,6 +53,7 @@
     store: mailbox.Mailbox,
     ticket_service: mailbox.Mailbox | None,
     record: metrics.Record,
+    record_wait: metrics.Record,
 ) -> Scheduler:
     """Start the task.
 
@@ -66,10 +67,14 @@
         Takes ``tickets.Ask``; ``None`` where there is no such service.
     record : callable
         Takes the seconds that a transaction of decisions took.
+    record_wait : callable
+        Takes the seconds from a job's submission to the order of a run.
     """
     inbox = mailbox.create("scheduler")
     holder = leadership.Leadership(f"{node}/{incarnation}")
-    own = schedule_state.State(node, store, ticket_service, inbox, holder, limits, record)
+    own = schedule_state.State(
+        node, store, ticket_service, inbox, holder, limits, record, record_wait
+    )
 
     def handle(message: typing.Any) -> None:
         _handle(own, message)
@@ -149,10 +154,13 @@
             attempt=note.attempt,
             worker_node=note.node,
             detail=note.detail,
+            after_ms=note.after_ms,
             epoch=own.leadership.epoch,
             store_ms=now_ms,
         )
         counters.count(own.counters, note.kind)
+        if note.kind == "ordered" and note.after_ms is not None:
+            own.record_wait(note.after_ms / 1000.0)
     schedule.notes.clear()
     for request in schedule.requests:
         _ask_for_tickets(own, request)
--- a/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
@@ -205,10 +205,23 @@
         desired_version=state.desired.version if state.desired else None,
         outcome=outcome,
         took_ms=round(1000 * (clock.now() - arrived_at)),
+        **_submitted(call, admitted),
     )
     mailbox.answer(reply, calls.Accepted())
 
 
+def _submitted(call: calls.Call, admitted: admission.Admitted) -> dict[str, typing.Any]:
+    """Return what a job's objective depends on, for the log."""
+    if not isinstance(call.submission, calls.Submission):
+        return {}
+    return {
+        "priority": admitted.queue.priority,
+        "slack_factor": admitted.queue.slack_factor,
+        "objective_ms": admitted.queue.objective_ms,
+        "steps": [steps.summary(step) for step in call.submission.steps],
+    }
+
+
 def absent(state: State, call: calls.Call, reply: mailbox.Reply, reason: str) -> None:
     """Answer that there is no such job to report or to cancel."""
     log.event(
--- a/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
@@ -228,6 +228,9 @@
             stop=is_stop,
             version=row.version,
             start_by_ms=order.start_by_ms,
+            feed_after=message.after,
+            poll_ms=round(1000 * (message.answered_at - message.asked_at)),
+            store_ms=message.now_ms,
         )
         _step(own, exchange.StopAdded(key, order) if is_stop else exchange.OrderAdded(key, order))
 
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -59,7 +59,9 @@
     ``meanwhile`` is delivered by a feed between the two reads.
     """
     store = _Store()
-    running = scheduler.start("front-1", "1", state.Limits(), store.inbox, None, lambda _: None)
+    running = scheduler.start(
+        "front-1", "1", state.Limits(), store.inbox, None, lambda _: None, lambda _: None
+    )
     mailbox.post(running.inbox, _changes(tables.MEMBERS))
     claim = await store.next(rows.Commit)
     assert {key for key, _ in claim.transaction.writes} == {tables.EPOCH, tables.LEASE}
