Keep the best bounds on the store's time

An answer tells that the store's clock read its time at some moment of the call. Each later answer replaced what was known, also where it told less: the answer of a poll that had waited a second left the upper bound a second too high (15,230 + 1,000 + 1 > 16,229). Each bound is now kept until a better one comes, and widens by 1 % of its age, because the rates of two clocks differ; an answer that contradicts the bounds resets them.

The same class, a looser bound that replaces a tighter one, was looked for in the other uses of the time of a call. The promise of a lease and its lapse, the freshness of an agent's row and the progress between two reports come from the same clock and gain by the change. The age of the desired state and the health of the store keep the best value already. The worker's clock uses the end of its last call, where a wait does no harm.

test_an_order_that_a_long_poll_brings_is_started_within_its_window and test_the_answer_of_a_long_poll_does_not_widen_the_bounds fail before (52,011 against 51,050 ms), and so does the property test, since no difference of rates was allowed for.

--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -20,7 +20,7 @@
     """Yield the write or read of the row that is due."""
     if state.writing or now < state.write_retry_at:
         return
-    if not state.version and not state.registered and not state.clock.now_ms:
+    if not state.version and not state.registered and not state.clock.known:
         state.writing = True
         yield exchange.ReadRow()
         return
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -220,7 +220,7 @@
 
 def horizon(state: State) -> float:
     """Return the local time up to which the promise in the store lets runs live."""
-    if not state.clock.now_ms:
+    if not state.clock.known:
         return 0.0
     until = storeclock.local_before(state.clock, state.hold_until_ms)
     return until - HOLD_MARGIN_SECONDS
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -4,7 +4,7 @@
 
 from peridothatch_core.hold import exchange, state, step
 from peridothatch_core.message import rows
-from peridothatch_core.model import agents, steps
+from peridothatch_core.model import agents, steps, storeclock
 
 
 def test_an_order_is_started_within_the_promise_of_the_row():
@@ -26,6 +26,16 @@
     assert held.held[harness.KEY].phase is state.Phase.RUNNING
 
 
+def test_an_order_that_a_long_poll_brings_is_started_within_its_window():
+    # The poll's own second counted against the order, and urgent jobs were rejected in time.
+    held = harness.registered()
+    ordered_ms = 10_020
+    step.step(held, exchange.StoreTime(11_015, 10.01, 11.02), 11.02)
+    order = harness.order(start_by_ms=ordered_ms + 2_000)
+    effects = step.step(held, exchange.OrderAdded(harness.KEY, order), 11.02)
+    harness.only(effects, exchange.Start)
+
+
 def test_an_order_that_was_never_carried_out_is_rejected_once_its_time_is_over():
     held = harness.registered()
     step.step(held, exchange.OrderAdded(harness.KEY, harness.order(start_by_ms=5_000)), 10.1)
@@ -297,7 +307,7 @@
     answered = store_read + store_answer
     store_ms = int(1000 * store_read) + offset
     held = state.State("side-1", "accra-a", 9_500)
-    held.clock.now_ms, held.clock.asked_at, held.clock.answered_at = store_ms, asked, answered
+    storeclock.observe(held.clock, store_ms, asked, answered)
     held.hold_until_ms = store_ms + 9_500
     worker_asked = answered + pause
     worker_read = worker_asked + worker_delay
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -133,7 +133,7 @@
 
 def _advance(own: schedule_state.State) -> None:
     """Do what is due: claim or renew the lease, then run a scheduling cycle."""
-    if not own.clock.now_ms or own.resigning is not None:
+    if not own.clock.known or own.resigning is not None:
         return
     now_ms = storeclock.earliest_ms(own.clock, clock.now())
     schedule_lease.write_due(own, now_ms)
