Offer a restarted agent's worker only once it has been heard from

A restarted agent takes the worker over from its row, because the worker may have run on, and wrote it to the row again as ready. The leader then ordered on an incarnation that nobody had heard from since. Now the row says absent until a heartbeat or a list has come from that incarnation.

Both new tests of a restarted agent fail before.

--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 from peridothatch_core.hold import exchange
@@ -102,11 +103,22 @@
         state.fence,
         state.lapses,
         state.wanted_until_ms,
-        state.worker,
+        _known_worker(state),
         tuple(reports.values()),
     )
 
 
+def _known_worker(state: states.State) -> agents.Worker | None:
+    """Return the worker as it may be used now.
+
+    What an earlier process of this node knew may have ended with it, so such a worker takes no
+    work until it has been heard from.
+    """
+    if state.worker is None or state.worker_heard:
+        return state.worker
+    return dataclasses.replace(state.worker, state=agents.WorkerState.ABSENT)
+
+
 def _forget_written(state: states.State) -> None:
     """Drop ends that are in the store, so that the worker may forget them as well."""
     state.list_retry_at = 0.0
--- a/packages/core/src/peridothatch_core/hold/listing.py
+++ b/packages/core/src/peridothatch_core/hold/listing.py
@@ -12,6 +12,9 @@
     state.worker_clock_ms = listing.worker_clock_ms
     state.worker_clock_at = listing.answered_at
     state.heard_at = listing.answered_at
+    if not state.worker_heard:
+        state.worker_heard = True
+        state.dirty = True
     if not state.loaded:
         return
     state.listed = True
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -145,6 +145,8 @@
         The worker's last description.
     sequence : int
         Number of the worker's last heartbeat in this incarnation.
+    worker_heard : bool
+        This process has had a heartbeat or a list from that incarnation of the worker.
     heard_at : float
         Last sign of incarnation of the worker, or when the agent woke from a pause.
     stepped_at : float
@@ -194,6 +196,7 @@
     written_ends: dict[int, steps.End] = dataclasses.field(default_factory=dict)
     worker: agents.Worker | None = None
     sequence: int = -1
+    worker_heard: bool = False
     heard_at: float = 0.0
     stepped_at: float = 0.0
     leaves_at: float | None = None
--- a/packages/core/src/peridothatch_core/hold/worker.py
+++ b/packages/core/src/peridothatch_core/hold/worker.py
@@ -36,9 +36,10 @@
         state.leaves_at = leaves_at if state.leaves_at is None else min(state.leaves_at, leaves_at)
     else:
         state.leaves_at = None
-    if known is None or _announced(worker) != _announced(known):
+    if known is None or not state.worker_heard or _announced(worker) != _announced(known):
         state.dirty = True
     state.worker = worker
+    state.worker_heard = True
     return True
 
 
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -321,6 +321,26 @@
     assert ends_at <= promise_ends_at
 
 
+def test_a_restarted_agent_offers_its_worker_only_once_it_has_heard_from_it():
+    # After a loss of power the row named the lost incarnation as ready, and every order for it
+    # was rejected; urgent jobs were ordered up to three times.
+    held = state.State("side-1", "accra-a", 9_500)
+    step.step(held, exchange.StoreTime(30_000, 29.99, 30.0), 30.0)
+    step.step(held, exchange.Tick(), 30.0)
+    effects = step.step(held, exchange.RowRead(True, _row(39_500), 50), 30.0)
+    first = harness.only(effects, exchange.WriteRow)
+    assert first.row.worker.state is agents.WorkerState.ABSENT
+    step.step(held, harness.committed(first, 30.1), 30.1)
+    effects = step.step(held, exchange.RunsListed(harness.listing(30.2)), 30.2)
+    assert harness.only(effects, exchange.WriteRow).row.worker.state is agents.WorkerState.READY
+
+
+def test_a_heartbeat_offers_the_worker_of_a_restarted_agent():
+    held = _restarted(_row(39_500))
+    effects = step.step(held, exchange.Heartbeat(harness.worker(), 0), 30.1)
+    assert harness.only(effects, exchange.WriteRow).row.worker.state is agents.WorkerState.READY
+
+
 def _restarted(row, now=30.0):
     """Return an agent whose process was started anew after ``row`` had been written."""
     held = state.State("side-1", "accra-a", 9_500)
