Give orders only to agents that a new leader has heard from

Callers saw jobs late after a loss of power of all machines: the next leader ordered on rows that agents had written before it, which look recent for 3.5 s. The agents came back 1 to 1.4 s later and rejected these orders; by then the leader ordered again on other rows of that kind.

A leader that has taken over asks every agent to renew at once, by a row among the agent's orders that the renewal deletes, and an agent gets no order until its row has changed. Ruled out: a shorter limit on the age of a row, because agents renew every 2 s and a leader is back 1.5 s after a loss of power.

test_a_new_leader_orders_only_on_agents_that_have_written_since, test_agents_that_a_new_leader_has_not_heard_from_are_asked_and_get_no_orders and test_an_agent_that_a_leader_asks_renews_at_once are new; without the change the first sees the order in the first transaction.

--- a/packages/core/src/peridothatch_core/hold/exchange.py
+++ b/packages/core/src/peridothatch_core/hold/exchange.py
@@ -54,11 +54,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteRow:
-    """Write the agent's row with new ends, under the condition of its version."""
+    """Write the agent's row with new ends, under the condition of its version.
+
+    Attributes
+    ----------
+    answers : bool
+        A leader's request to renew is answered by this.
+    """
 
     row: agents.Agent
     version: int
     ends: tuple[steps.End, ...]
+    answers: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -173,6 +180,13 @@
     order: steps.Order
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RenewalAsked:
+    """Whether a new leader waits to hear that this agent and its worker are there."""
+
+    waiting: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartAnswered:
     """The worker's answer to a start."""
@@ -234,6 +248,7 @@
     | OrderAdded
     | OrderRemoved
     | StopAdded
+    | RenewalAsked
     | StartAnswered
     | StopAnswered
     | RunsListed
--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -32,7 +32,10 @@
     state.dirty = False
     state.written_ends = dict(sorted(state.ends.items(), reverse=True)[-ENDS_PER_WRITE:])
     yield exchange.WriteRow(
-        _next_row(state, now), state.version, tuple(state.written_ends.values())
+        _next_row(state, now),
+        state.version,
+        tuple(state.written_ends.values()),
+        state.renewal_asked,
     )
 
 
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -136,6 +136,8 @@
         When the last write that committed was sent.
     dirty : bool
         The worker's description has changed since it was written.
+    renewal_asked : bool
+        A leader waits for the next renewal.
     writing : bool
         A write or a read of the row is under way.
     written_ends : dict
@@ -191,6 +193,7 @@
     wanted_until_ms: int = 0
     renewed_at: float = -1e9
     dirty: bool = False
+    renewal_asked: bool = False
     writing: bool = False
     write_retry_at: float = 0.0
     written_ends: dict[int, steps.End] = dataclasses.field(default_factory=dict)
--- a/packages/core/src/peridothatch_core/hold/step.py
+++ b/packages/core/src/peridothatch_core/hold/step.py
@@ -45,6 +45,9 @@
             orders.remove(state, key)
         case exchange.StopAdded(key, order):
             orders.stop(state, key, order)
+        case exchange.RenewalAsked(waiting):
+            state.dirty = state.dirty or waiting
+            state.renewal_asked = waiting
         case exchange.StartAnswered(key, outcome, reason):
             orders.started(state, key, outcome, reason, now)
         case exchange.StopAnswered(key, confirmed):
--- a/packages/core/src/peridothatch_core/model/tables.py
+++ b/packages/core/src/peridothatch_core/model/tables.py
@@ -24,6 +24,7 @@
 END_PREFIX = "e/"
 AGENT_PREFIX = "agent/"
 STOP_SUFFIX = "/stop"
+RENEW_SUFFIX = "/renew"
 
 EPOCH = rows.Key(MEMBERS, "leader/epoch")
 LEASE = rows.Key(MEMBERS, "leader/lease")
@@ -64,6 +65,11 @@
     return rows.Key(orders(node), f"{node}/{task}/{attempt}")
 
 
+def renewal(node: str) -> rows.Key:
+    """Return the row by which a leader asks an agent to renew its lease now."""
+    return rows.Key(orders(node), node + RENEW_SUFFIX)
+
+
 def stop(node: str, task: str, attempt: int) -> rows.Key:
     """Return the row that stops an ordered run."""
     return rows.Key(orders(node), f"{node}/{task}/{attempt}{STOP_SUFFIX}")
--- a/packages/core/src/peridothatch_core/schedule/fit.py
+++ b/packages/core/src/peridothatch_core/schedule/fit.py
@@ -48,6 +48,8 @@
             continue
         if worker.zone in state.evacuated or agent.node in state.health.until:
             continue
+        if agent.node in state.unconfirmed:
+            continue
         found.append(_room(state, agent, worker))
     return found
 
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -127,6 +127,10 @@
         Tickets by job, occurrence and step; only of queues that need them.
     requests : list of Request
         Requests for tickets that have been decided on.
+    unconfirmed : set of str
+        Nodes whose agents have not written since this process took the lead; they get no orders.
+    renewals : list of str
+        Nodes whose agents are to be asked to renew their leases now.
     runtimes : History
         Run times learnt by customer and queue.
     avoid : dict
@@ -152,6 +156,8 @@
     noted_at: dict[tuple[str, int, int], int] = dataclasses.field(default_factory=dict)
     tickets: dict[tickets.StepKey, tickets.StepTickets] = dataclasses.field(default_factory=dict)
     requests: list[tickets.Request] = dataclasses.field(default_factory=list)
+    unconfirmed: set[str] = dataclasses.field(default_factory=set)
+    renewals: list[str] = dataclasses.field(default_factory=list)
     runtimes: runtimes.History = dataclasses.field(default_factory=runtimes.History)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
     speeds: speeds.Speeds = dataclasses.field(default_factory=speeds.Speeds)
@@ -174,6 +180,16 @@
             _index(state, job, progress, run, 1)
 
 
+def confirm_agents(state: State) -> None:
+    """Ask all agents to renew, and give orders only to those that have.
+
+    A row that looks recent may be from before a loss of power that ended its agent, its worker
+    and the former leader together.
+    """
+    state.unconfirmed = set(state.agents)
+    state.renewals = sorted(state.agents)
+
+
 def drop_job(state: State, job: steps.Job) -> None:
     """Forget a job that has no open runs."""
     state.jobs.pop(job.id, None)
--- a/packages/core/src/peridothatch_core/schedule/writes.py
+++ b/packages/core/src/peridothatch_core/schedule/writes.py
@@ -75,6 +75,11 @@
         current.conditions.append(rows.Condition(key, state.agent_versions.get(node, 0)))
         current.writes.append((key, encode(agent)))
         current.nodes.append(node)
+    for node in state.renewals:
+        if current.size + 1 > ENTRIES:
+            flush()
+        current.writes.append((tables.renewal(node), encode({"epoch_version": epoch_version})))
+    state.renewals.clear()
     spare: list[rows.Key] = []
     for job_id, change in state.changes.items():
         spare.extend(change.spare)
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -335,6 +335,20 @@
     assert harness.only(effects, exchange.WriteRow).row.worker.state is agents.WorkerState.READY
 
 
+def test_an_agent_that_a_leader_asks_renews_at_once():
+    # A new leader gives no orders to an agent that it has not heard from, and the next renewal
+    # may be two seconds away.
+    held = harness.registered()
+    harness.none(step.step(held, exchange.Tick(), 10.1), exchange.WriteRow)
+    effects = step.step(held, exchange.RenewalAsked(True), 10.2)
+    write = harness.only(effects, exchange.WriteRow)
+    assert write.answers
+    step.step(held, harness.committed(write, 10.3), 10.3)
+    step.step(held, exchange.RenewalAsked(False), 10.3)
+    write = harness.only(step.step(held, exchange.Tick(), 13.0), exchange.WriteRow)
+    assert not write.answers
+
+
 def test_a_heartbeat_offers_the_worker_of_a_restarted_agent():
     held = _restarted(_row(39_500))
     effects = step.step(held, exchange.Heartbeat(harness.worker(), 0), 30.1)
--- a/packages/core/tests/schedule/test_writes.py
+++ b/packages/core/tests/schedule/test_writes.py
@@ -4,7 +4,7 @@
 
 from peridothatch_core.message import rows
 from peridothatch_core.model import steps, tables
-from peridothatch_core.schedule import cycle, writes
+from peridothatch_core.schedule import cycle, state, writes
 
 
 def _encode(value):
@@ -56,6 +56,19 @@
     assert batch.nodes == ["n1"]
 
 
+def test_agents_that_a_new_leader_has_not_heard_from_are_asked_and_get_no_orders():
+    # Rows from before a loss of power look recent to the next leader.
+    item = harness.job("a")
+    own = harness.scheduler([item], [harness.agent("n1")])
+    state.confirm_agents(own)
+    (batch,) = _batches(own)
+    assert tables.renewal("n1") in {key for key, _ in batch.transaction.writes}
+    assert not harness.open_runs(item)
+    own.unconfirmed.discard("n1")
+    assert _batches(own)
+    assert harness.open_runs(item)
+
+
 def test_an_unchanged_state_writes_nothing():
     own = harness.scheduler([harness.job("a")], [harness.agent("n1")])
     assert _batches(own)
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -64,6 +64,11 @@
         schedule_rows.take_work(own.schedule, row)
     for row in members:
         schedule_rows.take_agent(own.schedule, row)
+    if own.confirmed_epoch != own.leadership.epoch:
+        own.confirmed_epoch = own.leadership.epoch
+        state.confirm_agents(own.schedule)
+    else:
+        _keep_unconfirmed(old, own.schedule)
     for table, row in own.missed:
         _take_change(own, table, row)
     own.missed.clear()
@@ -78,6 +83,15 @@
     )
 
 
+def _keep_unconfirmed(old: state.State, fresh: state.State) -> None:
+    """Keep waiting for the agents whose rows are still those of the read before."""
+    fresh.unconfirmed = {
+        node
+        for node in old.unconfirmed
+        if fresh.agent_versions.get(node) == old.agent_versions.get(node)
+    }
+
+
 def follow(own: schedule_state.State, message: rows.Snapshot | rows.Changes) -> None:
     """Take over what a feed has brought."""
     storeclock.observe(own.clock, message.now_ms, message.asked_at, message.answered_at)
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_rows.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_rows.py
@@ -43,5 +43,6 @@
             speeds.observe(schedule, schedule.agents[node], agent)
         schedule.agents[node] = agent
         schedule.agent_versions[node] = row.version
+        schedule.unconfirmed.discard(node)
     except ValueError as error:
         log.event("scheduler:unreadable_row", key=row.key, reason=str(error))
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
@@ -30,6 +30,8 @@
     ----------
     loading : bool
         The rows are being read after a takeover or a conflict.
+    confirmed_epoch : int
+        Epoch in which the agents have been asked to renew.
     work : tuple of Row or None
         Rows of the work table of the read that is under way.
     missed : list
@@ -54,6 +56,7 @@
     desired: desired.DesiredState | None = None
     evacuated: frozenset[str] = frozenset()
     loading: bool = False
+    confirmed_epoch: int = 0
     work: tuple[rows.Row, ...] | None = None
     missed: list[tuple[str, rows.Row]] = dataclasses.field(default_factory=list)
     floor: int = 0
--- a/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
@@ -162,6 +162,8 @@
         changed.append((tables.end(end.task, end.attempt), records.encode(end)))
         changed.append((tables.order(end.node, end.task, end.attempt), None))
         changed.append((tables.stop(end.node, end.task, end.attempt), None))
+    if effect.answers:
+        changed.append((tables.renewal(own.hold.node), None))
     transaction = rows.Transaction((rows.Condition(key, effect.version),), tuple(changed))
 
     def answer(done: rows.Committed) -> None:
@@ -205,7 +207,11 @@
 def _follow(own: _State, message: rows.Snapshot | rows.Changes) -> None:
     _step(own, exchange.StoreTime(message.now_ms, message.asked_at, message.answered_at))
     prefix = own.hold.node + "/"
-    mine = [row for row in message.rows if row.key.startswith(prefix)]
+    asked = tables.renewal(own.hold.node)
+    for row in message.rows:
+        if row.key == asked.key:
+            _step(own, exchange.RenewalAsked(row.value is not None))
+    mine = [row for row in message.rows if row.key.startswith(prefix) and row.key != asked.key]
     if isinstance(message, rows.Snapshot):
         orders = {}
         stops = {}
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 
 from peridothatch_core.message import rows
 from peridothatch_core.model import agents, steps, tables
@@ -75,6 +76,10 @@
     return running, store
 
 
+def _writes(message, key):
+    return key in {written for written, _ in message.transaction.writes}
+
+
 def _deletes_end(message):
     return (tables.end(TASK, 1), None) in message.transaction.writes
 
@@ -118,6 +123,25 @@
     await scheduler.close(running)
 
 
+async def test_a_new_leader_orders_only_on_agents_that_have_written_since():
+    # After a loss of power urgent jobs were ordered on workers that no longer existed.
+    job = dataclasses.replace(_job(), state=steps.JobState.QUEUED, opened=0, progress=[])
+    worker = agents.Worker(
+        "w-1", 1, "render", "accra-a", agents.WorkerState.READY, steps.Demand(1000, 1000, 8)
+    )
+    agent = agents.Agent(NODE, "accra-a", 1, 0, 10**12, worker)
+    running, store = await _leading(
+        [_row(tables.job(job.id), job, 10)], [_row(tables.agent(NODE), agent, 9)]
+    )
+    order = tables.order(NODE, TASK, 1)
+    first = await store.next(rows.Commit, lambda message: _writes(message, tables.renewal(NODE)))
+    assert not _writes(first, order)
+    store.commit(first, 41)
+    mailbox.post(running.inbox, _changes(tables.MEMBERS, _row(tables.agent(NODE), agent, 42)))
+    await store.next(rows.Commit, lambda message: _writes(message, order))
+    await scheduler.close(running)
+
+
 async def test_a_leader_whose_epoch_was_taken_writes_nothing_more():
     work = [_row(tables.job("00000000000000aa"), _job(), 10)]
     agent = agents.Agent(NODE, "accra-a", 1, 0, 10**12)
