Withdraw orders that no agent has claimed

An order could not be taken back: nothing told whether the agent had begun to carry it out, so the run counted as open until the lease ended. An agent looks alive for up to 3.5 s after its last renewal. Ruled out: a shorter lease (an outage of the store of 5 to 9 s would then end all runs) and more frequent renewals alone (an agent may still die right after one).

An agent now claims an order in its own row, in a transaction that needs the order's row, and starts the run only then. The leader withdraws an order that is not claimed after 0.8 s and four times the latest latency of a write, in a transaction that needs the agent's row as it was seen and no recorded end. One of the two fails.

Runs that a row has named once are now left alone.

An order costs one more write of the agent's row, 10 ms in the region of the store.

Tests of an agent now let the store commit the claim before they expect the start; what they check is unchanged.

--- a/packages/core/src/peridothatch_core/hold/exchange.py
+++ b/packages/core/src/peridothatch_core/hold/exchange.py
@@ -60,12 +60,15 @@
     ----------
     answers : bool
         A leader's request to renew is answered by this.
+    claims : tuple of (RunKey, int)
+        Orders that the row newly claims, with the versions that their rows must still have.
     """
 
     row: agents.Agent
     version: int
     ends: tuple[steps.End, ...]
     answers: bool = False
+    claims: tuple[tuple[RunKey, int], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,18 +154,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrdersLoaded:
-    """All orders and stops of this node in the store."""
+    """All orders and stops of this node in the store, and the versions of the orders' rows."""
 
     orders: dict[RunKey, steps.Order]
     stops: dict[RunKey, steps.Order]
+    versions: dict[RunKey, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderAdded:
-    """A new order."""
+    """A new order, and the version of its row."""
 
     key: RunKey
     order: steps.Order
+    version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -16,6 +16,9 @@
 ENDS_PER_WRITE = 24
 """Ends recorded in one transaction; each takes up to three of its 100 entries."""
 
+CLAIMS_PER_WRITE = 20
+"""Orders claimed in one transaction; each takes one entry."""
+
 
 def writes(state: states.State, now: float) -> Iterator[exchange.Effect]:
     """Yield the write or read of the row that is due."""
@@ -26,9 +29,11 @@
         yield exchange.ReadRow()
         return
     due = now - state.renewed_at >= states.RENEW_SECONDS
-    if state.registered and not (due or state.dirty or state.ends):
+    claims = _claims(state, now)
+    if state.registered and not (due or state.dirty or state.ends or claims):
         return
     state.writing = True
+    state.written_claims = claims
     state.dirty = False
     state.written_ends = dict(sorted(state.ends.items(), reverse=True)[-ENDS_PER_WRITE:])
     yield exchange.WriteRow(
@@ -36,6 +41,7 @@
         state.version,
         tuple(state.written_ends.values()),
         state.renewal_asked,
+        tuple((key, state.held[key].order_version) for key in claims),
     )
 
 
@@ -57,11 +63,13 @@
         state.fence = row.fence
         state.inherited_until_ms = max(state.inherited_until_ms, row.hold_until_ms)
         state.reports |= {(report.task, report.attempt): report for report in row.runs}
+        _inherit_claims(state, row)
         if state.worker is None:
             state.worker = row.worker
             state.heard_at = now
     state.hold_until_ms = row.hold_until_ms
-    if committed and state.written_ends:
+    if committed:
+        _take_claims(state)
         _forget_written(state)
 
 
@@ -74,12 +82,15 @@
             state.registered = True
             state.hold_until_ms = state.wanted_until_ms
             state.renewed_at = done.asked_at
+            _take_claims(state)
             _forget_written(state)
         case rows.Outcome.NOT_DONE:
             state.dirty = True
             state.write_retry_at = now + states.RETRY_SECONDS
         case _:
             # Another write came between, or the answer was lost: the row tells which.
+            if state.written_claims:
+                state.claims_from = now + states.CLAIM_PAUSE_SECONDS
             state.dirty = True
             state.writing = True
             yield exchange.ReadRow()
@@ -108,9 +119,56 @@
         state.wanted_until_ms,
         _known_worker(state),
         tuple(reports.values()),
+        _claimed(state),
     )
 
 
+def _claims(state: states.State, now: float) -> tuple[exchange.RunKey, ...]:
+    """Return the orders that the next write claims."""
+    if not state.registered or now < state.claims_from:
+        return ()
+    wanted = [
+        key
+        for key, held in state.held.items()
+        if held.claim_wanted
+        and not held.claimed
+        and not held.stop
+        and held.order is not None
+        and held.phase is states.Phase.WAITING
+    ]
+    return tuple(wanted[:CLAIMS_PER_WRITE])
+
+
+def _claimed(state: states.State) -> tuple[exchange.RunKey, ...]:
+    """Return the orders that the agent's row names as claimed."""
+    claimed = {
+        key
+        for key, held in state.held.items()
+        if held.claimed and held.phase is not states.Phase.ENDED
+    }
+    if not state.listed:
+        # What became of the runs of an earlier process is not known yet.
+        claimed |= state.inherited_claims
+    return tuple(sorted(claimed | set(state.written_claims)))
+
+
+def _inherit_claims(state: states.State, row: agents.Agent) -> None:
+    """Take over what an earlier process of this node may have started."""
+    state.inherited_claims = {(report.task, report.attempt) for report in row.runs}
+    state.inherited_claims.update(row.claimed)
+    for key in state.inherited_claims & state.held.keys():
+        state.held[key].claimed = True
+
+
+def _take_claims(state: states.State) -> None:
+    """Note that the claims of a write are in the store, so that the runs may start."""
+    for key in state.written_claims:
+        held = state.held.get(key)
+        if held is not None:
+            held.claimed = True
+    state.written_claims = ()
+
+
 def _known_worker(state: states.State) -> agents.Worker | None:
     """Return the worker as it may be used now.
 
--- a/packages/core/src/peridothatch_core/hold/orders.py
+++ b/packages/core/src/peridothatch_core/hold/orders.py
@@ -21,12 +21,16 @@
 """The same while a stop may have barred a run that never began, which no end will tell."""
 
 
-def load(state: states.State, orders: dict[exchange.RunKey, steps.Order]) -> None:
+def load(
+    state: states.State,
+    orders: dict[exchange.RunKey, steps.Order],
+    versions: dict[exchange.RunKey, int],
+) -> None:
     """Take over all orders in the store, after the start or after the feed lost its history."""
     first = not state.loaded
     state.loaded = True
     for key, order in orders.items():
-        add(state, key, order)
+        add(state, key, order, versions.get(key, 0))
         if first:
             # An earlier process of this node may have sent the start.
             state.held[key].unsure = True
@@ -35,14 +39,17 @@
             remove(state, key)
 
 
-def add(state: states.State, key: exchange.RunKey, order: steps.Order) -> None:
+def add(state: states.State, key: exchange.RunKey, order: steps.Order, version: int = 0) -> None:
     """Take over an order."""
     held = state.held.get(key)
     if held is None:
-        state.held[key] = states.Held(order)
+        held = states.Held(order)
+        state.held[key] = held
     elif held.order is None:
         held.order = order
         held.stop = ""
+    held.order_version = version
+    held.claimed = held.claimed or key in state.inherited_claims
 
 
 def remove(state: states.State, key: exchange.RunKey) -> None:
@@ -150,6 +157,8 @@
     if held.phase is states.Phase.WAITING:
         if worker.state is not agents.WorkerState.READY:
             held.stop = f"the worker is {worker.state}"
+        elif storeclock.latest_ms(state.clock, now) > held.order.start_by_ms and held.unsure:
+            held.stop = "the worker does not list the run, and it is too late to start it"
         elif storeclock.latest_ms(state.clock, now) > held.order.start_by_ms:
             earliest_ms = storeclock.earliest_ms(state.clock, now)
             held.stop = (
@@ -174,7 +183,9 @@
     rest = states.horizon(state) - now
     if held.order is None or deadline is None or rest < states.START_REST_SECONDS:
         return
-    if now >= held.retry_at:
+    if not held.claimed:
+        held.claim_wanted = True
+    elif now >= held.retry_at:
         held.calling = True
         yield exchange.Start(key, held.order, deadline, state.fence)
 
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -38,6 +38,10 @@
 PAUSED_SECONDS = 1.0
 """Time without any event after which the agent itself was paused; ticks come more often."""
 
+CLAIM_PAUSE_SECONDS = 0.1
+"""Pause of claims after a write that claimed orders has conflicted: one of them may have been
+withdrawn, which the feed tells, and the lease must be renewed meanwhile."""
+
 LIST_PAUSE_SECONDS = 0.05
 """Least pause between lists: a worker may answer at once instead of waiting for an end."""
 
@@ -77,6 +81,10 @@
     ----------
     order : Order or None
         ``None`` for a run that no order in the store asks for; it is stopped.
+    order_version : int
+        Version of the order's row.
+    claim_wanted, claimed : bool
+        The next write of the agent's row shall claim the order; the row in the store claims it.
     unsure : bool
         A start was sent without an answer and may still be carried out.
     calling : bool
@@ -98,7 +106,10 @@
     """
 
     order: steps.Order | None
+    order_version: int = 0
     phase: Phase = Phase.WAITING
+    claim_wanted: bool = False
+    claimed: bool = False
     unsure: bool = False
     calling: bool = False
     stop: str = ""
@@ -143,6 +154,12 @@
     written_ends : dict
         Ends in the write that is under way, by the number that the worker gave them, or by a
         negative number of our own.
+    written_claims : tuple of RunKey
+        Orders that the write under way claims.
+    claims_from : float
+        When the next write may claim orders, in local seconds.
+    inherited_claims : set
+        Orders that an earlier process of this node claimed.
     worker : Worker or None
         The worker's last description.
     sequence : int
@@ -197,6 +214,9 @@
     writing: bool = False
     write_retry_at: float = 0.0
     written_ends: dict[int, steps.End] = dataclasses.field(default_factory=dict)
+    written_claims: tuple[exchange.RunKey, ...] = ()
+    claims_from: float = 0.0
+    inherited_claims: set[exchange.RunKey] = dataclasses.field(default_factory=set)
     worker: agents.Worker | None = None
     sequence: int = -1
     worker_heard: bool = False
--- a/packages/core/src/peridothatch_core/hold/step.py
+++ b/packages/core/src/peridothatch_core/hold/step.py
@@ -35,12 +35,12 @@
             worker.heartbeat(state, described, sequence, now)
         case exchange.Deregistered(instance):
             worker.deregister(state, instance)
-        case exchange.OrdersLoaded(ordered, stops):
-            orders.load(state, ordered)
+        case exchange.OrdersLoaded(ordered, stops, versions):
+            orders.load(state, ordered, versions)
             for key, order in stops.items():
                 orders.stop(state, key, order)
-        case exchange.OrderAdded(key, order):
-            orders.add(state, key, order)
+        case exchange.OrderAdded(key, order, version):
+            orders.add(state, key, order, version)
         case exchange.OrderRemoved(key):
             orders.remove(state, key)
         case exchange.StopAdded(key, order):
--- a/packages/core/src/peridothatch_core/model/agents.py
+++ b/packages/core/src/peridothatch_core/model/agents.py
@@ -77,6 +77,8 @@
         The worker beside the agent, once it has announced itself.
     runs : tuple of RunReport
         Runs whose start the worker has confirmed.
+    claimed : tuple of (str, int)
+        Task and attempt of the orders that the agent has taken; it starts no other runs.
     """
 
     node: str
@@ -86,6 +88,7 @@
     hold_until_ms: int
     worker: Worker | None = None
     runs: tuple[RunReport, ...] = ()
+    claimed: tuple[tuple[str, int], ...] = ()
 
 
 def report(agent: Agent, task: str, attempt: int) -> RunReport | None:
--- a/packages/core/src/peridothatch_core/model/steps.py
+++ b/packages/core/src/peridothatch_core/model/steps.py
@@ -25,7 +25,8 @@
     """How a run of a task ended.
 
     ``REJECTED`` and ``LOST`` are decided by the agent: the run never began, or it ended with the
-    incarnation of its worker.
+    incarnation of its worker. ``WITHDRAWN`` is decided by the scheduler: the agent had not taken
+    the order.
     """
 
     DONE = "done"
@@ -36,6 +37,7 @@
     ALONE = "alone"
     REJECTED = "rejected"
     LOST = "lost"
+    WITHDRAWN = "withdrawn"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/schedule/cycle.py
+++ b/packages/core/src/peridothatch_core/schedule/cycle.py
@@ -1,4 +1,4 @@
-"""One scheduling cycle: lapses, ends, cancellations, then starts in order of urgency."""
+"""One scheduling cycle: lapses, ends, withdrawals, cancellations, then starts by urgency."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from peridothatch_core.model import agents, steps, tables
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import progress, starts
+from peridothatch_core.schedule import progress, starts, withdraw
 from peridothatch_core.schedule import state as states
 
 
@@ -24,6 +24,7 @@
     _close_lost(state, now_ms)
     progress.take_ends(state, now_ms)
     _close_broken(state, now_ms)
+    withdraw.withdraw(state, now_ms)
     _cancel(state, now_ms)
     _eject(state, now_ms)
     for job in list(state.jobs.values()):
--- a/packages/core/src/peridothatch_core/schedule/progress.py
+++ b/packages/core/src/peridothatch_core/schedule/progress.py
@@ -22,6 +22,7 @@
     steps.EndKind.ALONE: 300,
     steps.EndKind.BROKEN: 0,
     steps.EndKind.LOST: 0,
+    steps.EndKind.WITHDRAWN: 0,
     steps.EndKind.LAPSED: 0,
     steps.EndKind.STOPPED: 0,
 }
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -22,6 +22,13 @@
 RENEWED_WITHIN_MS = 3500
 """Longest time since the last renewal of an agent that gets new orders; agents renew every 2 s."""
 
+CLAIM_MS = 800
+"""Time after which an order is withdrawn that its agent has not claimed: its feed may have missed
+the order for half a second. An order for a dead agent would wait for the end of its lease."""
+
+CLAIM_WRITES = 4
+"""The same in addition, in writes: the order, the claim, and the feeds that show them."""
+
 LAPSE_MARGIN_MS = 1200
 """Time after a lease's end before its runs count as over: stopping takes up to the grace of a
 kill, and the clocks' rates differ slightly."""
@@ -70,12 +77,15 @@
         Other rows with their new values as data classes, or ``None`` to delete.
     spare : list of Key
         Rows that may be deleted later than the job's row is written.
+    conditions : list of Condition
+        Rows that must be as they were seen.
     """
 
     save: bool = False
     drop: bool = False
     writes: list[tuple[rows.Key, typing.Any]] = dataclasses.field(default_factory=list)
     spare: list[rows.Key] = dataclasses.field(default_factory=list)
+    conditions: list[rows.Condition] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,8 +137,14 @@
         Tickets by job, occurrence and step; only of queues that need them.
     requests : list of Request
         Requests for tickets that have been decided on.
+    taken : set of (str, int)
+        Task and attempt of open runs that an agent's row has named. A run that has just ended is
+        no longer named, and its end may be heard of later.
     unconfirmed : set of str
-        Nodes whose agents have not written since this process took the lead; they get no orders.
+        Nodes whose agents have not written since this process took the lead, or since an order
+        for them was withdrawn; they get no orders.
+    write_ms : float
+        Time that the newest transaction of decisions took.
     renewals : list of str
         Nodes whose agents are to be asked to renew their leases now.
     runtimes : History
@@ -156,8 +172,10 @@
     noted_at: dict[tuple[str, int, int], int] = dataclasses.field(default_factory=dict)
     tickets: dict[tickets.StepKey, tickets.StepTickets] = dataclasses.field(default_factory=dict)
     requests: list[tickets.Request] = dataclasses.field(default_factory=list)
+    taken: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     unconfirmed: set[str] = dataclasses.field(default_factory=set)
     renewals: list[str] = dataclasses.field(default_factory=list)
+    write_ms: float = 0.0
     runtimes: runtimes.History = dataclasses.field(default_factory=runtimes.History)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
     speeds: speeds.Speeds = dataclasses.field(default_factory=speeds.Speeds)
@@ -180,6 +198,17 @@
             _index(state, job, progress, run, 1)
 
 
+def put_agent(state: State, agent: agents.Agent, version: int) -> None:
+    """Take over a newer row of an agent."""
+    if agent.node in state.agents:
+        speeds.observe(state, state.agents[agent.node], agent)
+    state.agents[agent.node] = agent
+    state.agent_versions[agent.node] = version
+    state.unconfirmed.discard(agent.node)
+    state.taken.update(agent.claimed)
+    state.taken.update((report.task, report.attempt) for report in agent.runs)
+
+
 def confirm_agents(state: State) -> None:
     """Ask all agents to renew, and give orders only to those that have.
 
@@ -227,6 +256,8 @@
     """Remove a run that is over and free its room."""
     progress.runs.remove(run)
     speeds.forget_run(state, job, progress, run)
+    task = steps.task_name(job.id, progress.occurrence, progress.step, run.index)
+    state.taken.discard((task, run.attempt))
     _index(state, job, progress, run, -1)
     change(state, job.id).save = True
 
--- a/packages/core/src/peridothatch_core/schedule/writes.py
+++ b/packages/core/src/peridothatch_core/schedule/writes.py
@@ -85,13 +85,13 @@
         spare.extend(change.spare)
         if not (change.save or change.drop) or job_id not in state.jobs:
             continue
-        if current.size + 2 + len(change.writes) > ENTRIES:
+        if current.size + 2 + len(change.writes) + len(change.conditions) > ENTRIES:
             flush()
             for key, value in _overflow(change):
                 if current.size + 1 > ENTRIES:
                     flush()
                 current.writes.append((key, None if value is None else encode(value)))
-            if current.size + 2 + len(change.writes) > ENTRIES:
+            if current.size + 2 + len(change.writes) + len(change.conditions) > ENTRIES:
                 flush()
         _add_job(state, current, job_id, change, encode)
     state.changes.clear()
@@ -106,7 +106,7 @@
     A run that is stopped while the job's row does not say so yet ends and is started again, so
     that a successor after half of the writes goes on from a state that is safe.
     """
-    excess = len(change.writes) + 3 - ENTRIES
+    excess = len(change.writes) + len(change.conditions) + 3 - ENTRIES
     if excess <= 0:
         return []
     stops = [item for item in change.writes if item[0].key.endswith(tables.STOP_SUFFIX)]
@@ -121,6 +121,7 @@
 ) -> None:
     key = tables.job(job_id)
     current.conditions.append(rows.Condition(key, state.versions[job_id]))
+    current.conditions += [found for found in change.conditions if found not in current.conditions]
     if change.drop:
         current.writes.append((key, None))
         current.dropped.append(job_id)
--- a/packages/core/tests/hold/hold_harness.py
+++ b/packages/core/tests/hold/hold_harness.py
@@ -69,12 +69,25 @@
     effects = step.step(held, committed(write, now, version=7), now)
     write = only(effects, exchange.WriteRow)
     step.step(held, committed(write, now, version=8), now)
-    step.step(held, exchange.OrdersLoaded(orders or {}, stops or {}), now)
+    effects = step.step(held, exchange.OrdersLoaded(orders or {}, stops or {}), now)
     if listed:
-        step.step(held, exchange.RunsListed(listing(now)), now)
+        effects += step.step(held, exchange.RunsListed(listing(now)), now)
+    settle(held, effects, now)
     return held
 
 
+def settle(held, effects, now):
+    """Let the store commit all writes of the row; return the other effects."""
+    others = []
+    while effects:
+        effect = effects.pop(0)
+        if isinstance(effect, exchange.WriteRow):
+            effects += step.step(held, committed(effect, now), now)
+        else:
+            others.append(effect)
+    return others
+
+
 def tick(held, first, last):
     """Let time pass as in a running agent, whose ticks are never a second apart."""
     now = first
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import hold_harness as harness
 import hypothesis
 from hypothesis import strategies
@@ -10,7 +12,7 @@
 def test_an_order_is_started_within_the_promise_of_the_row():
     held = harness.registered()
     effects = step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
-    start = harness.only(effects, exchange.Start)
+    start = harness.only(harness.settle(held, effects, 10.1), exchange.Start)
     assert start.lease_end_ms < held.hold_until_ms
     assert start.fence == held.fence
 
@@ -33,7 +35,7 @@
     step.step(held, exchange.StoreTime(11_015, 10.01, 11.02), 11.02)
     order = harness.order(start_by_ms=ordered_ms + 2_000)
     effects = step.step(held, exchange.OrderAdded(harness.KEY, order), 11.02)
-    harness.only(effects, exchange.Start)
+    harness.only(harness.settle(held, effects, 11.02), exchange.Start)
 
 
 def test_an_order_that_was_never_carried_out_is_rejected_once_its_time_is_over():
@@ -97,6 +99,63 @@
     assert harness.only(effects, exchange.Replaced).fence == held.fence + 1
 
 
+def test_an_order_is_started_only_once_its_claim_is_in_the_store():
+    # The leader gives an order that nobody has claimed to another worker.
+    held = harness.registered()
+    added = exchange.OrderAdded(harness.KEY, harness.order(), 33)
+    effects = step.step(held, added, 10.1)
+    harness.none(effects, exchange.Start)
+    write = harness.only(effects, exchange.WriteRow)
+    assert write.claims == ((harness.KEY, 33),)
+    assert write.row.claimed == (harness.KEY,)
+    effects = step.step(held, harness.committed(write, 10.2), 10.2)
+    harness.only(effects, exchange.Start)
+
+
+def test_a_claim_that_conflicts_starts_nothing_and_lets_the_lease_be_renewed():
+    # The order was withdrawn, and its removal has not reached the agent yet.
+    held = harness.registered()
+    effects = step.step(held, exchange.OrderAdded(harness.KEY, harness.order(), 33), 10.1)
+    write = harness.only(effects, exchange.WriteRow)
+    conflict = harness.committed(write, 10.2, rows.Outcome.CONFLICT)
+    harness.only(step.step(held, conflict, 10.2), exchange.ReadRow)
+    row = dataclasses.replace(write.row, hold_until_ms=write.row.hold_until_ms - 5_000, claimed=())
+    effects = step.step(held, exchange.RowRead(True, row, write.version), 10.21)
+    harness.none(effects, exchange.Start)
+    assert harness.only(effects, exchange.WriteRow).claims == ()
+    step.step(held, exchange.OrderRemoved(harness.KEY), 10.22)
+    harness.none(step.step(held, exchange.Tick(), 10.5), exchange.Start)
+    assert not held.held
+
+
+def test_a_claim_whose_answer_was_lost_is_read_back():
+    held = harness.registered()
+    effects = step.step(held, exchange.OrderAdded(harness.KEY, harness.order(), 33), 10.1)
+    write = harness.only(effects, exchange.WriteRow)
+    unknown = harness.committed(write, 10.9, rows.Outcome.UNKNOWN)
+    harness.only(step.step(held, unknown, 10.9), exchange.ReadRow)
+    effects = step.step(held, exchange.RowRead(True, write.row, 55), 11.0)
+    harness.only(effects, exchange.Start)
+
+
+def test_a_restarted_agent_keeps_the_claims_of_the_process_before():
+    # An order that may have been started would look free to the leader otherwise.
+    held = state.State("side-1", "accra-a", 9_500)
+    step.step(held, exchange.StoreTime(30_000, 29.99, 30.0), 30.0)
+    step.step(held, exchange.Tick(), 30.0)
+    row = dataclasses.replace(_row(39_500), claimed=(harness.KEY,))
+    effects = step.step(held, exchange.RowRead(True, row, 50), 30.0)
+    write = harness.only(effects, exchange.WriteRow)
+    assert write.row.claimed == (harness.KEY,)
+    step.step(held, harness.committed(write, 30.1), 30.1)
+    step.step(
+        held, exchange.OrdersLoaded({harness.KEY: harness.order(start_by_ms=99_000)}, {}), 30.1
+    )
+    effects = step.step(held, exchange.RunsListed(harness.listing(30.2)), 30.2)
+    harness.only(effects, exchange.Start)
+    assert harness.only(effects, exchange.WriteRow).row.claimed == (harness.KEY,)
+
+
 def test_a_draining_worker_gets_no_start():
     held = harness.registered()
     leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=5_000)
@@ -174,7 +233,7 @@
 def test_a_start_under_way_at_a_new_life_is_barred_before_it_counts_as_rejected():
     held = harness.registered()
     effects = step.step(held, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
-    harness.only(effects, exchange.Start)
+    harness.only(harness.settle(held, effects, 10.1), exchange.Start)
     step.step(held, exchange.Heartbeat(harness.worker(started_ms=9_000), 0), 10.5)
     assert not held.ends
     step.step(held, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.NO_ANSWER), 10.9)
--- a/packages/core/tests/schedule/schedule_harness.py
+++ b/packages/core/tests/schedule/schedule_harness.py
@@ -85,7 +85,14 @@
 
 
 def renew(own, now_ms):
+    """Renew all agents' leases; each has claimed the orders that it was given."""
     for node, item in list(own.agents.items()):
-        own.agents[node] = agents.Agent(
-            node, item.zone, item.fence, item.lapses, now_ms + HOLD_MS, item.worker, item.runs
+        claimed = tuple(
+            (steps.task_name(job.id, progress.occurrence, progress.step, run_.index), run_.attempt)
+            for job, progress, run_ in own.runs.get(node, ())
         )
+        renewed = agents.Agent(
+            node, item.zone, item.fence, item.lapses, now_ms + HOLD_MS, item.worker, item.runs,
+            claimed,
+        )  # fmt: skip
+        state.put_agent(own, renewed, own.agent_versions.get(node, 0) + 1)
--- a/packages/core/tests/schedule/test_reclaim.py
+++ b/packages/core/tests/schedule/test_reclaim.py
@@ -47,6 +47,7 @@
 def test_work_that_resumes_from_a_checkpoint_is_stopped_first():
     own, items = _filled(checkpointing=(False, True))
     _add(own, _urgent())
+    harness.renew(own, harness.NOW_MS + 2_000)
     harness.run(own, harness.NOW_MS + 2_000)
     assert [harness.open_runs(item)[0].stopping for item in items] == [False, True]
 
@@ -63,6 +64,7 @@
     # Urgent jobs waited 24 s for work of lower priority that had just begun.
     own, items = _filled()
     _add(own, _urgent(customer="hotels"))
+    harness.renew(own, harness.NOW_MS + 2_000)
     harness.run(own, harness.NOW_MS + 2_000)
     assert sum(harness.open_runs(item)[0].stopping for item in items) == 1
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -24,6 +24,7 @@
     runs_done: int = 0
     runs_failed: int = 0
     runs_lost: int = 0
+    orders_withdrawn: int = 0
     leases_lapsed: int = 0
     writes_unclear: int = 0
 
@@ -50,5 +51,7 @@
             counted.runs_done += 1
         case "ended failed":
             counted.runs_failed += 1
+        case "ended withdrawn":
+            counted.orders_withdrawn += 1
         case _ if kind.startswith("ended"):
             counted.runs_lost += 1
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -56,6 +56,7 @@
         tickets=old.tickets,
         speeds=old.speeds,
         runtimes=old.runtimes,
+        write_ms=old.write_ms,
     )
     own.schedule = fresh
     # The members were read later, so their versions say nothing about the work.
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_rows.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_rows.py
@@ -5,7 +5,7 @@
 import typing
 
 from peridothatch_core.model import tables
-from peridothatch_core.schedule import speeds, state
+from peridothatch_core.schedule import state
 from peridothatch_daemon.hosted import log, records
 
 if typing.TYPE_CHECKING:
@@ -38,11 +38,6 @@
     if row.version <= schedule.agent_versions.get(node, 0):
         return
     try:
-        agent = records.decode(records.AGENT, row.value)
-        if node in schedule.agents:
-            speeds.observe(schedule, schedule.agents[node], agent)
-        schedule.agents[node] = agent
-        schedule.agent_versions[node] = row.version
-        schedule.unconfirmed.discard(node)
+        state.put_agent(schedule, records.decode(records.AGENT, row.value), row.version)
     except ValueError as error:
         log.event("scheduler:unreadable_row", key=row.key, reason=str(error))
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -209,6 +209,7 @@
     match done.outcome:
         case rows.Outcome.COMMITTED:
             own.record(done.answered_at - done.asked_at)
+            own.schedule.write_ms = 1000 * (done.answered_at - done.asked_at)
             _apply_batch(own, batch, done.version)
             own.batches.pop(0)
             _send_batch(own)
--- a/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
@@ -164,7 +164,11 @@
         changed.append((tables.stop(end.node, end.task, end.attempt), None))
     if effect.answers:
         changed.append((tables.renewal(own.hold.node), None))
-    transaction = rows.Transaction((rows.Condition(key, effect.version),), tuple(changed))
+    conditions = [rows.Condition(key, effect.version)]
+    for (task_name, attempt), version in effect.claims:
+        order = tables.order(own.hold.node, task_name, attempt)
+        conditions.append(rows.Condition(order, version))
+    transaction = rows.Transaction(tuple(conditions), tuple(changed))
 
     def answer(done: rows.Committed) -> None:
         mailbox.post(own.inbox, done)
@@ -215,11 +219,14 @@
     if isinstance(message, rows.Snapshot):
         orders = {}
         stops = {}
+        versions = {}
         for row in mine:
             key, is_stop = _run_key(row.key)
             order = records.decode(records.ORDER, row.value or b"")
             (stops if is_stop else orders)[key] = order
-        _step(own, exchange.OrdersLoaded(orders, stops))
+            if not is_stop:
+                versions[key] = row.version
+        _step(own, exchange.OrdersLoaded(orders, stops, versions))
         return
     for row in mine:
         key, is_stop = _run_key(row.key)
@@ -238,7 +245,8 @@
             poll_ms=round(1000 * (message.answered_at - message.asked_at)),
             store_ms=message.now_ms,
         )
-        _step(own, exchange.StopAdded(key, order) if is_stop else exchange.OrderAdded(key, order))
+        event = exchange.StopAdded(key, order)
+        _step(own, event if is_stop else exchange.OrderAdded(key, order, row.version))
 
 
 def _run_key(key: str) -> tuple[exchange.RunKey, bool]:
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -205,6 +205,10 @@
     ),
     "runs_done": Text("Runs that ended done.", "None."),
     "runs_failed": Text("Runs that ended failed.", "Look for failing workers and jobs."),
+    "orders_withdrawn": Text(
+        "Orders that their agent did not claim in time and that went to another worker.",
+        "A rise shows agents that have died or have lost the store.",
+    ),
     "runs_lost": Text(
         "Runs that ended in another way, with their worker or its lease.",
         "Look for lost workers and for outages of the store.",
--- a/specs/hosted_run.py
+++ b/specs/hosted_run.py
@@ -1,11 +1,12 @@
 """Specification: a task runs at most once at a time on the users' platform.
 
 One task with an order for worker A, which the leader may give to worker B instead once A's run is
-certainly over. The agent of A promises in the store how long runs may live; its renewals and its
-starts may arrive at any later time, and answers may be lost. The worker may start a new
+certainly over, or withdraws while A's agent has not claimed it. A claim may arrive late, and its
+answer may be lost. The agent of A promises in the store how long runs may live; its renewals and
+its starts may arrive at any later time, and answers may be lost. The worker may start a new
 incarnation under its old id, which knows nothing of before; a start in flight to the old
-incarnation is lost, and one that is sent later reaches the new incarnation, of which the agent has
-not heard. Time passes in ticks.
+incarnation is lost, and one that is sent later reaches the new incarnation, of which the agent
+has not heard. Time passes in ticks.
 
 A renewal that is applied after the lapse does no harm here, because the order is too old by
 then; the condition on the agent's row is a second safeguard, which is not modelled.
@@ -28,13 +29,18 @@
     "the leader waits for the promise to pass": "one_run_at_a_time",
     "an order is carried out soon or never": "one_run_at_a_time",
     "a run is barred on a new incarnation before it counts as lost": "one_run_at_a_time",
+    "a start needs a claim in the store": "one_run_at_a_time",
+    "only an unclaimed order is withdrawn": "one_run_at_a_time",
+    "a withdrawn order cannot be claimed": "one_run_at_a_time",
 }
 
 
 class State(typing.NamedTuple):
     """Times are in ticks until they pass.
 
-    ``window`` is when the agent may send the start. ``promise`` is what the store holds and
+    ``window`` is when the agent may send the start. ``claim`` is in flight, ``claimed`` what the
+    store holds and ``claim_known`` what the agent has read of it; ``withdrawn`` tells that the
+    leader has deleted the order. ``promise`` is what the store holds and
     ``known`` what the agent has read of it; ``renewal`` and ``start`` are in flight, the latter
     with ``start_until``; ``deadline`` is the worker's; ``run_a`` and ``run_b`` are the runs;
     ``stopped`` is a stop that the worker has confirmed, ``barred`` what its current incarnation
@@ -43,6 +49,10 @@
     """
 
     window: int = START_TICKS
+    claim: int = 0
+    claimed: int = 0
+    claim_known: int = 0
+    withdrawn: int = 0
     promise: int = HOLD_TICKS
     known: int = HOLD_TICKS
     renewal: int = 0
@@ -74,6 +84,7 @@
 def _transitions(state: State, removed: frozenset[str]) -> typing.Iterator[tuple[str, State]]:
     yield "tick", _tick(state)
     yield from _renewal(state)
+    yield from _claim(state, removed)
     yield from _agent(state, removed)
     yield from _worker(state, removed)
     yield from _leader(state, removed)
@@ -101,11 +112,25 @@
     yield "store applies the renewal, its answer is lost", renewed
 
 
+def _claim(state: State, removed: frozenset[str]) -> typing.Iterator[tuple[str, State]]:
+    if not state.claim:
+        if state.window and not state.claim_known:
+            yield "agent sends a claim", state._replace(claim=1)
+        return
+    yield "claim is lost", state._replace(claim=0)
+    if state.withdrawn and "a withdrawn order cannot be claimed" not in removed:
+        return
+    taken = state._replace(claim=0, claimed=1)
+    yield "store applies the claim", taken._replace(claim_known=1)
+    yield "store applies the claim, its answer is lost", taken
+
+
 def _agent(state: State, removed: frozenset[str]) -> typing.Iterator[tuple[str, State]]:
     given = state.known
     if given and "the deadline comes before the promise" in removed:
         given += 1
     in_time = state.window or "an order is carried out soon or never" in removed
+    in_time = in_time and (state.claim_known or "a start needs a claim in the store" in removed)
     if given and in_time and not state.stopped and not state.rejected:
         yield "agent sends a start", state._replace(start=1, start_until=given)
     if given and state.run_a:
@@ -145,5 +170,8 @@
     passed = not state.promise or "the leader waits for the promise to pass" in removed
     if passed and not state.lapsed:
         yield "leader declares the lease lapsed", state._replace(lapsed=1)
-    if (state.lapsed or state.rejected) and not state.run_b:
+    free = not state.claimed or "only an unclaimed order is withdrawn" in removed
+    if free and not state.withdrawn:
+        yield "leader withdraws the order", state._replace(withdrawn=1)
+    if (state.lapsed or state.rejected or state.withdrawn) and not state.run_b:
         yield "leader starts the task on B", state._replace(run_b=1)
