Give last attempts to workers that have shown themselves sound

Workers that fail everything are found by their failures only, and an idle one has had none. A task whose next failure fails its job now goes to a worker on which a run that was started in the last 10 s is still at work after a second. Jobs with time to spare wait 3 s for one; urgent ones take it first but do not wait; nobody waits where every worker is avoided.

Two older tests allow for the wait: they check the same, and that the last attempt has not begun before it is over.

--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -6,7 +6,7 @@
 
 from peridothatch_core.model import steps
 from peridothatch_core.order import runtimes
-from peridothatch_core.schedule import fit, progress, reclaim, speeds, tickets
+from peridothatch_core.schedule import caution, fit, progress, reclaim, speeds, tickets
 from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
@@ -106,6 +106,13 @@
         _note_waiting(state, job, step_progress, len(waiting), found, now_ms)
         return
     avoid = _avoided(state, job, step_progress, now_ms)
+    *better, found = caution.choices(state, job, step_progress, 0, found, avoid, now_ms)
+    for rooms in better:
+        groups = fit.near_groups(step, job.service, rooms) or fit.any_groups(rooms)
+        chosen = fit.place_gang(step, job.service, groups, avoid)
+        if chosen is not None:
+            _order_gang(state, job, step_progress, waiting, chosen, now_ms)
+            return
     near = fit.near_groups(step, job.service, found)
     chosen = fit.place_gang(step, job.service, near, avoid)
     plan = None
@@ -128,6 +135,17 @@
             reclaim.keep_room(step, plan)
         _note_waiting(state, job, step_progress, len(waiting), found, now_ms)
         return
+    _order_gang(state, job, step_progress, waiting, chosen, now_ms)
+
+
+def _order_gang(
+    state: states.State,
+    job: steps.Job,
+    step_progress: steps.StepProgress,
+    waiting: list[int],
+    chosen: list[fit.Room],
+    now_ms: int,
+) -> None:
     step_progress.attempts[0] += 1
     for index, room in zip(waiting, chosen, strict=True):
         _order(state, job, step_progress, index, step_progress.attempts[0], room, now_ms)
@@ -156,11 +174,18 @@
     if allowed < len(waiting):
         _note_waiting(state, job, step_progress, len(waiting) - allowed, found, now_ms)
     waiting = waiting[:allowed]
+    # Tasks that may have to wait for a sound worker must not hold the others up.
+    waiting.sort(key=lambda index: caution.is_last(job, step_progress, index))
     for position, index in enumerate(waiting):
-        room = fit.place_one(step, job.service, usable, on_node, avoid)
+        tiers = caution.choices(state, job, step_progress, index, usable, avoid, now_ms)
+        placed = (fit.place_one(step, job.service, rooms, on_node, avoid) for rooms in tiers)
+        room = next((room for room in placed if room is not None), None)
         if room is None:
-            suited = [room for room in usable if fit.takes(room, step, job.service)]
             rest = len(waiting) - position
+            if tiers[-1] is not usable:
+                _note_waiting(state, job, step_progress, rest, found, now_ms)
+                return position
+            suited = [room for room in usable if fit.takes(room, step, job.service)]
             plan = _plan(state, job, step_progress, rest, [suited], avoid, protected, now_ms)
             if plan is not None and not _stop_for(state, job, step, plan, protected):
                 reclaim.keep_room(step, plan)
@@ -305,6 +330,8 @@
     if step.target_ms and room.fills:
         _stop_filling(state, room, task)
     fit.occupy(room, step)
+    slot = steps.slot(step, index)
+    state.cautious_since.pop((job.id, step_progress.occurrence, step_progress.step, slot), None)
     if job.state is steps.JobState.QUEUED:
         job.state = steps.JobState.RUNNING
     known = state.tickets.get((job.id, step_progress.occurrence, step_progress.step))
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -129,6 +129,9 @@
         Open runs by node, as (job, progress, run).
     retry_at : dict
         Store time before which a task is not started again, by job, occurrence, step and index.
+    cautious_since : dict
+        Store time since which the last attempt of a task waits, by job, occurrence, step and
+        index.
     ready_at : dict
         Store time since which a step waits for a place at full speed.
     noted_at : dict
@@ -167,6 +170,7 @@
         default_factory=dict
     )
     retry_at: dict[tuple[str, int, int, int], int] = dataclasses.field(default_factory=dict)
+    cautious_since: dict[tuple[str, int, int, int], int] = dataclasses.field(default_factory=dict)
     avoid: dict[tuple[str, int, int], set[str]] = dataclasses.field(default_factory=dict)
     ready_at: dict[tuple[str, int, int], int] = dataclasses.field(default_factory=dict)
     noted_at: dict[tuple[str, int, int], int] = dataclasses.field(default_factory=dict)
@@ -224,7 +228,14 @@
     state.jobs.pop(job.id, None)
     state.versions.pop(job.id, None)
     state.cancelled.discard(job.id)
-    per_step = (state.avoid, state.ready_at, state.noted_at, state.retry_at, state.tickets)
+    per_step = (
+        state.avoid,
+        state.cautious_since,
+        state.ready_at,
+        state.noted_at,
+        state.retry_at,
+        state.tickets,
+    )
     for by_step in per_step:
         for key in [key for key in by_step if key[0] == job.id]:
             del by_step[key]
--- a/packages/core/tests/schedule/test_cycle.py
+++ b/packages/core/tests/schedule/test_cycle.py
@@ -1,7 +1,7 @@
 import schedule_harness as harness
 
 from peridothatch_core.model import agents, steps, tables
-from peridothatch_core.schedule import cycle, progress, state
+from peridothatch_core.schedule import caution, cycle, progress, state
 
 
 def test_a_step_waits_for_the_steps_before_it():
@@ -89,9 +89,10 @@
     for _ in range(2):
         assert item.state is steps.JobState.RUNNING
         harness.end(own, item, harness.open_runs(item)[0], steps.EndKind.FAILED, now_ms=now_ms)
-        now_ms += 1_000
-        harness.renew(own, now_ms)
-        harness.run(own, now_ms)
+        for _ in range(2):
+            now_ms += caution.PROOF_PATIENCE_MS
+            harness.renew(own, now_ms)
+            harness.run(own, now_ms)
     assert item.state is steps.JobState.FAILED
     assert not harness.open_runs(item)
 
@@ -348,14 +349,24 @@
     own = harness.scheduler([item], [harness.agent(f"n{number}") for number in range(4)])
     harness.run(own)
     now_ms = harness.NOW_MS
-    for delay_ms in progress.FAILURE_DELAYS_MS[:2]:
-        _fail_gang(own, item, now_ms)
-        harness.run(own, now_ms + delay_ms - 1)
+    first_ms, second_ms = progress.FAILURE_DELAYS_MS[:2]
+    _fail_gang(own, item, now_ms)
+    harness.run(own, now_ms + first_ms - 1)
+    assert not harness.open_runs(item)
+    now_ms += first_ms
+    harness.renew(own, now_ms)
+    harness.run(own, now_ms)
+    assert len(harness.open_runs(item)) == 2
+    _fail_gang(own, item, now_ms)
+    # The last attempt waits for a worker that has shown itself sound as well.
+    for later_ms in (second_ms - 1, second_ms, second_ms + caution.PROOF_PATIENCE_MS - 1):
+        harness.renew(own, now_ms + later_ms)
+        harness.run(own, now_ms + later_ms)
         assert not harness.open_runs(item)
-        now_ms += delay_ms
-        harness.renew(own, now_ms)
-        harness.run(own, now_ms)
-        assert len(harness.open_runs(item)) == 2
+    now_ms += second_ms + caution.PROOF_PATIENCE_MS
+    harness.renew(own, now_ms)
+    harness.run(own, now_ms)
+    assert len(harness.open_runs(item)) == 2
 
 
 def test_a_worker_on_which_another_job_has_just_failed_is_used_last():
