Remember claims over a read of all rows

The reads show the agents' rows after those of the jobs, so that a run which ended in between is neither named by its agent nor known to have ended, and what had been named before was forgotten at each read. The condition on the end kept the runs from being withdrawn; the orders of other jobs in the same transaction were lost with it.

The set of claims that were seen is now kept. The new test fails without it: the transaction deletes the order of a run that was claimed.

--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -57,6 +57,9 @@
         speeds=old.speeds,
         runtimes=old.runtimes,
         write_ms=old.write_ms,
+        # The rows of the agents may be newer than those of the jobs, and no longer name a run
+        # whose end is not among the latter.
+        taken=old.taken,
     )
     own.schedule = fresh
     # The members were read later, so their versions say nothing about the work.
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -30,6 +30,15 @@
     return rows.Changes(table, found, int(1000 * now), now - 0.01, now)
 
 
+def _snapshot(table, *found):
+    now = clock.now()
+    return rows.Snapshot(table, found, int(1000 * now), now - 0.01, now)
+
+
+def _agent(claimed=()):
+    return agents.Agent(NODE, "accra-a", 1, 0, 10**12, claimed=claimed)
+
+
 class _Store:
     """The store's side of a scheduler's mailbox."""
 
@@ -142,6 +151,26 @@
     await scheduler.close(running)
 
 
+async def test_a_claim_that_was_seen_outlives_a_read_of_all_rows():
+    # The read showed the agent's row after the end of a run and the work before it: orders were
+    # withdrawn in vain, and all rows read again, four times in a row.
+    running, store = await _leading(
+        [_row(tables.job("00000000000000aa"), _job(), 10)],
+        [_row(tables.agent(NODE), _agent(claimed=((TASK, 1),)), 9)],
+    )
+    gone = _row(tables.agent(NODE), _agent(), 42)
+    mailbox.post(running.inbox, _changes(tables.MEMBERS, gone))
+    mailbox.post(running.inbox, _snapshot(tables.MEMBERS, gone))
+    store.fetched(await store.next(rows.Fetch), _row(tables.job("00000000000000aa"), _job(), 10))
+    store.fetched(await store.next(rows.Fetch), gone)
+    # A cycle leaves the run alone: its order is not deleted.
+    other = dataclasses.replace(_job(), id="00000000000000bb", progress=[], opened=0)
+    mailbox.post(running.inbox, _changes(tables.WORK, _row(tables.job(other.id), other, 50)))
+    written = await store.next(rows.Commit, lambda message: _writes(message, tables.job(other.id)))
+    assert not _writes(written, tables.order(NODE, TASK, 1))
+    await scheduler.close(running)
+
+
 async def test_a_leader_whose_epoch_was_taken_writes_nothing_more():
     work = [_row(tables.job("00000000000000aa"), _job(), 10)]
     agent = agents.Agent(NODE, "accra-a", 1, 0, 10**12)
