Ask only agents whose rows are old to renew at a takeover

A row that is younger than the 0.7 s that a process takes at the least to start and to lead cannot be from before a loss of power that ended its agent and the leader together. Such agents get orders at once and are not asked.

test_agents_that_have_just_renewed_are_not_asked_to fails before.

--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -19,6 +19,10 @@
 """Time in which an agent may begin to carry out an order. Shorter than the bounds on starts
 after a take-out, a drain or a cancellation, so that no order outlives them."""
 
+CONFIRMED_WITHIN_MS = 700
+"""Age of an agent's renewal up to which a new leader gives it orders without asking. A process
+takes at least as long to start and to lead."""
+
 RENEWED_WITHIN_MS = 3500
 """Longest time since the last renewal of an agent that gets new orders; agents renew every 2 s."""
 
@@ -213,14 +217,19 @@
     state.taken.update((report.task, report.attempt) for report in agent.runs)
 
 
-def confirm_agents(state: State) -> None:
-    """Ask all agents to renew, and give orders only to those that have.
+def confirm_agents(state: State, now_ms: int) -> None:
+    """Ask agents to renew, and give orders only to those that have.
 
     A row that looks recent may be from before a loss of power that ended its agent, its worker
-    and the former leader together.
+    and the former leader together; one that is younger than a leader can be after such a loss is
+    not.
     """
-    state.unconfirmed = set(state.agents)
-    state.renewals = sorted(state.agents)
+    state.unconfirmed = {
+        node
+        for node, agent in state.agents.items()
+        if agent.hold_until_ms - state.limits.hold_ms < now_ms - CONFIRMED_WITHIN_MS
+    }
+    state.renewals = sorted(state.unconfirmed)
 
 
 def drop_job(state: State, job: steps.Job) -> None:
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -7,7 +7,14 @@
 from peridothatch_core.message import rows
 from peridothatch_core.model import storeclock, tables
 from peridothatch_core.schedule import state
-from peridothatch_daemon.hosted import log, messages, schedule_lease, schedule_rows, schedule_state
+from peridothatch_daemon.hosted import (
+    clock,
+    log,
+    messages,
+    schedule_lease,
+    schedule_rows,
+    schedule_state,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,7 +77,8 @@
         schedule_rows.take_agent(own.schedule, row)
     if own.confirmed_epoch != own.leadership.epoch:
         own.confirmed_epoch = own.leadership.epoch
-        state.confirm_agents(own.schedule)
+        now_ms = storeclock.earliest_ms(own.clock, clock.now())
+        state.confirm_agents(own.schedule, now_ms)
     else:
         _keep_unconfirmed(old, own.schedule)
     for table, row in own.missed:
