Give a start up that the worker leaves unanswered twice

The agent waited 0.8 s for each answer and sent the start again until its 2 s were over; the other members ended as alone after 3 s; and the list that shows that the barred run had not begun was asked for only after one that waited a second for an end. The gang started again 4.6 s after its first order.

A worker that does not answer one start of a run leaves the next one unanswered as well. A start that finds no listener has certainly not been carried out and is tried again as before.

test_a_start_that_is_left_unanswered_twice_is_barred_and_given_up fails before. In test_a_start_under_way_at_a_new_life_is_barred_before_it_counts _as_rejected the stop now comes with the lost answer, not a pause later.

--- a/packages/core/src/peridothatch_core/hold/exchange.py
+++ b/packages/core/src/peridothatch_core/hold/exchange.py
@@ -43,6 +43,8 @@
     ----------
     patience_ms : int
         How long the worker may wait for an end before it answers.
+    beside : bool
+        Another list, which waits for an end, is under way.
     """
 
     instance: str
@@ -50,6 +52,7 @@
     fence: int
     recorded_through: int
     patience_ms: int
+    beside: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -217,10 +220,13 @@
     ----------
     no_listener : bool
         Nothing listens at the worker's address.
+    beside : bool
+        As in the call.
     """
 
     listing: Listing | None
     no_listener: bool = False
+    beside: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/hold/orders.py
+++ b/packages/core/src/peridothatch_core/hold/orders.py
@@ -111,7 +111,9 @@
             held.retry_at = now + states.RETRY_SECONDS
         case exchange.StartOutcome.NO_ANSWER:
             held.unsure = True
-            held.retry_at = now + states.RETRY_SECONDS
+            held.unanswered += 1
+            if held.unanswered >= states.UNANSWERED_STARTS:
+                held.stop = held.stop or "the worker has not answered the start"
 
 
 def stopped(state: states.State, key: exchange.RunKey, confirmed: bool, now: float) -> None:
@@ -127,25 +129,48 @@
 
 
 def _list_runs(state: states.State, now: float) -> Iterator[exchange.Effect]:
-    if state.list_pending or now < state.list_retry_at or state.worker is None:
+    if state.worker is None:
+        return
+    if state.list_pending:
+        yield from _list_beside(state, now)
+        return
+    if now < state.list_retry_at:
         return
     state.list_pending = True
     active = any(held.phase is not states.Phase.ENDED for held in state.held.values())
-    stopping = any(
-        held.stopped_at is not None and held.phase is states.Phase.WAITING
-        for held in state.held.values()
-    )
     patience_ms = LONG_LIST_MS if active else IDLE_LIST_MS
     if not state.worker_clock_ms:
         patience_ms = 0
-    elif stopping:
+    elif _barred_unlisted(state):
         patience_ms = STOPPING_LIST_MS
-    yield exchange.ListRuns(
-        state.worker.instance,
+    yield _list(state, now, patience_ms)
+
+
+def _list_beside(state: states.State, now: float) -> Iterator[exchange.Effect]:
+    """Ask for a list at once, where the list that waits for an end would tell too late."""
+    if _barred_unlisted(state) and not state.beside_pending and now >= state.beside_retry_at:
+        state.beside_pending = True
+        yield _list(state, now, 0, beside=True)
+
+
+def _barred_unlisted(state: states.State) -> bool:
+    """Tell whether a list must show that a run that was barred has not begun."""
+    return any(
+        held.stopped_at is not None and held.phase is states.Phase.WAITING
+        for held in state.held.values()
+    )
+
+
+def _list(
+    state: states.State, now: float, patience_ms: int, *, beside: bool = False
+) -> exchange.ListRuns:
+    return exchange.ListRuns(
+        states.instance(state),
         states.lease_end_ms(state, now),
         state.fence,
         state.recorded_through,
         patience_ms,
+        beside,
     )
 
 
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -38,6 +38,10 @@
 PAUSED_SECONDS = 1.0
 """Time without any event after which the agent itself was paused; ticks come more often."""
 
+UNANSWERED_STARTS = 2
+"""Starts without an answer after which the run is barred and given up: a worker that leaves one
+unanswered may carry it out seconds later, while the other members of a gang wait for it."""
+
 CLAIM_PAUSE_SECONDS = 0.1
 """Pause of claims after a write that claimed orders has conflicted: one of them may have been
 withdrawn, which the feed tells, and the lease must be renewed meanwhile."""
@@ -87,6 +91,8 @@
         The next write of the agent's row shall claim the order; the row in the store claims it.
     unsure : bool
         A start was sent without an answer and may still be carried out.
+    unanswered : int
+        Starts in a row that had no answer.
     calling : bool
         A call about the run is under way.
     stop : str
@@ -111,6 +117,7 @@
     claim_wanted: bool = False
     claimed: bool = False
     unsure: bool = False
+    unanswered: int = 0
     calling: bool = False
     stop: str = ""
     stopped_at: float | None = None
@@ -194,6 +201,10 @@
         Numbers of ends that need no record.
     list_pending : bool
         A list of the worker's runs is under way.
+    beside_pending : bool
+        Another list is under way beside it, which does not wait for an end.
+    beside_retry_at : float
+        When the next such list may be asked for.
     """
 
     node: str
@@ -235,6 +246,8 @@
     ignorable: set[int] = dataclasses.field(default_factory=set)
     own_ends: int = 0
     list_pending: bool = False
+    beside_pending: bool = False
+    beside_retry_at: float = 0.0
     list_retry_at: float = 0.0
     held: dict[exchange.RunKey, Held] = dataclasses.field(default_factory=dict)
 
--- a/packages/core/src/peridothatch_core/hold/step.py
+++ b/packages/core/src/peridothatch_core/hold/step.py
@@ -52,8 +52,8 @@
             orders.started(state, key, outcome, reason, now)
         case exchange.StopAnswered(key, confirmed):
             orders.stopped(state, key, confirmed, now)
-        case exchange.RunsListed(listed, no_listener):
-            _runs_listed(state, listed, now)
+        case exchange.RunsListed(listed, no_listener, beside):
+            _runs_listed(state, listed, beside, now)
             worker.listens(state, not no_listener, now)
         case rows.Committed():
             storeclock.observe(state.clock, event.now_ms, event.asked_at, event.answered_at)
@@ -69,20 +69,36 @@
             pass
 
 
-def _runs_listed(state: states.State, listed: exchange.Listing | None, now: float) -> None:
-    state.list_pending = False
-    state.list_retry_at = now + states.LIST_PAUSE_SECONDS
-    if listed is None:
-        state.list_retry_at = now + states.RETRY_SECONDS
-        return
+def _runs_listed(
+    state: states.State, listed: exchange.Listing | None, beside: bool, now: float
+) -> None:
+    pause = _list_pause(state, listed)
+    if beside:
+        state.beside_pending = False
+        state.beside_retry_at = now + pause
+    else:
+        state.list_pending = False
+        state.list_retry_at = now + pause
+    if listed is not None and _of_worker(state, listed):
+        listing.take(state, listed)
+        if state.ends and not beside:
+            # The worker answers at once as long as it lists ends that it may not forget yet.
+            state.list_retry_at = now + states.LISTED_PAUSE_SECONDS
+
+
+def _list_pause(state: states.State, listed: exchange.Listing | None) -> float:
+    unusable = listed is None or (
+        states.instance(state) == listed.instance and not _of_worker(state, listed)
+    )
+    return states.RETRY_SECONDS if unusable else states.LIST_PAUSE_SECONDS
+
+
+def _of_worker(state: states.State, listed: exchange.Listing) -> bool:
+    """Tell whether a list is of the incarnation of the worker that is known.
+
+    Another one that has sent no heartbeat yet is described by its heartbeat.
+    """
     known = state.worker
     if known is None or listed.instance != known.instance:
-        return
-    if listed.started_ms and listed.started_ms != known.started_ms:
-        # An incarnation that has sent no heartbeat yet; its heartbeat describes it.
-        state.list_retry_at = now + states.RETRY_SECONDS
-        return
-    listing.take(state, listed)
-    if state.ends:
-        # The worker answers at once as long as it lists ends that it may not forget yet.
-        state.list_retry_at = now + states.LISTED_PAUSE_SECONDS
+        return False
+    return not listed.started_ms or listed.started_ms == known.started_ms
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -58,6 +58,33 @@
     assert [end.kind for end in held.ends.values()] == [steps.EndKind.REJECTED]
 
 
+def test_a_start_that_is_left_unanswered_twice_is_barred_and_given_up():
+    # The start was repeated until its time was over, and the other members of the gang waited
+    # for three seconds before they ended as alone.
+    held = harness.registered(orders={harness.KEY: harness.order()})
+    unanswered = exchange.StartAnswered(harness.KEY, exchange.StartOutcome.NO_ANSWER)
+    harness.only(step.step(held, unanswered, 10.3), exchange.Start)
+    harness.only(step.step(held, unanswered, 10.6), exchange.Stop)
+    # The list that waits for an end is not waited for.
+    effects = step.step(held, exchange.StopAnswered(harness.KEY, True), 10.61)
+    asked = harness.only(effects, exchange.ListRuns)
+    assert (asked.beside, asked.patience_ms) == (True, 0)
+    harness.none(step.step(held, exchange.Tick(), 10.615), exchange.ListRuns)
+    listed = exchange.RunsListed(harness.listing(10.62), beside=True)
+    step.step(held, listed, 10.62)
+    assert [end.kind for end in held.ends.values()] == [steps.EndKind.REJECTED]
+
+
+def test_an_unanswered_start_that_was_carried_out_is_found_in_the_list():
+    held = harness.registered(orders={harness.KEY: harness.order()})
+    unanswered = exchange.StartAnswered(harness.KEY, exchange.StartOutcome.NO_ANSWER)
+    harness.only(step.step(held, unanswered, 10.3), exchange.Start)
+    running = harness.listing(10.5, running=[(harness.TASK, 1, "", 1)])
+    step.step(held, exchange.RunsListed(running), 10.5)
+    harness.none(step.step(held, unanswered, 10.6), exchange.Stop)
+    assert held.held[harness.KEY].phase is state.Phase.RUNNING
+
+
 def test_the_worker_may_forget_an_end_only_when_it_is_in_the_store():
     held = harness.registered(orders={harness.KEY: harness.order()})
     ended = harness.listing(11.0, ended=[(1, harness.TASK, 1, steps.EndKind.DONE, "")])
@@ -236,8 +263,8 @@
     harness.only(harness.settle(held, effects, 10.1), exchange.Start)
     step.step(held, exchange.Heartbeat(harness.worker(started_ms=9_000), 0), 10.5)
     assert not held.ends
-    step.step(held, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.NO_ANSWER), 10.9)
-    harness.only(step.step(held, exchange.Tick(), 11.2), exchange.Stop)
+    unanswered = exchange.StartAnswered(harness.KEY, exchange.StartOutcome.NO_ANSWER)
+    harness.only(step.step(held, unanswered, 10.9), exchange.Stop)
     assert not held.ends
 
 
