Send callers away sooner from an entry that has lost the store

The entry said that it was ready until the store had been silent for 2.2 s, and the balancer needs two probes more. Feeds are answered several times a second since they wait for 0.3 s only, so 1.2 s of silence show enough: a lost poll, the next one, and a store that is 60 times slower than usual.

--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -26,9 +26,13 @@
 STALE_SECONDS = 2.5
 """Age up to which the followed rows of jobs are good enough to report a state."""
 
-READY_SECONDS = 2.2
-"""Longest silence of the store while the entry is ready: several polls of a feed. Callers then
-connect to entries that still reach the store."""
+READY_SECONDS = 1.2
+"""Longest silence of the store while the entry is ready: a poll of a feed that is lost, the next
+one, and a store that answers 60 times as slowly as usual. Callers then connect to entries that
+still reach the store; until the balancer has noticed they are refused."""
+
+READY_DESIRED_SECONDS = 1.6
+"""The same for the time since the desired state was asked for, which includes a poll's wait."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,8 +103,11 @@
 
 def _ready(state: stored_calls.State) -> bool:
     now = clock.now()
-    oldest = min(state.desired_at, state.health.answered_at)
-    return state.desired is not None and now - oldest < READY_SECONDS
+    return (
+        state.desired is not None
+        and now - state.desired_at < READY_DESIRED_SECONDS
+        and now - state.health.answered_at < READY_SECONDS
+    )
 
 
 def _follow(state: stored_calls.State, message: rows.Snapshot | rows.Changes) -> None:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -137,6 +137,8 @@
     system.store.mode = "refuse"
     status, body, headers = await system.call("POST", body=ONE_TASK)
     assert (status, body["verdict"], headers["Retry-After"]) == (503, "not_run", "1")
+    # A caller that kept its connection came back to the same entry.
+    assert headers["Connection"] == "close"
     system.store.mode = "up"
     await asyncio.sleep(0.5)
     assert not [name for name in system.store.rows if name[0] == "work"]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 import time
 
 from peridothatch_core.message import rows
+from peridothatch_daemon.hosted import reception
 from peridothatch_platform import settings
 from peridothatch_platform import store as client_module
 from peridothatch_wire import mailbox
@@ -124,3 +125,12 @@
 
 async def _close(client):
     await client_module.close(client)
+
+
+def test_an_entry_stays_ready_over_a_lost_poll_and_a_slow_store():
+    # It would be taken out of the balancer's rotation while it serves.
+    lost = client_module.FEED_WAIT_MS / 1000 + client_module.FEED_SLACK_SECONDS
+    slow_answer = 0.35
+    assert lost + client_module.RETRY_SECONDS + slow_answer < reception.READY_SECONDS
+    wait = client_module.FEED_WAIT_MS / 1000
+    assert reception.READY_SECONDS + wait < reception.READY_DESIRED_SECONDS
