Pass calls on to an entry that has the store

Each time the store or the network had turned one entry away, and its callers stayed with it until the balancer had missed two probes.

An entry whose answer to a call is a refusal for want of the store now passes the call on as it came, to the entry that held the leadership when it was last seen, then to one other. Entries publish their addresses in the table of members. The answer of the other entry counts, which checks the caller's key against its own desired state. Submissions and cancellations are idempotent, so a call that may have been stored already can be passed on; if another entry takes a call and does not answer, the caller is told that it may have run. A call is passed on once, and entries that do not serve are left out for 2 s, so that an outage of the whole store holds no call up. Ruled out: readiness alone, since two probes take 1 to 2 s in any case.

--- a/packages/core/src/peridothatch_core/model/tables.py
+++ b/packages/core/src/peridothatch_core/model/tables.py
@@ -10,7 +10,7 @@
 """Jobs, cancellations and ends; followed by all entries."""
 
 MEMBERS = "members"
-"""The leadership and the agents; followed by all entries."""
+"""The leadership, the agents and the entries; followed by all entries."""
 
 SPECS = "specs"
 """Specifications, which only agents read, one by one."""
@@ -23,6 +23,7 @@
 CANCEL_PREFIX = "c/"
 END_PREFIX = "e/"
 AGENT_PREFIX = "agent/"
+ENTRY_PREFIX = "entry/"
 STOP_SUFFIX = "/stop"
 RENEW_SUFFIX = "/renew"
 
@@ -55,6 +56,11 @@
     return rows.Key(MEMBERS, AGENT_PREFIX + node)
 
 
+def entry(node: str) -> rows.Key:
+    """Return the row of an entry."""
+    return rows.Key(MEMBERS, ENTRY_PREFIX + node)
+
+
 def orders(node: str) -> str:
     """Return the table that holds the orders of a node."""
     return f"orders-{zlib.crc32(node.encode()) % ORDER_TABLES:02d}"
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -14,6 +14,14 @@
     calls_unclear: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Peers:
+    """Counters of the task that passes calls on to other entries."""
+
+    calls_passed_on: int = 0
+    calls_not_passed_on: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Scheduler:
     """Counters of the task that schedules."""
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -16,6 +16,7 @@
     log,
     messages,
     observe,
+    passing,
     reception,
     scheduler,
     serving,
@@ -25,6 +26,7 @@
     ingress,
     listeners,
     operator,
+    peer_calls,
     settings,
     store,
     ticket_service,
@@ -32,7 +34,7 @@
 from peridothatch_wire import mailbox
 
 if typing.TYPE_CHECKING:
-    from peridothatch_core.message import rows
+    from peridothatch_core.message import peers, rows
     from peridothatch_core.reception import calls
 
 STOP_SHARE = 0.6
@@ -60,6 +62,8 @@
     tickets: ticket_service.Client | None
     feeds: list[store.Feed]
     reception: reception.Reception
+    peer_calls: peer_calls.Client
+    passing: passing.Passing
     scheduler: scheduler.Scheduler
     servers: list[serving.Server]
     exported: metrics.Metrics
@@ -101,6 +105,9 @@
         metrics.latency(exported, "scheduler_write_seconds", "Time of a write of decisions"),
         metrics.latency(exported, "scheduler_wait_seconds", "Time from submission to an order"),
     )
+    outlet = await peer_calls.start()
+    callers = machine.callers.text if machine.callers else ""
+    others = passing.start(machine.node, callers, client.inbox, outlet.inbox)
     desired = desired_feed.filter_into(
         operator.desired_state,
         operator.CONFIG_KEY,
@@ -128,14 +135,16 @@
             machine.store,
             tables.MEMBERS,
             clock.now,
-            _both(leader.inbox),
+            _both(leader.inbox, others.inbox),
             log.feed_lost,
             log.feed_regained,
             MEMBERS_PAUSE_SECONDS,
         ),
     ]
     draining = [False]
-    entry = Entry(machine, client, tickets, feeds, front, leader, [], exported, draining)
+    entry = Entry(
+        machine, client, tickets, feeds, front, outlet, others, leader, [], exported, draining
+    )
     await _await_rows(front)
     await _serve(entry, opened or {})
     log.event("entry:started", data_centre=machine.data_centre, region=machine.region)
@@ -157,6 +166,8 @@
         await serving.close(server)
     await scheduler.close(entry.scheduler)
     await reception.close(entry.reception)
+    await passing.close(entry.passing)
+    await peer_calls.close(entry.peer_calls)
     for feed in entry.feeds:
         await store.unfollow(feed)
     if entry.tickets is not None:
@@ -188,6 +199,11 @@
         except TimeoutError:
             return None
 
+    async def pass_on(
+        request: peers.Request, answer: calls.Answer | None, rest: float
+    ) -> peers.Response | calls.Answer | None:
+        return await passing.pass_on(entry.passing, request, answer, rest)
+
     async def ready() -> bool:
         reply = mailbox.Reply()
         if entry.draining[0] or not mailbox.post(entry.reception.inbox, messages.AskReady(reply)):
@@ -197,10 +213,14 @@
         except TimeoutError:
             return False
 
-    tasks = {"reception": entry.reception.inbox, "scheduler": entry.scheduler.inbox}
+    tasks = {
+        "reception": entry.reception.inbox,
+        "scheduler": entry.scheduler.inbox,
+        "peers": entry.passing.inbox,
+    }
     identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "entry"}
     applications = [
-        ("callers", machine.callers, ingress.callers(ask)),
+        ("callers", machine.callers, ingress.callers(ask, pass_on)),
         ("readiness", machine.readiness, ingress.readiness(ready)),
         ("metrics", machine.metrics, observe.application(identity, tasks, entry.exported)),
     ]
--- a/packages/daemon/src/peridothatch_daemon/hosted/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/messages.py
@@ -9,6 +9,7 @@
 from peridothatch_wire import mailbox
 
 if typing.TYPE_CHECKING:
+    from peridothatch_core.message import peers
     from peridothatch_core.model import desired
     from peridothatch_core.reception import calls
 
@@ -68,6 +69,31 @@
     reply: mailbox.Reply
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PassOn:
+    """A call for another entry; the reply takes ``PassedOn``, until a local time at the latest."""
+
+    request: peers.Request
+    until: float
+    reply: mailbox.Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PassedOn:
+    """What came of a call that was passed on.
+
+    Attributes
+    ----------
+    response : Response or None
+        ``None`` when no other entry has served it.
+    carried_out : bool
+        One may have carried it out without an answer.
+    """
+
+    response: peers.Response | None
+    carried_out: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Resign:
     """The process is about to stop; the reply is answered when the leadership is free."""
--- a/packages/daemon/src/peridothatch_daemon/hosted/records.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/records.py
@@ -11,13 +11,14 @@
 import msgspec
 import orjson
 
-from peridothatch_core.model import agents, steps
+from peridothatch_core.model import agents, entries, steps
 from peridothatch_core.schedule import leadership
 
 JOB = msgspec.json.Decoder(steps.Job)
 ORDER = msgspec.json.Decoder(steps.Order)
 END = msgspec.json.Decoder(steps.End)
 AGENT = msgspec.json.Decoder(agents.Agent)
+ENTRY = msgspec.json.Decoder(entries.Entry)
 LEASE = msgspec.json.Decoder(leadership.Lease)
 
 
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -197,6 +197,16 @@
     "jobs": Text("Jobs that the entry knows from the store.", "None; shows the load."),
 }
 
+_PEERS = {
+    "calls_passed_on": Text(
+        "Calls that another entry answered, because this one had lost the store.",
+        "Look for `feed:lost` of this entry.",
+    ),
+    "calls_not_passed_on": Text(
+        "Calls that no other entry answered either.", "Check the store and the network."
+    ),
+}
+
 _SCHEDULER = {
     "claims": Text("Times that this entry took the leadership.", "Look for stopped entries."),
     "runs_ordered": Text("Runs that were ordered.", "None; shows the work."),
@@ -248,6 +258,7 @@
     "planner": _PLANNER,
     "slots": _SLOTS,
     "members": _MEMBERS,
+    "peers": _PEERS,
     "reception": _RECEPTION,
     "scheduler": _SCHEDULER,
     "supervisor": _KEEPER,
--- a/scripts/generate_references.py
+++ b/scripts/generate_references.py
@@ -35,6 +35,7 @@
     "decide/members.py": "members",
     "decide/planner_state.py": "planner",
     "intake/status.py": "http",
+    "hosted/passing.py": "peers",
     "hosted/reception.py": "reception",
     "hosted/scheduler.py": "scheduler",
     "hosted/supervisor.py": "supervisor",
@@ -44,6 +45,7 @@
 CLASSES = {
     "planner": gang_state.Counters,
     "members": member_state.Counters,
+    "peers": counters.Peers,
     "reception": counters.Reception,
     "scheduler": counters.Scheduler,
     "supervisor": counters.Supervisor,
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -3,16 +3,15 @@
 import asyncio
 import dataclasses
 import socket
-import time
 
 import aiohttp
+import process_harness as harness
 import pytest
 
 from peridothatch_daemon.hosted import agent, entry
-from peridothatch_platform import settings
 
-JOB = "/jobs/00000000000000aa"
-ONE_TASK = {"spec": "text", "phases": [{"count": 1, "cpu": 100, "gpu": 1}]}
+JOB = harness.JOB
+ONE_TASK = harness.ONE_TASK
 HEARTBEAT = {
     "service": "render",
     "zone": "accra-a",
@@ -22,8 +21,6 @@
     "labels": ["a", "r1"],
 }
 HISTOGRAMS = ("reception_seconds", "supervisor_start_seconds")
-STEP_SECONDS = 0.05
-PATIENCE_SECONDS = 20.0
 
 
 @dataclasses.dataclass
@@ -44,7 +41,7 @@
             return response.status, payload, response.headers
 
     async def until_state(self, wanted, path=JOB):
-        return await _until(lambda: self._state_is(wanted, path))
+        return await harness.until(lambda: self._state_is(wanted, path))
 
     async def _state_is(self, wanted, path):
         status, body, _ = await self.call("GET", path)
@@ -53,14 +50,14 @@
 
 @pytest.fixture
 async def system(store, worker, unused_tcp_port_factory):
-    front = _machine(store, "front-1", unused_tcp_port_factory, worker=None)
-    side = _machine(store, "side-1", unused_tcp_port_factory, worker=worker)
+    front = harness.machine(store, "front-1", unused_tcp_port_factory, worker=None)
+    side = harness.machine(store, "side-1", unused_tcp_port_factory, worker=worker)
     started = System(
         store, worker, await entry.start(front), await agent.start(side, lambda: None),
         (front, side), aiohttp.ClientSession(f"http://{front.callers.text}"),
     )  # fmt: skip
     await _heartbeat(side)
-    await _until(lambda: _known(started))
+    await harness.until(lambda: _known(started))
     yield started
     await started.caller.close()
     await agent.close(started.agent)
@@ -72,7 +69,7 @@
     assert status == 200
     await system.until_state("completed")
     assert system.worker.starts == [("00000000000000aa.0.0.0", 1, "text", "")]
-    assert await _until(lambda: _acknowledged(system))
+    assert await harness.until(lambda: _acknowledged(system))
     assert (await system.call("GET", "/jobs/"))[1] == {"pending": 0}
 
 
@@ -101,10 +98,10 @@
 async def test_a_cancelled_job_stops_and_says_so(system):
     system.worker.task_seconds = 60
     await system.call("POST", body=ONE_TASK)
-    await _until(lambda: _async(bool(system.worker.running)))
+    await harness.until(lambda: _async(bool(system.worker.running)))
     assert (await system.call("DELETE"))[0] == 200
     await system.until_state("cancelled")
-    await _until(lambda: _async(not system.worker.running))
+    await harness.until(lambda: _async(not system.worker.running))
 
 
 async def test_a_lost_answer_of_the_store_is_not_taken_for_a_failure(system):
@@ -119,13 +116,13 @@
     store, unused_tcp_port_factory
 ):
     # It waits in the backlog, and was refused because the rows had not been read yet.
-    front = _machine(store, "front-1", unused_tcp_port_factory, worker=None)
+    front = harness.machine(store, "front-1", unused_tcp_port_factory, worker=None)
     listener = socket.create_server((front.callers.host, front.callers.port))
     opened = {(front.callers.host, front.callers.port): listener}
     async with aiohttp.ClientSession(f"http://{front.callers.text}") as caller:
         headers = {"Host": "a.example", "Api-Key": "k1", "X-Request-Deadline": "3000"}
         early = asyncio.create_task(caller.post(JOB, json=ONE_TASK, headers=headers))
-        await asyncio.sleep(STEP_SECONDS)
+        await asyncio.sleep(harness.STEP_SECONDS)
         started = await entry.start(front, opened)
         async with await early as response:
             assert response.status == 200
@@ -147,14 +144,14 @@
 async def test_a_call_is_not_held_while_the_store_resets_connections(system):
     # The call was sent again until the caller's time was over.
     system.store.mode = "reset"
-    async with asyncio.timeout(PATIENCE_SECONDS):
+    async with asyncio.timeout(harness.PATIENCE_SECONDS):
         status, body, _ = await system.call("POST", body=ONE_TASK, deadline_ms="600000")
     assert status in (503, 504)
     assert body["verdict"] == ("not_run" if status == 503 else "may_have_run")
     # Once calls of the feed have failed as well, nothing is sent, and the refusal says so.
-    await _until(lambda: _refused_untried(system))
+    await harness.until(lambda: _refused_untried(system))
     system.store.mode = "up"
-    await _until(lambda: _accepted(system))
+    await harness.until(lambda: _accepted(system))
     await system.until_state("completed")
     assert len(system.worker.starts) == 1
 
@@ -163,9 +160,9 @@
     # Callers kept connecting to an entry that could only refuse them.
     assert await _ready(system) == 200
     system.store.mode = "refuse"
-    await _until(lambda: _is(_ready(system), 503))
+    await harness.until(lambda: _is(_ready(system), 503))
     system.store.mode = "up"
-    await _until(lambda: _is(_ready(system), 200))
+    await harness.until(lambda: _is(_ready(system), 200))
 
 
 async def test_a_start_without_an_answer_runs_once(system):
@@ -187,7 +184,7 @@
 async def test_a_restarted_agent_keeps_the_run(system):
     system.worker.task_seconds = 3
     await system.call("POST", body=ONE_TASK)
-    await _until(lambda: _async(bool(system.worker.running)))
+    await harness.until(lambda: _async(bool(system.worker.running)))
     await agent.close(system.agent)
     system.agent = await agent.start(system.machines[1], lambda: None)
     await _heartbeat(system.machines[1], sequence=9)
@@ -206,28 +203,6 @@
                 assert (await response.json())["process"]["node"] == machine.node
 
 
-def _machine(store, node, ports, worker):
-    def address():
-        return settings.Address("127.0.0.1", ports())
-
-    return settings.Machine(
-        node=node,
-        data_centre="accra-a",
-        region="gh-south",
-        data_centres={"accra-a": "gh-south"},
-        callers=None if worker else address(),
-        readiness=None if worker else address(),
-        heartbeats=address() if worker else None,
-        worker=worker.address if worker else None,
-        metrics=address(),
-        store=store.address,
-        revoke_seconds=5.0,
-        longest_hold_ms=10_000,
-        stop_seconds=0.1,
-        retention_ms=120_000,
-    )
-
-
 async def _heartbeat(machine, sequence=1):
     async with aiohttp.ClientSession(f"http://{machine.heartbeats.text}") as session:
         path = "/peridothatch/instances/w-1"
@@ -277,12 +252,3 @@
 
 def _set_mode(standin, mode):
     standin.mode = mode
-
-
-async def _until(probe):
-    deadline = time.monotonic() + PATIENCE_SECONDS
-    while time.monotonic() < deadline:
-        if await probe():
-            return True
-        await asyncio.sleep(STEP_SECONDS)
-    raise AssertionError("the awaited state did not come")
