Measure the round trip before a claim of the lease

An entry waits for eight round trips before it claims a lease, so that the nearest one schedules. The round trip was measured when a claim had succeeded, and taken for 50 ms until then, so that a first claim waited 0.4 s. It now comes from the width of the bounds on the store's clock, which any short call narrows.

test_an_entry_near_the_store_claims_a_free_lease_without_a_long_wait fails before.

--- a/packages/core/src/peridothatch_core/model/storeclock.py
+++ b/packages/core/src/peridothatch_core/model/storeclock.py
@@ -83,6 +83,11 @@
     return clock.most_at + rest_ms / (1000.0 * rate)
 
 
+def uncertainty_ms(clock: StoreClock, now: float) -> float:
+    """Return the width of the bounds: about one round trip to the store."""
+    return _most_ahead_ms(clock, now) - _least_ahead_ms(clock, now)
+
+
 def age_seconds(clock: StoreClock, now: float) -> float:
     """Return how long ago the store was asked for the newest known answer."""
     return now - clock.asked_at if clock.known else float("inf")
--- a/packages/core/tests/model/test_storeclock.py
+++ b/packages/core/tests/model/test_storeclock.py
@@ -25,6 +25,14 @@
     assert storeclock.latest_ms(clock, 14.01) <= 20_020
 
 
+def test_the_uncertainty_is_about_the_shortest_round_trip():
+    # An entry that had never led took its round trip for 50 ms and let 0.4 s pass before a claim.
+    clock = storeclock.StoreClock()
+    storeclock.observe(clock, 50_004, 10.0, 10.008)
+    storeclock.observe(clock, 50_308, 10.01, 10.312)
+    assert 7.0 <= storeclock.uncertainty_ms(clock, 10.4) <= 20.0
+
+
 def test_an_answer_without_a_time_changes_nothing():
     clock = storeclock.StoreClock()
     storeclock.observe(clock, 0, 10.0, 10.01)
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_lease.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_lease.py
@@ -49,7 +49,6 @@
         holder.retry_at = clock.now() + leadership.RETRY_SECONDS
     match done.token:
         case Purpose.CLAIM if committed:
-            own.round_trip_ms = 1000 * (done.answered_at - done.asked_at)
             leadership.lead(holder, done.version, sent_at)
             _log_leading(own)
             return True
@@ -126,4 +125,5 @@
 
 def _patience_ms(own: schedule_state.State) -> int:
     spread = zlib.crc32(own.leadership.me.encode()) % PATIENCE_SPREAD_MS
-    return int(PATIENCE_ROUND_TRIPS * own.round_trip_ms) + spread
+    round_trip_ms = storeclock.uncertainty_ms(own.clock, clock.now())
+    return int(PATIENCE_ROUND_TRIPS * round_trip_ms) + spread
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
@@ -51,7 +51,6 @@
     record: metrics.Record
     record_wait: metrics.Record
     clock: storeclock.StoreClock = dataclasses.field(default_factory=storeclock.StoreClock)
-    round_trip_ms: float = 50.0
     schedule: state.State = dataclasses.field(default_factory=state.State)
     desired: desired.DesiredState | None = None
     evacuated: frozenset[str] = frozenset()
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -4,6 +4,7 @@
 from peridothatch_core.message import rows
 from peridothatch_core.model import agents, steps, tables
 from peridothatch_core.schedule import leadership, state
+from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.hosted import clock, records, scheduler
 from peridothatch_wire import mailbox
 
@@ -186,3 +187,25 @@
     await asyncio.sleep(0.6)
     assert store.inbox.depth == 0
     await scheduler.close(running)
+
+
+async def test_an_entry_near_the_store_claims_a_free_lease_without_a_long_wait():
+    # An entry that had never led let 0.4 s pass after the end of the lost leader's lease.
+    store = _Store()
+    running = scheduler.start(
+        "front-1", "1", state.Limits(), store.inbox, None, lambda _: None, lambda _: None
+    )
+    now = clock.now()
+    now_ms = int(1000 * now)
+    ended = leadership.Lease("front-2/1", 3, now_ms - 150)
+    members = (_row(tables.EPOCH, ended, 4), _row(tables.LEASE, ended, 5))
+    # One answer within 8 ms; the lease ended 150 ms ago.
+    feed = rows.Changes(tables.MEMBERS, members, now_ms, now - 0.008, now)
+    mailbox.post(running.inbox, feed)
+    reply = mailbox.Reply()
+    mailbox.post(running.inbox, daemon_messages.DumpState(reply))
+    await mailbox.wait(reply, 5)
+    await asyncio.sleep(0)
+    assert store.inbox.depth == 1
+    assert _writes(await mailbox.take(store.inbox), tables.EPOCH)
+    await scheduler.close(running)
