Decide nothing final before a new leader has heard from the agents

The leader of 22.4 s withdrew two runs that had ended between its reads of two tables; the transaction conflicted and all rows were read again.

For 0.5 s after a takeover, while an agent that was asked has not answered, nothing is stopped for others; for 0.3 s after a read of all rows, which feeds complete, nothing is withdrawn.

test_nothing_stops_for_an_urgent_job_while_agents_have_not_answered_a_new_ leader and test_nothing_is_withdrawn_right_after_a_read_of_all_rows are new; without the change neither time is known.

--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -118,7 +118,7 @@
     plan = None
     if chosen is None:
         plan = _plan(state, job, step_progress, step.count, near, avoid, protected, now_ms)
-        if _stop_for(state, job, step, plan, protected):
+        if _stop_for(state, job, step, plan, protected, now_ms):
             return
     if chosen is None and _may_be_far(state, job, step_progress, near, protected, now_ms):
         chosen = fit.place_gang(step, job.service, fit.any_groups(found), avoid)
@@ -127,7 +127,7 @@
             anywhere = _plan(
                 state, job, step_progress, step.count, [suited], avoid, protected, now_ms
             )
-            if _stop_for(state, job, step, anywhere, protected):
+            if _stop_for(state, job, step, anywhere, protected, now_ms):
                 return
             plan = plan or anywhere
     if chosen is None:
@@ -187,7 +187,7 @@
                 return position
             suited = [room for room in usable if fit.takes(room, step, job.service)]
             plan = _plan(state, job, step_progress, rest, [suited], avoid, protected, now_ms)
-            if plan is not None and not _stop_for(state, job, step, plan, protected):
+            if plan is not None and not _stop_for(state, job, step, plan, protected, now_ms):
                 reclaim.keep_room(step, plan)
             _note_waiting(state, job, step_progress, rest, found, now_ms)
             return position
@@ -269,10 +269,13 @@
     step: steps.Step,
     plan: reclaim.Plan | None,
     protected: set[str],
+    now_ms: int,
 ) -> bool:
     """Carry a plan out if its loss is bearable; return whether the tasks will fit soon."""
     if plan is None or not reclaim.bearable(state, job, step, plan, protected):
         return False
+    if plan.victims and states.awaits_agents(state, now_ms):
+        return False
     reclaim.carry_out(state, job, step, plan, protected)
     return True
 
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -23,6 +23,12 @@
 """Age of an agent's renewal up to which a new leader gives it orders without asking. A process
 takes at least as long to start and to lead."""
 
+CONFIRM_MS = 500
+"""Time for agents to renew when asked to: their feed, a write, and the feed of the members."""
+
+SETTLE_MS = 300
+"""Time for the feeds to bring what was written between the reads of two tables."""
+
 RENEWED_WITHIN_MS = 3500
 """Longest time since the last renewal of an agent that gets new orders; agents renew every 2 s."""
 
@@ -147,6 +153,10 @@
     taken : set of (str, int)
         Task and attempt of open runs that an agent's row has named. A run that has just ended is
         no longer named, and its end may be heard of later.
+    read_ms : int
+        Store time at which all rows were last read.
+    asked_ms : int
+        Store time at which agents were asked to renew after a takeover.
     unconfirmed : set of str
         Nodes whose agents have not written since this process took the lead, or since an order
         for them was withdrawn; they get no orders.
@@ -181,6 +191,8 @@
     tickets: dict[tickets.StepKey, tickets.StepTickets] = dataclasses.field(default_factory=dict)
     requests: list[tickets.Request] = dataclasses.field(default_factory=list)
     taken: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    read_ms: int = 0
+    asked_ms: int = 0
     unconfirmed: set[str] = dataclasses.field(default_factory=set)
     renewals: list[str] = dataclasses.field(default_factory=list)
     write_ms: float = 0.0
@@ -230,6 +242,17 @@
         if agent.hold_until_ms - state.limits.hold_ms < now_ms - CONFIRMED_WITHIN_MS
     }
     state.renewals = sorted(state.unconfirmed)
+    state.asked_ms = now_ms
+
+
+def awaits_agents(state: State, now_ms: int) -> bool:
+    """Tell whether agents that were asked to renew may still answer, so that room may appear."""
+    return bool(state.unconfirmed) and now_ms - state.asked_ms < CONFIRM_MS
+
+
+def settled(state: State, now_ms: int) -> bool:
+    """Tell whether feeds have completed the last read, whose tables are of different moments."""
+    return now_ms - state.read_ms >= SETTLE_MS
 
 
 def drop_job(state: State, job: steps.Job) -> None:
--- a/packages/core/src/peridothatch_core/schedule/withdraw.py
+++ b/packages/core/src/peridothatch_core/schedule/withdraw.py
@@ -22,8 +22,11 @@
     """Close runs whose orders nobody has claimed in time.
 
     The transaction needs the agent's row as it was seen, so that it fails if the agent claims the
-    order first, and the absence of the run's end, so that it fails if the run is over.
+    order first, and the absence of the run's end, so that it fails if the run is over. Right after
+    a read of all rows neither may be known yet.
     """
+    if not states.settled(state, now_ms):
+        return
     withdrawn: collections.Counter[str] = collections.Counter()
     for job, step_progress, run_ in list(_unclaimed(state, now_ms)):
         if withdrawn[job.id] >= WITHDRAWN_PER_CYCLE:
--- a/packages/core/tests/schedule/test_reclaim.py
+++ b/packages/core/tests/schedule/test_reclaim.py
@@ -230,3 +230,15 @@
     harness.renew(own, now_ms)
     harness.run(own, now_ms)
     assert [harness.open_runs(item)[0].stopping for item in items] == [False, True]
+
+
+def test_nothing_stops_for_an_urgent_job_while_agents_have_not_answered_a_new_leader():
+    # A new leader knew a third of the agents and stopped work for room that the others had.
+    own, items = _filled()
+    own.unconfirmed = {"n9"}
+    own.asked_ms = harness.NOW_MS
+    _add(own, _urgent())
+    harness.run(own, harness.NOW_MS + state.CONFIRM_MS - 1)
+    assert not any(harness.open_runs(item)[0].stopping for item in items)
+    harness.run(own, harness.NOW_MS + state.CONFIRM_MS)
+    assert sum(harness.open_runs(item)[0].stopping for item in items) == 1
--- a/packages/core/tests/schedule/test_withdraw.py
+++ b/packages/core/tests/schedule/test_withdraw.py
@@ -132,3 +132,14 @@
         for batch in writes.take(own, 77, _encode):
             assert len(batch.transaction.conditions) + len(batch.transaction.writes) <= 100
     assert not [run_ for run_ in harness.open_runs(item) if run_.attempt == 1]
+
+
+def test_nothing_is_withdrawn_right_after_a_read_of_all_rows():
+    # A run may have ended between the reads of two tables; each withdrawal of such a run failed.
+    item = harness.job("a")
+    own, _ = _ordered(item)
+    own.read_ms = LATER_MS
+    harness.run(own, LATER_MS + state.SETTLE_MS - 1)
+    assert [run_.attempt for run_ in harness.open_runs(item)] == [1]
+    harness.run(own, LATER_MS + state.SETTLE_MS)
+    assert [run_.attempt for run_ in harness.open_runs(item)] == [2]
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -75,9 +75,10 @@
         schedule_rows.take_work(own.schedule, row)
     for row in members:
         schedule_rows.take_agent(own.schedule, row)
+    now_ms = storeclock.earliest_ms(own.clock, clock.now())
+    fresh.read_ms = now_ms
     if own.confirmed_epoch != own.leadership.epoch:
         own.confirmed_epoch = own.leadership.epoch
-        now_ms = storeclock.earliest_ms(own.clock, clock.now())
         state.confirm_agents(own.schedule, now_ms)
     else:
         _keep_unconfirmed(old, own.schedule)
@@ -97,6 +98,7 @@
 
 def _keep_unconfirmed(old: state.State, fresh: state.State) -> None:
     """Keep waiting for the agents whose rows are still those of the read before."""
+    fresh.asked_ms = old.asked_ms
     fresh.unconfirmed = {
         node
         for node in old.unconfirmed
