Give a run one end when a stop crosses it

An order's row goes together with the recorded end of its run, so a stop without an order is one that the end has overtaken. The agent now removes such a stop and records nothing. An order and its stop in one answer of a feed are taken in this order.

test_a_stop_of_an_unknown_run_is_answered_with_an_end demanded the faulty end. It is replaced by two that forbid it, and by one that demands an end for a stop whose order is there, which is what the scheduler waits for. The first two fail with the former rule.

--- a/packages/core/src/peridothatch_core/hold/exchange.py
+++ b/packages/core/src/peridothatch_core/hold/exchange.py
@@ -65,6 +65,8 @@
         A leader's request to renew is answered by this.
     claims : tuple of (RunKey, int)
         Orders that the row newly claims, with the versions that their rows must still have.
+    needless_stops : tuple of RunKey
+        Runs that had ended before their stops were written, which are removed.
     """
 
     row: agents.Agent
@@ -72,6 +74,7 @@
     ends: tuple[steps.End, ...]
     answers: bool = False
     claims: tuple[tuple[RunKey, int], ...] = ()
+    needless_stops: tuple[RunKey, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,7 +163,7 @@
     """All orders and stops of this node in the store, and the versions of the orders' rows."""
 
     orders: dict[RunKey, steps.Order]
-    stops: dict[RunKey, steps.Order]
+    stops: frozenset[RunKey]
     versions: dict[RunKey, int] = dataclasses.field(default_factory=dict)
 
 
@@ -185,7 +188,6 @@
     """A run is to stop."""
 
     key: RunKey
-    order: steps.Order
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -13,9 +13,12 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Iterator
 
-ENDS_PER_WRITE = 24
+ENDS_PER_WRITE = 22
 """Ends recorded in one transaction; each takes up to three of its 100 entries."""
 
+STOPS_PER_WRITE = 6
+"""Needless stops removed in one transaction; each takes one entry."""
+
 CLAIMS_PER_WRITE = 20
 """Orders claimed in one transaction; each takes one entry."""
 
@@ -34,6 +37,7 @@
         return
     state.writing = True
     state.written_claims = claims
+    state.written_stops = tuple(sorted(state.needless_stops)[:STOPS_PER_WRITE])
     state.dirty = False
     state.written_ends = dict(sorted(state.ends.items(), reverse=True)[-ENDS_PER_WRITE:])
     yield exchange.WriteRow(
@@ -42,6 +46,7 @@
         tuple(state.written_ends.values()),
         state.renewal_asked,
         tuple((key, state.held[key].order_version) for key in claims),
+        state.written_stops,
     )
 
 
@@ -162,6 +167,8 @@
 
 def _take_claims(state: states.State) -> None:
     """Note that the claims of a write are in the store, so that the runs may start."""
+    state.needless_stops.difference_update(state.written_stops)
+    state.written_stops = ()
     for key in state.written_claims:
         held = state.held.get(key)
         if held is not None:
--- a/packages/core/src/peridothatch_core/hold/orders.py
+++ b/packages/core/src/peridothatch_core/hold/orders.py
@@ -63,10 +63,17 @@
         del state.held[key]
 
 
-def stop(state: states.State, key: exchange.RunKey, order: steps.Order) -> None:
-    """Take over that a run is to stop; it may be one that this process does not know."""
-    held = state.held.setdefault(key, states.Held(order, unsure=True))
-    if held.phase is not states.Phase.ENDED:
+def stop(state: states.State, key: exchange.RunKey) -> None:
+    """Take over that a run is to stop.
+
+    A stop without an order was written before the scheduler had heard of the run's end. The run
+    must not get another end, which would hide how it ended.
+    """
+    held = state.held.get(key)
+    if held is None or held.order is None:
+        state.needless_stops.add(key)
+        state.dirty = True
+    elif held.phase is not states.Phase.ENDED:
         held.stop = held.stop or "stopped by the scheduler"
 
 
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -161,6 +161,10 @@
     written_ends : dict
         Ends in the write that is under way, by the number that the worker gave them, or by a
         negative number of our own.
+    needless_stops : set
+        Runs that had ended before their stops were written; the next write removes the stops.
+    written_stops : tuple of RunKey
+        Those of the write that is under way.
     written_claims : tuple of RunKey
         Orders that the write under way claims.
     claims_from : float
@@ -225,6 +229,8 @@
     writing: bool = False
     write_retry_at: float = 0.0
     written_ends: dict[int, steps.End] = dataclasses.field(default_factory=dict)
+    needless_stops: set[exchange.RunKey] = dataclasses.field(default_factory=set)
+    written_stops: tuple[exchange.RunKey, ...] = ()
     written_claims: tuple[exchange.RunKey, ...] = ()
     claims_from: float = 0.0
     inherited_claims: set[exchange.RunKey] = dataclasses.field(default_factory=set)
--- a/packages/core/src/peridothatch_core/hold/step.py
+++ b/packages/core/src/peridothatch_core/hold/step.py
@@ -37,14 +37,14 @@
             worker.deregister(state, instance)
         case exchange.OrdersLoaded(ordered, stops, versions):
             orders.load(state, ordered, versions)
-            for key, order in stops.items():
-                orders.stop(state, key, order)
+            for key in stops:
+                orders.stop(state, key)
         case exchange.OrderAdded(key, order, version):
             orders.add(state, key, order, version)
         case exchange.OrderRemoved(key):
             orders.remove(state, key)
-        case exchange.StopAdded(key, order):
-            orders.stop(state, key, order)
+        case exchange.StopAdded(key):
+            orders.stop(state, key)
         case exchange.RenewalAsked(waiting):
             state.dirty = state.dirty or waiting
             state.renewal_asked = waiting
--- a/packages/core/tests/hold/hold_harness.py
+++ b/packages/core/tests/hold/hold_harness.py
@@ -69,7 +69,8 @@
     effects = step.step(held, committed(write, now, version=7), now)
     write = only(effects, exchange.WriteRow)
     step.step(held, committed(write, now, version=8), now)
-    effects = step.step(held, exchange.OrdersLoaded(orders or {}, stops or {}), now)
+    loaded = exchange.OrdersLoaded(orders or {}, frozenset(stops or ()))
+    effects = step.step(held, loaded, now)
     if listed:
         effects += step.step(held, exchange.RunsListed(listing(now)), now)
     settle(held, effects, now)
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -176,7 +176,9 @@
     assert write.row.claimed == (harness.KEY,)
     step.step(held, harness.committed(write, 30.1), 30.1)
     step.step(
-        held, exchange.OrdersLoaded({harness.KEY: harness.order(start_by_ms=99_000)}, {}), 30.1
+        held,
+        exchange.OrdersLoaded({harness.KEY: harness.order(start_by_ms=99_000)}, frozenset()),
+        30.1,
     )
     effects = step.step(held, exchange.RunsListed(harness.listing(30.2)), 30.2)
     harness.only(effects, exchange.Start)
@@ -359,9 +361,33 @@
     assert harness.only(effects, exchange.Stop).key == harness.KEY
 
 
-def test_a_stop_of_an_unknown_run_is_answered_with_an_end():
+def test_a_stop_that_crosses_the_end_of_its_run_gives_it_no_second_end():
+    # The end "done" was overwritten by "rejected" before the scheduler had read it, and the task
+    # ran twice.
+    held = harness.registered(orders={harness.KEY: harness.order()})
+    ended = harness.listing(11.0, ended=[(1, harness.TASK, 1, steps.EndKind.DONE, "")])
+    harness.settle(held, step.step(held, exchange.RunsListed(ended), 11.0), 11.0)
+    effects = step.step(held, exchange.StopAdded(harness.KEY), 11.2)
+    harness.none(effects, exchange.Stop)
+    write = harness.only(effects, exchange.WriteRow)
+    assert (write.ends, write.needless_stops) == ((), (harness.KEY,))
+    step.step(held, harness.committed(write, 11.3), 11.3)
+    step.step(held, exchange.RunsListed(harness.listing(11.6)), 11.6)
+    write = harness.only(step.step(held, exchange.Tick(), 14.0), exchange.WriteRow)
+    assert (write.ends, write.needless_stops) == ((), ())
+
+
+def test_a_restarted_agent_gives_a_run_that_has_ended_no_second_end():
+    # The stop outlived the order, which went with the end that an earlier process recorded.
+    held = harness.registered(stops=[harness.KEY])
+    assert not held.ends
+    assert not held.held
+    assert not held.needless_stops
+
+
+def test_a_stop_of_a_run_that_was_never_started_is_answered_with_an_end():
     # The scheduler waits for the end of each run that it has ordered to stop.
-    held = harness.registered(stops={harness.KEY: harness.order()})
+    held = harness.registered(orders={harness.KEY: harness.order()}, stops=[harness.KEY])
     step.step(held, exchange.StopAnswered(harness.KEY, True), 10.3)
     step.step(held, exchange.RunsListed(harness.listing(10.6)), 10.6)
     assert [end.kind for end in held.ends.values()] == [steps.EndKind.REJECTED]
@@ -452,7 +478,7 @@
         if isinstance(effect, exchange.WriteRow)
     )
     step.step(held, harness.committed(write, now), now)
-    step.step(held, exchange.OrdersLoaded({harness.KEY: harness.order()}, {}), now)
+    step.step(held, exchange.OrdersLoaded({harness.KEY: harness.order()}, frozenset()), now)
     return held
 
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
@@ -162,6 +162,8 @@
         changed.append((tables.end(end.task, end.attempt), records.encode(end)))
         changed.append((tables.order(end.node, end.task, end.attempt), None))
         changed.append((tables.stop(end.node, end.task, end.attempt), None))
+    for task_name, attempt in effect.needless_stops:
+        changed.append((tables.stop(own.hold.node, task_name, attempt), None))
     if effect.answers:
         changed.append((tables.renewal(own.hold.node), None))
     conditions = [rows.Condition(key, effect.version)]
@@ -218,17 +220,19 @@
     mine = [row for row in message.rows if row.key.startswith(prefix) and row.key != asked.key]
     if isinstance(message, rows.Snapshot):
         orders = {}
-        stops = {}
+        stops = set()
         versions = {}
         for row in mine:
             key, is_stop = _run_key(row.key)
-            order = records.decode(records.ORDER, row.value or b"")
-            (stops if is_stop else orders)[key] = order
-            if not is_stop:
-                versions[key] = row.version
-        _step(own, exchange.OrdersLoaded(orders, stops, versions))
+            if is_stop:
+                stops.add(key)
+                continue
+            orders[key] = records.decode(records.ORDER, row.value or b"")
+            versions[key] = row.version
+        _step(own, exchange.OrdersLoaded(orders, frozenset(stops), versions))
         return
-    for row in mine:
+    # An order and its stop may be written together, and the stop needs the order.
+    for row in sorted(mine, key=lambda row: _run_key(row.key)[1]):
         key, is_stop = _run_key(row.key)
         if row.value is None:
             if not is_stop:
@@ -245,8 +249,8 @@
             poll_ms=round(1000 * (message.answered_at - message.asked_at)),
             store_ms=message.now_ms,
         )
-        event = exchange.StopAdded(key, order)
-        _step(own, event if is_stop else exchange.OrderAdded(key, order, row.version))
+        added = exchange.OrderAdded(key, order, row.version)
+        _step(own, exchange.StopAdded(key) if is_stop else added)
 
 
 def _run_key(key: str) -> tuple[exchange.RunKey, bool]:
