Never let a later refusal hide an attempt that may have run

Cause: an entry's own commit had timed out and taken effect. The entry passed the call on; another entry had a newer desired state, without the key, and its refusal was given to the caller as it was. The entry's own "may have run" was used only when no peer answered. Class: an answer is taken from the last of several attempts instead of from all of them.

Change: reception.attempts, a pure function, decides the answer from the list of all attempts. "Not run" needs "not run" from each. After an attempt with an unknown outcome the entry that refused the call, which has the store, is asked whether the row exists, and the caller is told that the call was accepted if it does. An entry remembers for 30 s that a call may have run, and does not refuse a repeated one as not run. The adapter now says of each peer's response whether the call may have run; passing.py no longer reads status codes.

The same class elsewhere: cancellations go the same way and are tested with submissions. A read that a peer left unanswered was called "may have run"; it has no effect and is refused as not run. A full mailbox of the reception was answered as "may have run" although nothing had been done; it is refused as overloaded. Read and left as they are: retries of a store commit (a conflict of the same id is the own earlier commit), route.outcome (flight.verdict_of is over all attempts already, with a property test), the client (one request for each command, no retry).

--- a/packages/core/src/peridothatch_core/message/peers.py
+++ b/packages/core/src/peridothatch_core/message/peers.py
@@ -8,6 +8,9 @@
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
 
+    from peridothatch_core.message import rows
+    from peridothatch_core.model import verdict
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
@@ -53,11 +56,41 @@
     ----------
     response : Response or None
         ``None`` if none arrived in time.
-    carried_out : bool
-        Whether the request may have been executed although there is no response.
+    verdict : Verdict
+        Whether the request may have been executed.
+    unavailable : bool
+        The other entry cannot be reached, or cannot reach the store either.
     """
 
     token: typing.Any
     response: Response | None
-    carried_out: bool = False
+    verdict: verdict.Verdict
+    unavailable: bool = False
     reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LookUp:
+    """Ask an entry whether a row is in the store; answered by a ``LookedUp`` with the same token.
+
+    Attributes
+    ----------
+    address : str
+        Address at which the entry answers other entries.
+    seconds : float
+        Timeout for the response.
+    """
+
+    token: typing.Any
+    address: str
+    key: rows.Key
+    seconds: float
+    answer: Callable[[LookedUp], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LookedUp:
+    """The outcome of a ``LookUp``; ``exists`` is ``None`` if the row could not be read."""
+
+    token: typing.Any
+    exists: bool | None
--- a/packages/core/src/peridothatch_core/model/entries.py
+++ b/packages/core/src/peridothatch_core/model/entries.py
@@ -15,7 +15,10 @@
         Machine that the entry runs on.
     callers : str
         Address that accepts client requests, as ``host:port``.
+    internal : str
+        Address that answers other entries, as ``host:port``; empty if there is none.
     """
 
     node: str
     callers: str
+    internal: str = ""
--- a/packages/core/src/peridothatch_core/reception/calls.py
+++ b/packages/core/src/peridothatch_core/reception/calls.py
@@ -6,9 +6,15 @@
 import enum
 import typing
 
+from peridothatch_core.model import tables
+
 if typing.TYPE_CHECKING:
+    from peridothatch_core.message import rows
     from peridothatch_core.model import steps, verdict
 
+JOB_ID_DIGITS = 16
+"""Number of hexadecimal digits in the id of a job, which ends the path of a call."""
+
 
 class Action(enum.Enum):
     """Operation that a call requests."""
@@ -49,6 +55,18 @@
     budget_seconds: float
 
 
+def effect_key(call: Call) -> rows.Key | None:
+    """Return the key of the row that a call writes, or ``None`` if it only reads."""
+    job_id = call.path[-JOB_ID_DIGITS:]
+    match call.action:
+        case Action.SUBMIT:
+            return tables.job_key(job_id)
+        case Action.CANCEL:
+            return tables.cancel_key(job_id)
+        case _:
+            return None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
     """Answer: the job or its cancellation is stored."""
--- a/packages/core/src/peridothatch_core/reception/peers.py
+++ b/packages/core/src/peridothatch_core/reception/peers.py
@@ -8,6 +8,7 @@
 from peridothatch_core.model import verdict
 
 if typing.TYPE_CHECKING:
+    from peridothatch_core.model import entries
     from peridothatch_core.reception import calls
 
 MAX_ATTEMPTS = 2
@@ -31,12 +32,15 @@
         Node that held the leader lease when the lease was last read.
     unavailable_until : dict
         Local time in seconds until which an entry gets no calls, by node.
+    internal_addresses : dict
+        Address at which each entry answers other entries, by node.
     """
 
     own_node: str
     addresses: dict[str, str] = dataclasses.field(default_factory=dict)
     leader: str = ""
     unavailable_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    internal_addresses: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 def can_forward(answer: calls.Answer | None) -> bool:
@@ -48,15 +52,13 @@
     return isinstance(answer, verdict.Refusal) and answer.code is verdict.Code.STORE_UNAVAILABLE
 
 
-def with_unknown_outcome(answer: calls.Answer | None) -> calls.Answer | None:
-    """Return the answer to a call that another entry may have carried out without answering.
-
-    A refusal then reports that the call may have run, so that the caller does not submit the job
-    elsewhere.
-    """
-    if not isinstance(answer, verdict.Refusal):
-        return answer
-    return dataclasses.replace(answer, verdict=verdict.Verdict.MAY_HAVE_RUN)
+def register(peers: Peers, entry: entries.Entry) -> None:
+    """Take over the addresses of an entry from its row."""
+    peers.addresses[entry.node] = entry.callers
+    if entry.internal:
+        peers.internal_addresses[entry.node] = entry.internal
+    else:
+        peers.internal_addresses.pop(entry.node, None)
 
 
 def candidates(peers: Peers, now: float) -> list[str]:
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -8,7 +8,8 @@
 import typing
 
 from peridothatch_core.hold import state as hold_state
-from peridothatch_core.model import tables
+from peridothatch_core.message import rows
+from peridothatch_core.model import entries, tables, verdict
 from peridothatch_core.schedule import state
 from peridothatch_daemon.hosted import (
     clock,
@@ -34,8 +35,8 @@
 from peridothatch_wire import mailbox
 
 if typing.TYPE_CHECKING:
-    from peridothatch_core.message import peers, rows
-    from peridothatch_core.reception import calls
+    from peridothatch_core.message import peers
+    from peridothatch_core.reception import attempts, calls
 
 DRAIN_FRACTION = 0.6
 """Fraction of the stop time during which a stopping entry still answers calls. The balancer
@@ -52,6 +53,9 @@
 """Maximum time to wait for the first rows before calls are served. Reading them takes two round
 trips."""
 
+LOOK_UP_TIMEOUT_SECONDS = 0.7
+"""Timeout for reading a row for another entry, which waits slightly longer."""
+
 READINESS_TIMEOUT_SECONDS = 0.5
 """Timeout for answering a readiness probe. The balancer sends one every second."""
 
@@ -123,7 +127,8 @@
     )
     peer_client = await peer_calls.start()
     callers = machine.callers.text if machine.callers else ""
-    forwarder = passing.start(machine.node, callers, store_client.inbox, peer_client.inbox)
+    row = entries.Entry(machine.node, callers, machine.metrics.text)
+    forwarder = passing.start(row, store_client.inbox, peer_client.inbox)
     desired = desired_feed.filter_into(
         operator.decode_desired_state,
         operator.CONFIG_KEY,
@@ -219,16 +224,26 @@
     async def handle_call(call: calls.Call) -> calls.Answer | None:
         reply = mailbox.Reply()
         if not mailbox.post(entry.reception.inbox, messages.CallReceived(call, reply)):
-            return None
+            return verdict.not_run(verdict.Code.OVERLOADED, "too many calls are queued")
         try:
             return await mailbox.wait(reply, call.budget_seconds)
         except TimeoutError:
+            mailbox.post(entry.reception.inbox, messages.OutcomeUnknown(call))
             return None
 
     async def forward(
-        request: peers.Request, answer: calls.Answer | None, remaining_seconds: float
-    ) -> peers.Response | calls.Answer | None:
-        return await passing.forward(entry.passing, request, answer, remaining_seconds)
+        request: peers.Request,
+        call: calls.Call,
+        answer: calls.Answer | None,
+        remaining_seconds: float,
+    ) -> attempts.Answer | None:
+        final = await passing.forward(entry.passing, request, call, answer, remaining_seconds)
+        if isinstance(final, verdict.Refusal) and final.verdict is verdict.Verdict.MAY_HAVE_RUN:
+            mailbox.post(entry.reception.inbox, messages.OutcomeUnknown(call))
+        return final
+
+    async def has_row(key: rows.Key) -> bool | None:
+        return await _has_row(entry.store.inbox, key)
 
     async def is_ready() -> bool:
         reply = mailbox.Reply()
@@ -250,7 +265,11 @@
     applications = [
         ("callers", machine.callers, ingress.callers(handle_call, forward)),
         ("readiness", machine.readiness, ingress.readiness(is_ready)),
-        ("metrics", machine.metrics, observe.application(identity, tasks, entry.exported)),
+        (
+            "metrics",
+            machine.metrics,
+            observe.application(identity, tasks, entry.exported, [ingress.look_up_route(has_row)]),
+        ),
     ]
     for name, address, application in applications:
         if address is not None:
@@ -258,6 +277,24 @@
             entry.servers.append(await serving.start(name, listener, application))
 
 
+async def _has_row(store_inbox: mailbox.Mailbox, key: rows.Key) -> bool | None:
+    reply = mailbox.Reply()
+
+    def answer(fetched: rows.Fetched) -> None:
+        mailbox.answer(reply, fetched)
+
+    message = rows.Fetch(key, key.table, key.key, LOOK_UP_TIMEOUT_SECONDS, answer)
+    if not mailbox.post(store_inbox, message):
+        return None
+    try:
+        fetched = await mailbox.wait(reply, LOOK_UP_TIMEOUT_SECONDS)
+    except TimeoutError:
+        return None
+    if fetched.rows is None:
+        return None
+    return any(row.key == key.key and row.value is not None for row in fetched.rows)
+
+
 def _deliver_to(
     *inboxes: mailbox.Mailbox,
 ) -> typing.Callable[[rows.Snapshot | rows.Changes], None]:
--- a/packages/daemon/src/peridothatch_daemon/hosted/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/messages.py
@@ -9,9 +9,9 @@
 from peridothatch_wire import mailbox
 
 if typing.TYPE_CHECKING:
-    from peridothatch_core.message import peers
+    from peridothatch_core.message import peers, rows
     from peridothatch_core.model import desired
-    from peridothatch_core.reception import calls
+    from peridothatch_core.reception import attempts, calls
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,33 +73,30 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardCall:
-    """Forward a call to another entry; the reply is a ``ForwardOutcome``.
+    """Forward a call to another entry; the reply is an ``attempts.Answer``.
 
     Attributes
     ----------
+    own : Attempt
+        Outcome of the call at this entry.
+    effect : Key or None
+        Row that the call writes; ``None`` if it only reads.
     deadline : float
         Local time in seconds by which the caller needs the answer.
     """
 
     request: peers.Request
+    own: attempts.Attempt
+    effect: rows.Key | None
     deadline: float
     reply: mailbox.Reply
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ForwardOutcome:
-    """The outcome of a forwarded call.
+class OutcomeUnknown:
+    """A caller has been told that its call may have run."""
 
-    Attributes
-    ----------
-    response : Response or None
-        ``None`` if no other entry served the call.
-    may_have_run : bool
-        Whether an entry may have executed the call without responding.
-    """
-
-    response: peers.Response | None
-    may_have_run: bool
+    call: calls.Call
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/peridothatch_daemon/hosted/observe.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/observe.py
@@ -20,6 +20,7 @@
     identity: dict[str, typing.Any],
     tasks: dict[str, mailbox.Mailbox],
     exported: metrics.Metrics,
+    internal_routes: typing.Sequence[routing.Route] = (),
 ) -> applications.Starlette:
     """Return the application with ``/metrics`` and ``/debug/state``.
 
@@ -29,6 +30,8 @@
         Node, data centre and role of the process, for the state dump.
     tasks : dict
         Mailboxes by task name; each task answers ``messages.DumpState``.
+    internal_routes : sequence of Route
+        Further routes for other processes of the system; callers do not reach this address.
     """
 
     async def collect() -> dict[str, typing.Any]:
@@ -47,6 +50,7 @@
         routes=[
             routing.Route("/metrics", show_metrics),
             routing.Route("/debug/state", show_state),
+            *internal_routes,
         ]
     )
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/passing.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/passing.py
@@ -7,16 +7,13 @@
 
 from peridothatch_core.message import peers as peer_messages
 from peridothatch_core.message import rows
-from peridothatch_core.model import entries, tables
-from peridothatch_core.reception import peers
+from peridothatch_core.model import entries, tables, verdict
+from peridothatch_core.reception import attempts, calls, peers
 from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.decide import loop
 from peridothatch_daemon.hosted import clock, counters, log, messages, records
 from peridothatch_wire import mailbox, task
 
-if typing.TYPE_CHECKING:
-    from peridothatch_core.reception import calls
-
 REGISTER_RETRY_SECONDS = 1.0
 """Timeout for writing this entry's row, and the delay before a failed write is retried."""
 
@@ -43,14 +40,14 @@
         Node to which the call was sent last.
     remaining_nodes : list of str
         Nodes to try next, in order.
-    may_have_run : bool
-        Whether an entry may have executed the call without responding.
+    attempts : list of Attempt
+        Outcomes of the call so far, beginning with this entry's.
     """
 
     forward_call: messages.ForwardCall
     node: str
     remaining_nodes: list[str]
-    may_have_run: bool = False
+    attempts: list[attempts.Attempt]
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,22 +76,20 @@
     running: task.Task
 
 
-def start(
-    node: str, callers: str, store: mailbox.Mailbox, peer_calls: mailbox.Mailbox
-) -> Forwarder:
+def start(row: entries.Entry, store: mailbox.Mailbox, peer_calls: mailbox.Mailbox) -> Forwarder:
     """Start the task, which registers this entry first.
 
     Parameters
     ----------
-    callers : str
-        Address at which this entry takes calls.
+    row : Entry
+        Row that registers this entry, with its addresses.
     store : Mailbox
         Takes ``rows.Commit``.
     peer_calls : Mailbox
-        Takes ``peers.Send``.
+        Takes ``peers.Send`` and ``peers.LookUp``.
     """
     inbox = mailbox.create("peers")
-    state = _State(peers.Peers(node), entries.Entry(node, callers), store, peer_calls, inbox)
+    state = _State(peers.Peers(row.node), row, store, peer_calls, inbox)
 
     def handle(message: typing.Any) -> None:
         _handle(state, message)
@@ -106,9 +101,10 @@
 async def forward(
     forwarder: Forwarder,
     request: peer_messages.Request,
+    call: calls.Call,
     answer: calls.Answer | None,
     remaining_seconds: float,
-) -> peer_messages.Response | calls.Answer | None:
+) -> attempts.Answer | None:
     """Forward a call if this entry's answer shows that it cannot reach the store.
 
     Parameters
@@ -120,23 +116,23 @@
 
     Returns
     -------
-    Response or Answer or None
-        The answer for the caller: another entry's response if there is one, else this entry's
-        answer, which says so if the call may have run elsewhere.
+    Answer or None
+        The answer for the caller, from all attempts to serve the call.
     """
     if not peers.can_forward(answer) or remaining_seconds < MIN_REMAINING_SECONDS:
         return answer
     reply = mailbox.Reply()
-    forward_call = messages.ForwardCall(request, clock.now() + remaining_seconds, reply)
-    if not mailbox.post(forwarder.inbox, forward_call):
+    own = attempts.of_answer(answer)
+    deadline = clock.now() + remaining_seconds
+    effect = calls.effect_key(call)
+    if not mailbox.post(
+        forwarder.inbox, messages.ForwardCall(request, own, effect, deadline, reply)
+    ):
         return answer
     try:
-        outcome: messages.ForwardOutcome = await mailbox.wait(reply, remaining_seconds)
+        return await mailbox.wait(reply, remaining_seconds)
     except TimeoutError:
-        return peers.with_unknown_outcome(answer)
-    if outcome.response is not None:
-        return outcome.response
-    return peers.with_unknown_outcome(answer) if outcome.may_have_run else answer
+        return attempts.conclude([own, attempts.Attempt(_without_answer(effect))])
 
 
 async def close(forwarder: Forwarder) -> None:
@@ -152,11 +148,13 @@
             nodes = peers.candidates(state.known_peers, clock.now())
             _try_next_entry(
                 state,
-                _Pending(message, "", nodes),
+                _Pending(message, "", nodes, [message.own]),
                 "no other entry is known that can reach the store",
             )
         case peer_messages.Sent():
             _handle_sent(state, message)
+        case peer_messages.LookedUp():
+            _handle_looked_up(message)
         case _Register():
             _register(state)
         case rows.Committed(outcome=rows.Outcome.COMMITTED):
@@ -184,7 +182,7 @@
         try:
             if row.key.startswith(tables.ENTRY_PREFIX):
                 other = records.decode(records.ENTRY, row.value)
-                state.known_peers.addresses[other.node] = other.callers
+                peers.register(state.known_peers, other)
             elif row.key == tables.LEASE_KEY.key:
                 holder = records.decode(records.LEASE, row.value).holder
                 state.known_peers.leader = holder.partition("/")[0]
@@ -197,14 +195,13 @@
     remaining = pending.forward_call.deadline - clock.now()
     if not pending.remaining_nodes or remaining < MIN_REMAINING_SECONDS:
         state.counters.calls_not_passed_on += 1
-        outcome = messages.ForwardOutcome(None, pending.may_have_run)
         log.event(
             "peers:not_passed_on",
             target=pending.forward_call.request.target,
-            may_have_run=pending.may_have_run,
+            verdict=str(attempts.combine(pending.attempts)),
             reason=reason,
         )
-        mailbox.answer(pending.forward_call.reply, outcome)
+        _reply(pending)
         return
     pending.node = pending.remaining_nodes.pop(0)
     address = state.known_peers.addresses[pending.node]
@@ -220,35 +217,76 @@
         answer,
     )
     if not mailbox.post(state.peer_calls, send):
-        answer(peer_messages.Sent(pending, None, reason="too many forwarded calls are queued"))
+        reason = "too many forwarded calls are queued"
+        answer(peer_messages.Sent(pending, None, verdict.Verdict.NOT_RUN, True, reason))
 
 
 def _handle_sent(state: _State, sent: peer_messages.Sent) -> None:
     pending: _Pending = sent.token
-    if sent.response is None:
+    found = sent.verdict
+    if found is not verdict.Verdict.RAN and pending.forward_call.effect is None:
+        found = verdict.Verdict.NOT_RUN
+    if sent.unavailable:
         peers.mark_unavailable(state.known_peers, pending.node, clock.now())
-        pending.may_have_run = pending.may_have_run or sent.carried_out
+        pending.attempts.append(attempts.Attempt(found))
         _try_next_entry(state, pending, sent.reason)
         return
-    if sent.response.status >= 500:
-        # The other entry cannot reach the store either, or is stopping.
-        peers.mark_unavailable(state.known_peers, pending.node, clock.now())
-        pending.may_have_run = pending.may_have_run or sent.response.status != 503
-        _try_next_entry(
-            state, pending, f"{pending.node} answered with status {sent.response.status}"
-        )
-        return
+    pending.attempts.append(attempts.Attempt(found, sent.response))
     state.counters.calls_passed_on += 1
+    combined = attempts.combine(pending.attempts)
     log.event(
         "peers:passed_on",
         target=pending.forward_call.request.target,
         method=pending.forward_call.request.method,
         peer=pending.node,
-        status=sent.response.status,
+        status=sent.response.status if sent.response else 0,
+        verdict=str(combined),
+    )
+    if combined is not verdict.Verdict.MAY_HAVE_RUN or not _look_up(state, pending):
+        _reply(pending)
+
+
+def _look_up(state: _State, pending: _Pending) -> bool:
+    """Ask the entry that refused the call whether an earlier attempt took effect."""
+    effect = pending.forward_call.effect
+    address = state.known_peers.internal_addresses.get(pending.node, "")
+    remaining = pending.forward_call.deadline - clock.now()
+    if effect is None or not address or remaining < MIN_REMAINING_SECONDS:
+        return False
+
+    def answer(looked_up: peer_messages.LookedUp) -> None:
+        mailbox.post(state.inbox, looked_up)
+
+    seconds = min(ATTEMPT_TIMEOUT_SECONDS, remaining)
+    return mailbox.post(
+        state.peer_calls, peer_messages.LookUp(pending, address, effect, seconds, answer)
     )
-    mailbox.answer(
-        pending.forward_call.reply, messages.ForwardOutcome(sent.response, pending.may_have_run)
+
+
+def _handle_looked_up(looked_up: peer_messages.LookedUp) -> None:
+    """Answer that the call took effect if its row is in the store.
+
+    A row that is absent decides nothing, because a delayed write may still be applied.
+    """
+    pending: _Pending = looked_up.token
+    log.event(
+        "peers:looked_up",
+        target=pending.forward_call.request.target,
+        peer=pending.node,
+        exists=looked_up.exists,
     )
+    if looked_up.exists:
+        pending.attempts.append(attempts.Attempt(verdict.Verdict.RAN, calls.Accepted()))
+    _reply(pending)
+
+
+def _reply(pending: _Pending) -> None:
+    mailbox.answer(pending.forward_call.reply, attempts.conclude(pending.attempts))
+
+
+def _without_answer(effect: rows.Key | None) -> verdict.Verdict:
+    """Return the verdict of an attempt that did not answer; a read has no effect."""
+    return verdict.Verdict.NOT_RUN if effect is None else verdict.Verdict.MAY_HAVE_RUN
 
 
 def _dump(state: _State) -> dict[str, typing.Any]:
--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -18,9 +18,6 @@
 if typing.TYPE_CHECKING:
     from peridothatch_daemon.observe import metrics
 
-ID_DIGITS = 16
-"""Number of hexadecimal digits in the id of a job."""
-
 MAX_ECHOED_CHARACTERS = 100
 """Maximum length of the part of an invalid value that a refusal quotes."""
 
@@ -79,6 +76,8 @@
     match message:
         case messages.CallReceived(call, reply):
             _handle_call(state, call, reply)
+        case messages.OutcomeUnknown(call):
+            stored_calls.remember_unknown_outcome(state, call)
         case messages.FeedFailed():
             store_health.record_failure(state.health)
         case messages.DesiredChanged(desired_state, asked_at):
@@ -179,7 +178,7 @@
     now: float,
 ) -> None:
     if not _is_id(admitted.remaining_path):
-        expected = f"{ID_DIGITS} hexadecimal digits"
+        expected = f"{calls.JOB_ID_DIGITS} hexadecimal digits"
         refusal = verdict.invalid("id", admitted.remaining_path[:MAX_ECHOED_CHARACTERS], expected)
         stored_calls.answer_refused(state, call, reply, refusal)
         return
@@ -271,7 +270,9 @@
 
 
 def _is_id(text: str) -> bool:
-    return len(text) == ID_DIGITS and all(digit in "0123456789abcdefABCDEF" for digit in text)
+    return len(text) == calls.JOB_ID_DIGITS and all(
+        digit in "0123456789abcdefABCDEF" for digit in text
+    )
 
 
 def _dump(state: stored_calls.State) -> dict[str, typing.Any]:
--- a/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
@@ -35,6 +35,13 @@
 MIN_RETRY_SECONDS = 0.25
 """Minimum time for which a request that the store refuses is retried."""
 
+UNRESOLVED_SECONDS = 30.0
+"""Time for which a call whose outcome is unknown is remembered. A delayed write is applied, and a
+caller repeats the call, within a few seconds."""
+
+MAX_UNRESOLVED = 4096
+"""Maximum number of remembered calls; the oldest is forgotten first."""
+
 UNKNOWN_OUTCOME_SECONDS = 1.0
 """Time after which a call is answered with an unknown outcome. The caller then repeats it at
 another entry, which may reach the store."""
@@ -80,6 +87,9 @@
         Jobs as last delivered by the feed.
     awaiting_rows : list of Reply
         Replies to send when the first desired state and the first jobs have been read.
+    unresolved : dict
+        Local time in seconds until which an earlier call of the same action and path counts as
+        one that may have run.
     """
 
     revoke_seconds: float
@@ -92,6 +102,7 @@
     health: store_health.StoreHealth = dataclasses.field(default_factory=store_health.StoreHealth)
     view: view.View = dataclasses.field(default_factory=view.View)
     awaiting_rows: list[mailbox.Reply] = dataclasses.field(default_factory=list)
+    unresolved: dict[tuple[calls.Action, str], float] = dataclasses.field(default_factory=dict)
     counters: counters.Reception = dataclasses.field(default_factory=counters.Reception)
 
 
@@ -199,6 +210,8 @@
 def _give_up(state: State, pending: Pending, reason: str) -> None:
     kind = verdict.Verdict.MAY_HAVE_RUN if pending.outcome_unknown else verdict.Verdict.NOT_RUN
     code = verdict.Code.STORE_UNAVAILABLE
+    if pending.outcome_unknown:
+        remember_unknown_outcome(state, pending.call)
     answer_refused(state, pending.call, pending.reply, verdict.Refusal(kind, code, reason))
 
 
@@ -211,6 +224,7 @@
     outcome: str,
 ) -> None:
     """Answer that the job or its cancellation has been stored."""
+    state.unresolved.pop((call.action, call.path), None)
     state.counters.calls_accepted += 1
     state.record_latency(clock.now() - arrived_at)
     log.event(
@@ -254,7 +268,12 @@
 def answer_refused(
     state: State, call: calls.Call, reply: mailbox.Reply, refusal: verdict.Refusal
 ) -> None:
-    """Answer with a refusal and log its reason."""
+    """Answer with a refusal and log its reason.
+
+    A repeated call is not refused as not run while an earlier one may have run.
+    """
+    if state.unresolved.get((call.action, call.path), 0.0) > clock.now():
+        refusal = dataclasses.replace(refusal, verdict=verdict.Verdict.MAY_HAVE_RUN)
     if refusal.verdict is verdict.Verdict.NOT_RUN:
         state.counters.calls_refused += 1
     else:
@@ -274,6 +293,17 @@
     mailbox.answer(reply, refusal)
 
 
+def remember_unknown_outcome(state: State, call: calls.Call) -> None:
+    """Remember that a call may have run, until it has been accepted or some time has passed."""
+    if calls.effect_key(call) is None:
+        return
+    known = (call.action, call.path)
+    state.unresolved.pop(known, None)
+    while len(state.unresolved) >= MAX_UNRESOLVED:
+        state.unresolved.pop(next(iter(state.unresolved)))
+    state.unresolved[known] = clock.now() + UNRESOLVED_SECONDS
+
+
 def cancellation(job_id: str) -> rows.Transaction:
     """Return the transaction that cancels a job."""
     return rows.Transaction((), ((tables.cancel_key(job_id), b"{}"),))
--- a/specs/check.py
+++ b/specs/check.py
@@ -15,12 +15,14 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
+import forwarding  # noqa: E402
 import gang_start  # noqa: E402
 import hosted_run  # noqa: E402
 import request  # noqa: E402
 import service_out  # noqa: E402
 
 SPECIFICATIONS = {
+    "forwarding": forwarding,
     "gang_start": gang_start,
     "hosted_run": hosted_run,
     "request": request,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,6 +20,14 @@
     assert observations.starts
 
 
+async def test_no_refusal_is_untrue_when_a_key_is_revoked_during_an_outage(tmp_path):
+    # An entry's write took effect without an answer, and the refusal of another entry, which knew
+    # of the revocation, told the caller that the job had not run.
+    observations = await soak_run.run(soak_run.FIRST_REVOCATION_SEED, tmp_path)
+    assert observations.breaches == []
+    assert observations.starts
+
+
 @pytest.mark.parametrize("seed", soak_regressions.SEEDS)
 async def test_invariants_hold_for_seeds_that_failed_before(seed, tmp_path):
     observations = await soak_run.run(seed, tmp_path)
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -102,6 +102,15 @@
     assert _names(observations) == ["true_not_run"]
 
 
+@pytest.mark.parametrize("status", [400, 401, 404, 413, 429])
+def test_a_run_of_a_job_that_was_refused_for_another_reason(observations, status):
+    observations.attempts[JOB] = 1
+    observations.check_answer(JOB, "POST", status, {"verdict": "not_run"}, time.monotonic(), False)
+    observations.record_start(_run())
+    observations.check_final_states()
+    assert _names(observations) == ["true_not_run"]
+
+
 def test_a_refusal_without_a_verdict(observations):
     observations.check_answer(JOB, "POST", 503, {}, time.monotonic(), False)
     assert _names(observations) == ["true_not_run"]
