Skip odd entries of other writers instead of losing lists, tables or tasks

Class: a decoder that raises something else than the ValueError that its callers handle, and a list that is decoded as a whole.

Change: each decoder at a border returns a value or raises ValueError; lists and pages are decoded entry by entry, and what is skipped is logged with its key and the reason, once in 10 s for each key. Numbers, lengths, addresses and ports have bounds, and a row must describe what its key names. Ends that cannot be read do not keep later ends from being acknowledged. A lease that ends later than any lease is replaced by the next claim, with the same conditions. A process ends with status 70 and a log line when one of its tasks has ended; before, it lived on without it.

--- a/packages/core/src/peridothatch_core/hold/exchange.py
+++ b/packages/core/src/peridothatch_core/hold/exchange.py
@@ -139,6 +139,9 @@
         Start time of the incarnation that answered; 0 when the answer has none.
     asked_at, answered_at : float
         Local time in seconds before the call and after the answer.
+    unreadable_ends : int
+        Number of ends that could not be read. The worker lists them again until a later end has
+        been recorded.
     """
 
     instance: str
@@ -148,6 +151,7 @@
     ended: tuple[ListedEnd, ...]
     asked_at: float
     answered_at: float
+    unreadable_ends: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/hold/listing.py
+++ b/packages/core/src/peridothatch_core/hold/listing.py
@@ -18,6 +18,7 @@
     if not state.orders_loaded:
         return
     state.runs_listed = True
+    _skip_missing_ends(state, listing)
     for ended in listing.ended:
         _apply_end(state, ended)
     _advance_recorded_through(state)
@@ -79,6 +80,19 @@
     state.ends[ended.number] = run.end
 
 
+def _skip_missing_ends(state: states.State, listing: exchange.Listing) -> None:
+    """Advance ``recorded_through`` to the first end that the list has.
+
+    The worker lists all ends that are not recorded in order, so the numbers before the first one
+    belong to no end that can be read.
+    """
+    numbers = [ended.number for ended in listing.ended if ended.number > state.recorded_through]
+    known = [number for number in state.ends if number > 0]
+    first = min([*numbers, *known, *state.skipped_ends], default=None)
+    if numbers and first is not None:
+        state.recorded_through = max(state.recorded_through, first - 1)
+
+
 def _advance_recorded_through(state: states.State) -> None:
     """Advance ``recorded_through`` past the ends that need no record."""
     while state.recorded_through + 1 in state.skipped_ends:
--- a/packages/core/src/peridothatch_core/hold/step.py
+++ b/packages/core/src/peridothatch_core/hold/step.py
@@ -81,7 +81,7 @@
         state.list_retry_at = now + pause
     if listed is not None and _is_known_incarnation(state, listed):
         listing.apply(state, listed)
-        if state.ends and not concurrent:
+        if (state.ends or listed.unreadable_ends) and not concurrent:
             # The worker answers at once while it has ends that are not recorded yet, so
             # without this delay the agent would call without pause.
             state.list_retry_at = now + states.UNRECORDED_LIST_INTERVAL_SECONDS
--- a/packages/core/src/peridothatch_core/schedule/leadership.py
+++ b/packages/core/src/peridothatch_core/schedule/leadership.py
@@ -129,14 +129,21 @@
     )
 
 
-def observe_epoch(state: Leadership, lease: Lease, version: int) -> bool:
-    """Process a version of the epoch row; return whether it ends this process's leadership."""
+def observe_epoch(state: Leadership, lease: Lease | None, version: int) -> bool:
+    """Process a version of the epoch row; return whether it ends this process's leadership.
+
+    Parameters
+    ----------
+    lease : Lease or None
+        ``None`` if the row cannot be read. A claim then replaces it, with the next epoch that is
+        known here.
+    """
     if version <= state.epoch_version:
         return False
     state.epoch_version = version
-    state.epoch = lease.epoch
-    state.epoch_holder = lease.holder
-    lost = state.leading and lease.holder != state.holder_id
+    state.epoch = lease.epoch if lease else state.epoch
+    state.epoch_holder = lease.holder if lease else ""
+    lost = state.leading and state.epoch_holder != state.holder_id
     if lost:
         state.leading = False
     return lost
@@ -147,11 +154,16 @@
     return state.epoch_holder == state.holder_id and not state.leading and state.sent_at is None
 
 
-def observe_lease(state: Leadership, lease: Lease, version: int) -> None:
-    """Process a version of the lease row."""
+def observe_lease(state: Leadership, lease: Lease | None, version: int, now_ms: int) -> None:
+    """Process a version of the lease row, read at store time ``now_ms``.
+
+    A row that cannot be read, or that ends later than any lease, is not a lease: it is replaced
+    by the next claim.
+    """
     if version > state.lease_version:
         state.lease_version = version
-        state.lease = lease
+        is_lease = lease is not None and lease.until_ms <= now_ms + 2 * LEASE_DURATION_MS
+        state.lease = lease if is_lease else None
 
 
 def become_leader(state: Leadership, version: int, sent_at: float) -> None:
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -533,3 +533,29 @@
     ended = harness.listing(30.2, ended=[(1, harness.TASK, 1, steps.EndKind.DONE, "")])
     step.step(agent, exchange.RunsListed(ended), 30.2)
     assert [end.kind for end in agent.ends.values()] == [steps.EndKind.DONE]
+
+
+def test_an_end_that_cannot_be_read_does_not_keep_later_ends_from_being_forgotten():
+    # The agent waited for the number of the unreadable end, and the worker listed all later ends
+    # again with each call.
+    agent = harness.registered_agent(orders={harness.KEY: harness.order()})
+    ended = [(3, harness.TASK, 1, steps.EndKind.DONE, "")]
+    effects = step.step(agent, exchange.RunsListed(harness.listing(10.2, ended=ended)), 10.2)
+    harness.commit_writes(agent, effects, 10.2)
+    assert agent.recorded_through == 3
+
+
+def test_an_end_that_waits_to_be_recorded_is_not_skipped():
+    other = "00000000000000bb.0.0.0"
+    orders = {key: harness.order(key[0]) for key in (harness.KEY, (other, 1))}
+    agent = harness.registered_agent(orders=orders)
+    first = [(2, harness.TASK, 1, steps.EndKind.DONE, "")]
+    effects = step.step(agent, exchange.RunsListed(harness.listing(10.2, ended=first)), 10.2)
+    write = harness.single(effects, exchange.WriteRow)
+    both = [*first, (4, other, 1, steps.EndKind.DONE, "")]
+    step.step(agent, exchange.RunsListed(harness.listing(10.3, ended=both)), 10.3)
+    assert agent.recorded_through == 1
+    effects = step.step(agent, harness.committed(write, 10.4), 10.4)
+    harness.commit_writes(agent, effects, 10.4)
+    step.step(agent, exchange.RunsListed(harness.listing(10.9, ended=both[1:])), 10.9)
+    assert agent.recorded_through == 4
--- a/packages/core/tests/schedule/test_leadership.py
+++ b/packages/core/tests/schedule/test_leadership.py
@@ -1,5 +1,7 @@
 import json
 
+import pytest
+
 from peridothatch_core.message import rows
 from peridothatch_core.model import tables
 from peridothatch_core.schedule import leadership
@@ -13,7 +15,7 @@
     entry = leadership.Leadership("b/2")
     lease = leadership.Lease("a/1", 4, until_ms)
     leadership.observe_epoch(entry, lease, 20)
-    leadership.observe_lease(entry, lease, 21)
+    leadership.observe_lease(entry, lease, 21, until_ms)
     return entry
 
 
@@ -59,10 +61,28 @@
 
 def test_a_restarted_process_is_another_holder():
     entry = leadership.Leadership("a/2")
-    leadership.observe_lease(entry, leadership.Lease("a/1", 4, 10_000), 21)
+    leadership.observe_lease(entry, leadership.Lease("a/1", 4, 10_000), 21, 9_000)
     assert not leadership.may_claim(entry, 9_000, 0)
 
 
+@pytest.mark.parametrize("lease", [None, leadership.Lease("x", 4, 2**53)])
+def test_a_row_that_is_no_lease_is_replaced_by_a_claim(lease):
+    # Another writer's row with a number too large kept every entry from leading.
+    entry = leadership.Leadership("a/2")
+    leadership.observe_lease(entry, lease, 21, 9_000)
+    assert leadership.may_claim(entry, 9_000, 0)
+    claim = leadership.claim_transaction(entry, 9_000, lambda _: b"")
+    assert claim.conditions[1].version == 21
+
+
+def test_an_unreadable_epoch_row_ends_the_leadership_and_keeps_the_epoch():
+    # A lower epoch than before would reuse a fencing token.
+    entry = _follower()
+    entry.leading, entry.epoch_holder = True, entry.holder_id
+    assert leadership.observe_epoch(entry, None, 30)
+    assert (entry.epoch, entry.epoch_version, entry.leading) == (4, 30, False)
+
+
 def test_an_own_claim_whose_response_was_lost_is_recognised_by_its_row():
     # Otherwise the entry waits for its own lease to end before it claims again.
     entry = _follower()
--- a/packages/daemon/src/peridothatch_daemon/hosted/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/agent.py
@@ -10,7 +10,7 @@
 from peridothatch_daemon.hosted import clock, log, observe, serving, supervisor
 from peridothatch_daemon.observe import metrics
 from peridothatch_platform import heartbeats, listeners, settings, store, worker
-from peridothatch_wire import mailbox
+from peridothatch_wire import mailbox, task
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,8 +53,8 @@
     def deliver(message: typing.Any) -> None:
         mailbox.post(inbox, message)
 
-    store_client = await store.start(machine.store, clock.now)
-    worker_calls = await worker.start(machine.worker, clock.now, deliver)
+    store_client = await store.start(machine.store, clock.now, log.unreadable)
+    worker_calls = await worker.start(machine.worker, clock.now, deliver, log.unreadable)
     hold = state.State(machine.node, machine.data_centre, state.lease_ms(machine.longest_hold_ms))
     exported = metrics.start(machine.node)
     supervisor_task = supervisor.start(
@@ -74,6 +74,7 @@
         deliver,
         log.feed_lost,
         log.feed_regained,
+        log.unreadable,
     )
     identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "agent"}
     observed = observe.application(identity, {"supervisor": inbox}, exported)
@@ -91,6 +92,18 @@
     return Agent(store_client, worker_calls, feed, supervisor_task, servers, exported)
 
 
+def tasks(agent: Agent) -> tuple[task.Task, ...]:
+    """Return the tasks that the agent cannot go on without."""
+    return (
+        agent.store.running,
+        agent.calls.running,
+        agent.feed.running,
+        agent.supervisor.running,
+        agent.supervisor.ticking,
+        *(server.serving for server in agent.servers),
+    )
+
+
 async def close(agent: Agent) -> None:
     """Stop the agent; the worker's runs continue until their lease expires or is renewed."""
     log.event("agent:stopping")
--- a/packages/daemon/src/peridothatch_daemon/hosted/commands.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/commands.py
@@ -17,9 +17,27 @@
 
 from peridothatch_daemon.hosted import log
 from peridothatch_platform import settings
+from peridothatch_wire import task
 
 EXIT_BAD_SETTINGS = 2
 
+EXIT_TASK_ENDED = 70
+"""Exit status after a task of the process has ended unexpectedly."""
+
+CLOSE_MARGIN_SECONDS = 5.0
+"""Time for closing a process beyond the time in which it finishes its calls."""
+
+
+class Role(typing.Protocol):
+    """Module of a role: closes a process and lists the tasks that it cannot go on without."""
+
+    def close(self, process: typing.Any) -> typing.Awaitable[None]:
+        """Close a process that the role has started."""
+
+    def tasks(self, process: typing.Any) -> tuple[task.Task, ...]:
+        """Return the tasks of a process."""
+
+
 application = typer.Typer(
     help="peridothatch on the users' platform.",
     no_args_is_help=True,
@@ -32,7 +50,8 @@
     """Run an entry with the settings file named by PERIDOTHATCH_SETTINGS."""
     machine = _load()
     entry = importlib.import_module("peridothatch_daemon.hosted.entry")
-    asyncio.run(_serve(machine, lambda _: entry.start(machine, context.obj), entry.close))
+    serving = _serve(machine, lambda _: entry.start(machine, context.obj), entry)
+    raise typer.Exit(asyncio.run(serving))
 
 
 @application.command("agent")
@@ -40,7 +59,8 @@
     """Run an agent for the worker on the same machine."""
     machine = _load()
     agent = importlib.import_module("peridothatch_daemon.hosted.agent")
-    asyncio.run(_serve(machine, lambda stop: agent.start(machine, stop, context.obj), agent.close))
+    serving = _serve(machine, lambda stop: agent.start(machine, stop, context.obj), agent)
+    raise typer.Exit(asyncio.run(serving))
 
 
 @application.command("check-settings")
@@ -62,9 +82,13 @@
 async def _serve(
     machine: settings.Machine,
     start: typing.Callable[[typing.Callable[[], None]], typing.Awaitable[typing.Any]],
-    close: typing.Callable[[typing.Any], typing.Awaitable[None]],
-) -> None:
-    """Start a process, wait for SIGTERM, SIGINT or its own stop request, then close it."""
+    role: Role,
+) -> int:
+    """Start a process, wait for a reason to stop, then close it; return the exit status.
+
+    The reasons are SIGTERM, SIGINT, the process's own stop request and the end of one of its
+    tasks: a process must not go on without a task, because nothing would notice.
+    """
     # ``__main__`` disabled garbage collection during the imports. Imported objects are never
     # garbage, so later collections need not scan them.
     gc.freeze()
@@ -78,5 +102,19 @@
     # which these processes do not use.
     loop.add_signal_handler(signal.SIGHUP, lambda: log.event("settings:reload_requested"))
     process = await start(stopped.set)
+    tasks = role.tasks(process)
+    ended = task.start("end of a task", task.wait_any(tasks))
+    stopping = task.start("stop", _set_after(stopped, ended))
     await stopped.wait()
-    await close(process)
+    failed = [item for item in tasks if not item.running]
+    for item in failed:
+        log.event("process:task_ended", task=item.name, reason=repr(task.failure(item)))
+    await asyncio.wait_for(role.close(process), 2 * machine.stop_seconds + CLOSE_MARGIN_SECONDS)
+    for item in (stopping, ended):
+        await task.close(item)
+    return EXIT_TASK_ENDED if failed else 0
+
+
+async def _set_after(stopped: asyncio.Event, ended: task.Task) -> None:
+    await task.join(ended)
+    stopped.set()
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -32,7 +32,7 @@
     store,
     ticket_service,
 )
-from peridothatch_wire import mailbox
+from peridothatch_wire import mailbox, task
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.message import peers
@@ -97,7 +97,7 @@
     OSError
         An address cannot be bound.
     """
-    store_client = await store.start(machine.store, clock.now)
+    store_client = await store.start(machine.store, clock.now, log.unreadable)
     exported = metrics.start(machine.node)
     reception_task = reception.start(
         machine.revoke_seconds,
@@ -143,6 +143,7 @@
             desired,
             log.feed_lost,
             log.feed_regained,
+            log.unreadable,
         ),
         await store.follow(
             machine.store,
@@ -151,6 +152,7 @@
             _deliver_to(reception_task.inbox, scheduler_task.inbox),
             _log_and_report(reception_task.inbox),
             log.feed_regained,
+            log.unreadable,
         ),
         await store.follow(
             machine.store,
@@ -159,6 +161,7 @@
             _deliver_to(scheduler_task.inbox, forwarder.inbox),
             log.feed_lost,
             log.feed_regained,
+            log.unreadable,
             MEMBERS_POLL_INTERVAL_SECONDS,
         ),
     ]
@@ -182,6 +185,21 @@
     return entry
 
 
+def tasks(entry: Entry) -> tuple[task.Task, ...]:
+    """Return the tasks that the entry cannot go on without."""
+    return (
+        entry.store.running,
+        *((entry.tickets.running,) if entry.tickets else ()),
+        *(feed.running for feed in entry.feeds),
+        entry.reception.running,
+        entry.peer_calls.running,
+        entry.passing.running,
+        entry.scheduler.running,
+        entry.scheduler.ticking,
+        *(server.serving for server in entry.servers),
+    )
+
+
 async def close(entry: Entry) -> None:
     """Fail readiness probes, release the leadership, and finish the calls in progress."""
     entry.draining[0] = True
--- a/packages/daemon/src/peridothatch_daemon/hosted/log.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/log.py
@@ -20,8 +20,16 @@
 BURST_LINES = 1000.0
 """Number of lines that may exceed the sustained rate in a burst."""
 
+UNREADABLE_INTERVAL_SECONDS = 10.0
+"""Interval at which the same unreadable input is logged again."""
+
+MAX_UNREADABLE = 256
+"""Maximum number of unreadable inputs whose last log line is remembered."""
+
 STANDARD_OUTPUT = 1
 
+_unreadable_until: dict[tuple[str, str], float] = {}
+
 
 class _RateLimiter:
     """Token bucket that limits the number of log lines of the process."""
@@ -60,6 +68,19 @@
     event("feed:regained", table=table)
 
 
+def unreadable(source: str, key: str, reason: str) -> None:
+    """Log that an input of another writer was skipped, at a bounded rate for each key."""
+    now = clock.now()
+    known = (source, key[:200])
+    if _unreadable_until.get(known, 0.0) > now:
+        return
+    _unreadable_until.pop(known, None)
+    while len(_unreadable_until) >= MAX_UNREADABLE:
+        _unreadable_until.pop(next(iter(_unreadable_until)))
+    _unreadable_until[known] = now + UNREADABLE_INTERVAL_SECONDS
+    event("input:unreadable", source=source, key=known[1], reason=reason[:500])
+
+
 def _write(limiter: _RateLimiter, node: str, message: dict[str, typing.Any]) -> None:
     now = clock.now()
     refill = (now - limiter._filled_at) * LINES_PER_SECOND
--- a/packages/daemon/src/peridothatch_daemon/hosted/passing.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/passing.py
@@ -181,13 +181,12 @@
             continue
         try:
             if row.key.startswith(tables.ENTRY_PREFIX):
-                other = records.decode(records.ENTRY, row.value)
-                peers.register(state.known_peers, other)
+                peers.register(state.known_peers, records.decode_row(row))
             elif row.key == tables.LEASE_KEY.key:
-                holder = records.decode(records.LEASE, row.value).holder
+                holder = records.decode_row(row).holder
                 state.known_peers.leader = holder.partition("/")[0]
         except ValueError as error:
-            log.event("peers:unreadable_row", key=row.key, reason=str(error))
+            log.unreadable("peers", row.key, str(error))
 
 
 def _try_next_entry(state: _State, pending: _Pending, reason: str) -> None:
--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -12,7 +12,7 @@
 from peridothatch_core.reception import admission, calls, limits, store_health, view
 from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.decide import loop
-from peridothatch_daemon.hosted import clock, messages, records, stored_calls
+from peridothatch_daemon.hosted import clock, log, messages, records, stored_calls
 from peridothatch_wire import mailbox, task
 
 if typing.TYPE_CHECKING:
@@ -124,8 +124,11 @@
             continue
         if row.value is None:
             view.remove(state.view, row.key.removeprefix(tables.JOB_PREFIX))
-        else:
-            jobs.append(records.decode(records.JOB, row.value))
+            continue
+        try:
+            jobs.append(records.decode_row(row))
+        except ValueError as error:
+            log.unreadable("reception", row.key, str(error))
     if isinstance(message, rows.Snapshot):
         view.replace(state.view, jobs)
         return
--- a/packages/daemon/src/peridothatch_daemon/hosted/records.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/records.py
@@ -1,19 +1,28 @@
 """Encodes and decodes the rows that peridothatch writes to the store.
 
-The decoders check the type of each field. msgspec builds them fifty times faster than pydantic
-builds models, which took a tenth of the startup time of a process.
+Other writers may leave rows in the same tables, so a row is used only if its value has the right
+types, its numbers are in bounds, and it describes what its key names. All decoders raise
+``ValueError`` for a row that is not usable.
+
+msgspec builds the decoders fifty times faster than pydantic builds models, which took a tenth of
+the startup time of a process.
 """
 
 from __future__ import annotations
 
+import dataclasses
+import re
 import typing
 
 import msgspec
 import orjson
 
-from peridothatch_core.model import agents, entries, steps
+from peridothatch_core.model import addresses, agents, entries, steps, tables
 from peridothatch_core.schedule import leadership
 
+if typing.TYPE_CHECKING:
+    from peridothatch_core.message import rows
+
 JOB = msgspec.json.Decoder(steps.Job)
 ORDER = msgspec.json.Decoder(steps.Order)
 END = msgspec.json.Decoder(steps.End)
@@ -21,6 +30,15 @@
 ENTRY = msgspec.json.Decoder(entries.Entry)
 LEASE = msgspec.json.Decoder(leadership.Lease)
 
+MAX_INTEGER = 2**53 - 1
+"""Largest integer that all readers of JSON keep exact."""
+
+MAX_ATTEMPT_DIGITS = 9
+"""Maximum number of digits of an attempt in the key of an order."""
+
+_LONG_NUMBER = re.compile(rb"[:\[,]\s*-?[0-9]{16}")
+"""Finds the values that may hold an integer above the maximum; strings may match as well."""
+
 
 def encode(value: typing.Any) -> bytes:
     """Return the row value of a data class, which may be nested, or of a string."""
@@ -35,4 +53,98 @@
     ValueError
         The value is not a valid row of this type.
     """
-    return decoder.decode(value)
+    try:
+        found = decoder.decode(value)
+    except RecursionError as error:
+        raise ValueError("the value is nested too deeply") from error
+    if _LONG_NUMBER.search(value):
+        _check_integers(found)
+    match found:
+        case agents.Agent(worker=agents.Worker(capacity=capacity)):
+            if min(capacity.cpu_millis, capacity.memory_mb, capacity.accelerators) < 0:
+                raise ValueError(f"capacity is {capacity}; expected no negative numbers")
+        case entries.Entry():
+            addresses.parse(found.callers)
+            if found.internal:
+                addresses.parse(found.internal)
+    return found
+
+
+def decode_row(row: rows.Row) -> typing.Any:
+    """Decode a row of the tables ``work`` and ``members``, which must match its key.
+
+    Returns
+    -------
+    Job, End, Agent, Entry or Lease, or None
+        ``None`` for a deleted row and for a key that has no record.
+
+    Raises
+    ------
+    ValueError
+        The row cannot be used.
+    """
+    if row.value is None:
+        return None
+    for prefix, decoder, key_of in _RECORDS:
+        if row.key.startswith(prefix):
+            found = decode(decoder, row.value)
+            if key_of(found) not in ("", row.key):
+                raise ValueError(f"the value belongs to the key {key_of(found)[:100]!r}")
+            return found
+    return None
+
+
+def decode_order(row: rows.Row) -> steps.Order:
+    """Decode the row of an order or of its stop, which must match its key.
+
+    Raises
+    ------
+    ValueError
+        The row cannot be used.
+    """
+    order = decode(ORDER, row.value or b"")
+    key, _ = parse_run_key(row.key)
+    if (order.task, order.attempt) != key:
+        raise ValueError(f"the order is for the run {order.task[:100]!r}/{order.attempt}")
+    return order
+
+
+def parse_run_key(key: str) -> tuple[tuple[str, int], bool]:
+    """Return the run that an order's row belongs to, and whether the row is a stop.
+
+    Raises
+    ------
+    ValueError
+        The key is not that of an order.
+    """
+    _, *parts = key.split("/")
+    is_stop = parts[2:] == [tables.STOP_SUFFIX.removeprefix("/")]
+    is_run = len(parts) == 2 or is_stop
+    if not is_run or not parts[1].isdecimal() or len(parts[1]) > MAX_ATTEMPT_DIGITS:
+        raise ValueError("the key is not that of an order")
+    return (parts[0], int(parts[1])), is_stop
+
+
+def _check_integers(value: typing.Any) -> None:
+    """Raise ``ValueError`` if a number in a value, which may be nested, is out of bounds."""
+    if isinstance(value, int):
+        if abs(value) > MAX_INTEGER:
+            raise ValueError(f"a number has {value.bit_length()} bits; expected at most 53")
+    elif dataclasses.is_dataclass(value):
+        for field in dataclasses.fields(value):
+            _check_integers(getattr(value, field.name))
+    elif isinstance(value, list | tuple):
+        for item in value:
+            _check_integers(item)
+
+
+_RECORDS: tuple[
+    tuple[str, msgspec.json.Decoder[typing.Any], typing.Callable[[typing.Any], str]], ...
+] = (
+    (tables.JOB_PREFIX, JOB, lambda job: tables.job_key(job.id).key),
+    (tables.END_PREFIX, END, lambda end: tables.end_key(end.task, end.attempt).key),
+    (tables.AGENT_PREFIX, AGENT, lambda agent: tables.agent_key(agent.node).key),
+    (tables.ENTRY_PREFIX, ENTRY, lambda entry: tables.entry_key(entry.node).key),
+    (tables.EPOCH_KEY.key, LEASE, lambda _: ""),
+    (tables.LEASE_KEY.key, LEASE, lambda _: ""),
+)
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_lease.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_lease.py
@@ -83,16 +83,27 @@
     return _adopt_unacknowledged_claim(state)
 
 
-def apply_rows(state: schedule_state.State, members: tuple[rows.Row, ...]) -> bool:
-    """Apply the epoch and lease rows; return whether this process has become the leader."""
+def apply_rows(state: schedule_state.State, members: tuple[rows.Row, ...], now_ms: int) -> bool:
+    """Apply the epoch and lease rows; return whether this process has become the leader.
+
+    Parameters
+    ----------
+    now_ms : int
+        Store time at which the rows were read.
+    """
     for row in members:
         if row.value is None or row.key not in (tables.EPOCH_KEY.key, tables.LEASE_KEY.key):
             continue
-        lease = records.decode(records.LEASE, row.value)
+        try:
+            lease = records.decode_row(row)
+        except ValueError as error:
+            log.unreadable("leadership", row.key, str(error))
+            lease = None
         if row.key == tables.LEASE_KEY.key:
-            leadership.observe_lease(state.leadership, lease, row.version)
+            leadership.observe_lease(state.leadership, lease, row.version, now_ms)
         elif leadership.observe_epoch(state.leadership, lease, row.version):
-            _lose_leadership(state, f"{lease.holder} has taken the epoch")
+            holder = lease.holder if lease else "another writer"
+            _lose_leadership(state, f"{holder} has taken the epoch")
     return _adopt_unacknowledged_claim(state)
 
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -45,7 +45,7 @@
         state.work_rows = fetched.rows
         schedule_state.fetch(state, tables.MEMBERS_TABLE)
         return
-    schedule_lease.apply_rows(state, fetched.rows)
+    schedule_lease.apply_rows(state, fetched.rows, fetched.now_ms)
     if state.leadership.leading and state.work_rows is not None:
         _rebuild_schedule(state, state.work_rows, fetched.rows)
 
@@ -110,7 +110,9 @@
 def apply_feed(state: schedule_state.State, message: rows.Snapshot | rows.Changes) -> None:
     """Apply the rows that a feed has delivered, or start a full read if that is necessary."""
     storeclock.observe(state.clock, message.now_ms, message.asked_at, message.answered_at)
-    if message.table == tables.MEMBERS_TABLE and schedule_lease.apply_rows(state, message.rows):
+    if message.table == tables.MEMBERS_TABLE and schedule_lease.apply_rows(
+        state, message.rows, message.now_ms
+    ):
         start_load(state)
     if not state.leadership.leading:
         return
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_rows.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_rows.py
@@ -21,13 +21,13 @@
             job_id = row.key.removeprefix(tables.JOB_PREFIX)
             # Once a job is known to the leader, only the leader writes its row.
             if job_id not in schedule.jobs:
-                state.add_job(schedule, records.decode(records.JOB, row.value), row.version)
+                state.add_job(schedule, records.decode_row(row), row.version)
         elif row.key.startswith(tables.CANCEL_PREFIX):
             schedule.cancelled.add(row.key.removeprefix(tables.CANCEL_PREFIX))
         elif row.key.startswith(tables.END_PREFIX):
-            schedule.ends[row.key] = records.decode(records.END, row.value)
+            schedule.ends[row.key] = records.decode_row(row)
     except ValueError as error:
-        log.event("scheduler:unreadable_row", key=row.key, reason=str(error))
+        log.unreadable("scheduler", row.key, str(error))
 
 
 def apply_agent_row(schedule: state.State, row: rows.Row) -> None:
@@ -38,6 +38,6 @@
     if row.version <= schedule.agent_versions.get(node, 0):
         return
     try:
-        state.update_agent(schedule, records.decode(records.AGENT, row.value), row.version)
+        state.update_agent(schedule, records.decode_row(row), row.version)
     except ValueError as error:
-        log.event("scheduler:unreadable_row", key=row.key, reason=str(error))
+        log.unreadable("scheduler", row.key, str(error))
--- a/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
@@ -189,7 +189,13 @@
     if row is None:
         answer_absent(state, pending.call, pending.reply, "no such job")
         return
-    job = records.decode(records.JOB, row.value or b"")
+    try:
+        job = records.decode_row(row)
+    except ValueError as error:
+        log.unreadable("reception", row.key, str(error))
+        refusal = verdict.not_run(verdict.Code.UNAVAILABLE, "the job's row cannot be read")
+        answer_refused(state, pending.call, pending.reply, refusal)
+        return
     if pending.call.action is not calls.Action.CANCEL:
         mailbox.answer(pending.reply, calls.Reported(job.state))
     elif job.state in steps.FINAL_STATES:
--- a/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
@@ -15,6 +15,7 @@
 from peridothatch_wire import mailbox, task
 
 if typing.TYPE_CHECKING:
+    from peridothatch_core.model import agents, steps
     from peridothatch_daemon.observe import metrics
 
 TICK_SECONDS = 0.25
@@ -135,8 +136,7 @@
             case exchange.WriteRow():
                 _write_row(state, effect)
             case exchange.ReadRow():
-                key = tables.agent_key(state.hold.node)
-                _fetch(state, "row", key.table, key.key)
+                _fetch(state, "row", tables.agent_key(state.hold.node))
             case exchange.Replaced(fence):
                 log.event("supervisor:replaced", own_fence=state.hold.fence, other_fence=fence)
                 state.on_replaced()
@@ -159,8 +159,7 @@
     waiting = state.pending_starts.setdefault(call.order.job, [])
     waiting.append(call)
     if len(waiting) == 1:
-        key = tables.spec_key(call.order.job)
-        _fetch(state, ("spec", call.order.job), key.table, key.key)
+        _fetch(state, ("spec", call.order.job), tables.spec_key(call.order.job))
 
 
 def _write_row(state: _State, effect: exchange.WriteRow) -> None:
@@ -186,11 +185,12 @@
     mailbox.post(state.store, rows.Commit("row", transaction, COMMIT_TIMEOUT_SECONDS, answer))
 
 
-def _fetch(state: _State, token: typing.Any, table: str, prefix: str) -> None:
+def _fetch(state: _State, token: typing.Any, key: rows.Key) -> None:
     def answer(fetched: rows.Fetched) -> None:
         mailbox.post(state.inbox, fetched)
 
-    mailbox.post(state.store, rows.Fetch(token, table, prefix, READ_TIMEOUT_SECONDS, answer))
+    message = rows.Fetch(token, key.table, key.key, READ_TIMEOUT_SECONDS, answer)
+    mailbox.post(state.store, message)
 
 
 def _handle_fetched(state: _State, fetched: rows.Fetched) -> None:
@@ -198,22 +198,23 @@
         _step(state, exchange.StoreTime(fetched.now_ms, fetched.asked_at, fetched.answered_at))
     if fetched.token == "row":
         row = next((row for row in fetched.rows or () if row.value is not None), None)
-        agent = None if row is None else records.decode(records.AGENT, row.value or b"")
         version = row.version if row is not None else 0
+        agent = None if row is None else _decode_own_row(row)
         _step(state, exchange.RowRead(fetched.rows is not None, agent, version))
         return
     job_id = fetched.token[1]
     waiting = state.pending_starts.pop(job_id, [])
     row = next((row for row in fetched.rows or () if row.value is not None), None)
-    if row is None:
-        log.event("supervisor:no_spec", job=job_id, reason=fetched.reason or "the row is absent")
+    spec = None if row is None else _decode_spec(row)
+    if spec is None:
+        log.event("supervisor:no_spec", job=job_id, reason=fetched.reason or "no usable row")
         for call in waiting:
             # Nothing was sent to the worker, so the start is retried until its deadline.
             _step(state, exchange.StartAnswered(call.key, exchange.StartOutcome.BUSY, "no spec"))
         return
     while len(state.specs) >= SPEC_CACHE_SIZE:
         state.specs.pop(next(iter(state.specs)))
-    state.specs[job_id] = (row.value or b"").decode()
+    state.specs[job_id] = spec
     for call in waiting:
         _start_run(state, call)
 
@@ -226,30 +227,25 @@
         if row.key == renewal.key:
             _step(state, exchange.RenewalRequested(row.value is not None))
     own_rows = [
-        row for row in message.rows if row.key.startswith(prefix) and row.key != renewal.key
+        parsed
+        for row in message.rows
+        if row.key.startswith(prefix) and row.key != renewal.key
+        for parsed in _parse_order_row(row)
     ]
     if isinstance(message, rows.Snapshot):
-        orders = {}
-        stops = set()
-        versions = {}
-        for row in own_rows:
-            key, is_stop = _parse_run_key(row.key)
-            if is_stop:
-                stops.add(key)
-                continue
-            orders[key] = records.decode(records.ORDER, row.value or b"")
-            versions[key] = row.version
-        _step(state, exchange.OrdersLoaded(orders, frozenset(stops), versions))
+        orders = {row.key: row.order for row in own_rows if row.order and not row.is_stop}
+        stops = frozenset(row.key for row in own_rows if row.is_stop)
+        versions = {row.key: row.version for row in own_rows if not row.is_stop}
+        _step(state, exchange.OrdersLoaded(orders, stops, versions))
         return
     # An order and its stop may be written together. A stop needs its order, so stops are applied
     # last.
-    for row in sorted(own_rows, key=lambda row: _parse_run_key(row.key)[1]):
-        key, is_stop = _parse_run_key(row.key)
-        if row.value is None:
+    for row in sorted(own_rows, key=lambda row: row.is_stop):
+        key, order, is_stop = row.key, row.order, row.is_stop
+        if order is None:
             if not is_stop:
                 _step(state, exchange.OrderRemoved(key))
             continue
-        order = records.decode(records.ORDER, row.value)
         log.event(
             "supervisor:order",
             run=key,
@@ -264,10 +260,42 @@
         _step(state, exchange.StopAdded(key) if is_stop else added)
 
 
-def _parse_run_key(key: str) -> tuple[exchange.RunKey, bool]:
-    """Return the run that an order's row belongs to, and whether the row is a stop."""
-    parts = key.split("/")
-    return (parts[1], int(parts[2])), len(parts) > 3
+@dataclasses.dataclass(frozen=True, slots=True)
+class _OrderRow:
+    """A row of an order or of its stop; ``order`` is ``None`` if the row was deleted."""
+
+    key: exchange.RunKey
+    is_stop: bool
+    order: steps.Order | None
+    version: int
+
+
+def _parse_order_row(row: rows.Row) -> list[_OrderRow]:
+    """Return the parsed row, or nothing if another writer has left something else there."""
+    try:
+        key, is_stop = records.parse_run_key(row.key)
+        order = None if row.value is None else records.decode_order(row)
+    except ValueError as error:
+        log.unreadable("orders", row.key, str(error))
+        return []
+    return [_OrderRow(key, is_stop, order, row.version)]
+
+
+def _decode_own_row(row: rows.Row) -> agents.Agent | None:
+    """Return this agent's row; an unreadable one is replaced by the next write."""
+    try:
+        return records.decode_row(row)
+    except ValueError as error:
+        log.unreadable("supervisor", row.key, str(error))
+        return None
+
+
+def _decode_spec(row: rows.Row) -> str | None:
+    try:
+        return (row.value or b"").decode()
+    except UnicodeDecodeError as error:
+        log.unreadable("supervisor", row.key, str(error))
+        return None
 
 
 def _log_event(state: _State, event: exchange.Event) -> None:
--- a/packages/daemon/src/peridothatch_daemon/intake/bodies.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/bodies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import re
 import typing
 
@@ -43,6 +44,10 @@
     except (ValueError, RecursionError):
         expected = "numbers of at most 4300 digits and shallow nesting"
         return result.Err(verdict.invalid("body", "JSON text", expected))
+    infinite = _find_infinite(value, ())
+    if infinite is not None:
+        field = ".".join(infinite) or "body"
+        return result.Err(verdict.invalid(field, "an infinite number", "a finite number"))
     return result.Ok(value)
 
 
@@ -97,6 +102,22 @@
     return verdict.invalid(field, first["input"], first["msg"].removeprefix("Input should be "))
 
 
+def _find_infinite(value: typing.Any, path: tuple[str, ...]) -> tuple[str, ...] | None:
+    """Return the path of a number such as 1e999, which JSON allows but no float holds."""
+    if isinstance(value, float):
+        return None if math.isfinite(value) else path
+    items: typing.Iterable[tuple[typing.Any, typing.Any]] = ()
+    if isinstance(value, dict):
+        items = value.items()
+    elif isinstance(value, list):
+        items = enumerate(value)
+    for name, item in items:
+        found = _find_infinite(item, (*path, str(name)))
+        if found is not None:
+            return found
+    return None
+
+
 def _reject_duplicate_keys(pairs: list[tuple[str, typing.Any]]) -> dict[str, typing.Any]:
     names: dict[str, typing.Any] = {}
     for name, value in pairs:
--- a/packages/daemon/src/peridothatch_daemon/outlet/backend.py
+++ b/packages/daemon/src/peridothatch_daemon/outlet/backend.py
@@ -165,7 +165,7 @@
             call.id, 0, f"received {len(body)} of {length} bytes of the answer"
         )
     answered_id = response.headers.get("X-Request-Id", "")
-    if response.status == 503 and answered_id in ("", call.id) and _reports_no_free_slot(body):
+    if response.status == 503 and answered_id in ("", call.id) and reports_no_free_slot(body):
         return agent_exchange.NotServed(call.id, agent_exchange.BUSY_STATUS, "no free slot")
     if not answered_id:
         return agent_exchange.NotServed(call.id, 0, "the answer has no X-Request-Id")
@@ -174,10 +174,11 @@
     )
 
 
-def _reports_no_free_slot(body: bytes) -> bool:
+def reports_no_free_slot(body: bytes) -> bool:
+    """Return whether the body of a refusal says that all slots are taken."""
     try:
         answer = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return False
     return isinstance(answer, dict) and answer.get("reason") == "no free slot"
 
--- a/packages/daemon/src/peridothatch_daemon/outlet/config_rows.py
+++ b/packages/daemon/src/peridothatch_daemon/outlet/config_rows.py
@@ -118,7 +118,10 @@
     ValueError
         The row is not valid.
     """
-    fields = json.loads(value) if isinstance(value, str) else value
+    try:
+        fields = json.loads(value) if isinstance(value, str) else value
+    except RecursionError as error:
+        raise ValueError("the change is nested too deeply") from error
     row = _Change.model_validate(fields)
     parsed = None if row.value is None else _parse_value(row.kind, row.value)
     return config.Change(row.revision, row.kind, row.name, parsed, row.changed_by, row.changed_at)
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -191,7 +191,7 @@
     work = [_row(tables.job_key("00000000000000aa"), _job(), 10)]
     agent = agents.Agent(NODE, "accra-a", 1, 0, 10**12)
     running, store = await _leading(work, [_row(tables.agent_key(NODE), agent, 40)])
-    other = leadership.Lease("front-2/1", 9, 10**12)
+    other = leadership.Lease("front-2/1", 9, int(1000 * clock.now()) + 1000)
     mailbox.post(
         running.inbox,
         _changes(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -39,7 +39,7 @@
 
 async def test_a_refused_connection_is_reported_as_not_done(unused_tcp_port):
     client = await client_module.start(
-        settings.Address("127.0.0.1", unused_tcp_port), time.monotonic
+        settings.Address("127.0.0.1", unused_tcp_port), time.monotonic, _fail
     )
     done = await _commit(client, rows.Transaction((), ((KEY, b"one"),)))
     assert done.outcome is rows.Outcome.NOT_DONE
@@ -65,6 +65,7 @@
     feed = await client_module.follow(
         store.address, "work", time.monotonic, delivered.put_nowait,
         lambda _, reason: lost.put_nowait(reason), lambda table: lost.put_nowait(f"{table} back"),
+        _fail,
     )  # fmt: skip
     first = await asyncio.wait_for(delivered.get(), 5)
     assert isinstance(first, rows.Snapshot)
@@ -92,7 +93,7 @@
     seen = asyncio.Queue()
     feed = await client_module.follow(
         store.address, "work", time.monotonic, delivered.put_nowait,
-        lambda *_: seen.put_nowait("lost"), lambda _: seen.put_nowait("regained"),
+        lambda *_: seen.put_nowait("lost"), lambda _: seen.put_nowait("regained"), _fail,
     )  # fmt: skip
     assert isinstance(await asyncio.wait_for(delivered.get(), 5), rows.Snapshot)
     store.mode = "long_polls_lost"
@@ -112,6 +113,10 @@
     assert 2 * poll <= 1.1
 
 
+def _fail(table, key, reason):
+    raise AssertionError(f"{table} {key} cannot be read: {reason}")
+
+
 async def _next_change(delivered):
     while True:
         message = await asyncio.wait_for(delivered.get(), 5)
@@ -120,7 +125,7 @@
 
 
 async def _start(standin):
-    return await client_module.start(standin.address, time.monotonic)
+    return await client_module.start(standin.address, time.monotonic, _fail)
 
 
 async def _close(client):
