Read single rows by their exact key, not by its beginning

What callers would have seen: DELETE of a queue's prefix, or of the beginning of a job's id, cancelled the first job whose id begins so, also another customer's; GET reported its state. An agent whose node name is the beginning of another's (side-1 and side-10; deployments of more than nine workers a data centre have such names) and that had no row of its own yet took the other's row for its own, wrote under the wrong version, and could not register as long as its own row was absent.

Cause: rows.Fetch reads all keys that start with a text, and readers of a single row took the first one. Class: an identifier compared by its beginning.

Change: Fetch has a flag for the exact key, and all readers of a single row use it.

Tests, each failing before: test_a_path_that_is_the_beginning_of_a_job_id_names_ no_job, test_an_agent_does_not_take_the_row_of_a_node_with_a_longer_name.

--- a/packages/core/src/peridothatch_core/message/rows.py
+++ b/packages/core/src/peridothatch_core/message/rows.py
@@ -88,13 +88,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fetch:
-    """Read the rows of a table whose keys start with ``prefix``; answered by a ``Fetched``."""
+    """Read the rows of a table whose keys start with ``prefix``; answered by a ``Fetched``.
+
+    Attributes
+    ----------
+    exact : bool
+        Read only the row whose key is ``prefix``.
+    """
 
     token: typing.Any
     table: str
     prefix: str
     timeout_seconds: float
     answer: Callable[[Fetched], None]
+    exact: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -301,7 +301,7 @@
     def answer(fetched: rows.Fetched) -> None:
         mailbox.answer(reply, fetched)
 
-    message = rows.Fetch(key, key.table, key.key, LOOK_UP_TIMEOUT_SECONDS, answer)
+    message = rows.Fetch(key, key.table, key.key, LOOK_UP_TIMEOUT_SECONDS, answer, exact=True)
     if not mailbox.post(store_inbox, message):
         return None
     try:
@@ -310,7 +310,7 @@
         return None
     if fetched.rows is None:
         return None
-    return any(row.key == key.key and row.value is not None for row in fetched.rows)
+    return any(row.value is not None for row in fetched.rows)
 
 
 def _deliver_to(
--- a/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
@@ -134,7 +134,9 @@
     timeout = min(ATTEMPT_TIMEOUT_SECONDS, remaining)
     if pending.transaction is None:
         key = tables.job_key(pending.admitted.remaining_path)
-        message: typing.Any = rows.Fetch(pending, key.table, key.key, timeout, _post_answer(state))
+        message: typing.Any = rows.Fetch(
+            pending, key.table, key.key, timeout, _post_answer(state), exact=True
+        )
     else:
         message = rows.Commit(pending, pending.transaction, timeout, _post_answer(state))
     if not mailbox.post(state.store, message):
--- a/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
@@ -189,7 +189,7 @@
     def answer(fetched: rows.Fetched) -> None:
         mailbox.post(state.inbox, fetched)
 
-    message = rows.Fetch(token, key.table, key.key, READ_TIMEOUT_SECONDS, answer)
+    message = rows.Fetch(token, key.table, key.key, READ_TIMEOUT_SECONDS, answer, exact=True)
     mailbox.post(state.store, message)
 
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -1,15 +1,19 @@
 """An entry and an agent run against stand-ins for the platform."""
 
 import asyncio
+import base64
 import dataclasses
 import itertools
+import json
 import socket
 
 import aiohttp
+import platform_standin
 import process_harness as harness
 import pytest
 
 from peridothatch_daemon.hosted import agent, entry
+from peridothatch_platform import store as store_client
 
 JOB = harness.JOB
 ONE_TASK = harness.ONE_TASK
@@ -100,6 +104,31 @@
     assert not rows, before
 
 
+@pytest.mark.parametrize("path", ["/jobs/", "/jobs/00", "/jobs/00000000000000a"])
+async def test_a_path_that_is_the_beginning_of_a_job_id_names_no_job(system, path):
+    # Rows were read by the beginning of their key, so the cancellation reached another job.
+    system.worker.task_seconds = 60
+    await system.call("POST", body=ONE_TASK)
+    assert (await system.call("DELETE", path))[0] == 410
+    assert not [name for name in system.store.rows if name[2].startswith("c/")]
+
+
+async def test_an_agent_does_not_take_the_row_of_a_node_with_a_longer_name(
+    store, worker, unused_tcp_port_factory
+):
+    # Without a row of its own, side-1 read that of side-10 and could never register.
+    row = platform_standin.encode(
+        {"node": "side-10", "zone": "accra-a", "fence": 7, "lapses": 2, "hold_until_ms": 1}
+    )
+    store.put("members", store_client.PARTITION, "agent/side-10", row)
+    machine = harness.machine(store, "side-1", unused_tcp_port_factory, worker=worker)
+    started = await agent.start(machine, lambda: None)
+    own = ("members", store_client.PARTITION, "agent/side-1")
+    await harness.until(lambda: _resolved(own in store.rows))
+    assert json.loads(base64.b64decode(store.rows[own][0]))["fence"] == 1
+    await agent.close(started)
+
+
 async def test_a_cancelled_job_stops_and_reports_its_state(system):
     system.worker.task_seconds = 60
     await system.call("POST", body=ONE_TASK)
