Keep attempts away from a worker that has just failed their step

Only the faulty worker had room; the others were being freed by preemption, which takes 0.45 s. Four attempts within 0.6 s went to the faulty worker, the last of them the last attempt of one task.

Cause: workers on which the step has failed are used last, but they are used at once when nothing else has room, and an urgent last attempt did not wait at all. Class: a choice between "now" and "never again" that is made by what is free at this moment.

Change: an attempt of a step waits up to 1.5 s rather than going to a worker on which the step has failed, and an urgent last attempt rather than going to an avoided one; meanwhile room is made elsewhere. Where no other worker could run the task it does not wait.

Test: test_an_urgent_attempt_does_not_go_to_the_worker_that_has_just_failed_its_ step, for a first and a last attempt; both fail before.

--- a/packages/core/src/peridothatch_core/schedule/last_attempt.py
+++ b/packages/core/src/peridothatch_core/schedule/last_attempt.py
@@ -1,8 +1,9 @@
-"""Placement of the last attempt of a task.
+"""Placement of attempts after failures.
 
 A last attempt on a worker that fails every run would fail the whole job. Faulty workers are only
 detected by failed runs, so a last attempt goes to a worker that has recently started another run
-which is still working, and waits a limited time for such a worker.
+which is still working, and waits a limited time for such a worker. For the same reason no attempt
+of a step goes at once to a worker on which the step has failed, even if only that one has room.
 """
 
 from __future__ import annotations
@@ -31,6 +32,11 @@
 HEALTHY_WORKER_WAIT_MS = 3000
 """Maximum wait for a healthy worker; urgent jobs do not wait, as their objectives are tight."""
 
+FAILED_WORKER_WAIT_MS = 1500
+"""Time for which an attempt waits rather than going to a worker on which its step has failed, and
+an urgent last attempt rather than going to one that is avoided. Runs that are stopped for the job
+make room elsewhere within this time."""
+
 UNAVOIDED_WORKER_WAIT_MS = 10_000
 """Maximum wait for a worker that is not avoided, counted from the start of the same wait."""
 
@@ -59,21 +65,46 @@
         Nodes that are used only if no other node fits.
     """
     if not is_last(job, step_progress, index):
-        return [candidates]
+        failed = state.failed_nodes.get((job.id, step_progress.occurrence, step_progress.step))
+        others = [c for c in candidates if c.agent.node not in failed] if failed else []
+        if not _has_eligible(others, job, step_progress):
+            return [candidates]
+        waited_ms = _waited_ms(state, job, step_progress, index, now_ms)
+        return [others, candidates] if waited_ms >= FAILED_WORKER_WAIT_MS else [others]
     healthy = healthy_nodes(state, now_ms)
     unavoided = [candidate for candidate in candidates if candidate.agent.node not in avoided]
     best = [candidate for candidate in unavoided if candidate.agent.node in healthy]
-    step = job.steps[step_progress.step]
-    may_wait = any(fit.is_eligible(candidate, step, job.service) for candidate in unavoided)
-    if job.priority == preemption.URGENT_PRIORITY or not may_wait:
+    if not _has_eligible(unavoided, job, step_progress):
         return [best, unavoided, candidates]
-    key = (job.id, step_progress.occurrence, step_progress.step, steps.progress_index(step, index))
-    waited_ms = now_ms - state.last_attempt_wait_since.setdefault(key, now_ms)
+    waited_ms = _waited_ms(state, job, step_progress, index, now_ms)
+    if job.priority == preemption.URGENT_PRIORITY:
+        waited = waited_ms >= FAILED_WORKER_WAIT_MS
+        return [best, unavoided, candidates] if waited else [best, unavoided]
     if waited_ms >= UNAVOIDED_WORKER_WAIT_MS:
         return [best, unavoided, candidates]
     return [best, unavoided] if waited_ms >= HEALTHY_WORKER_WAIT_MS else [best]
 
 
+def _has_eligible(
+    candidates: list[fit.Candidate], job: steps.Job, step_progress: steps.StepProgress
+) -> bool:
+    step = job.steps[step_progress.step]
+    return any(fit.is_eligible(candidate, step, job.service) for candidate in candidates)
+
+
+def _waited_ms(
+    state: states.State,
+    job: steps.Job,
+    step_progress: steps.StepProgress,
+    index: int,
+    now_ms: int,
+) -> int:
+    """Return the time since this attempt first looked for a worker."""
+    slot = steps.progress_index(job.steps[step_progress.step], index)
+    key = (job.id, step_progress.occurrence, step_progress.step, slot)
+    return now_ms - state.attempt_wait_since.setdefault(key, now_ms)
+
+
 def healthy_nodes(state: states.State, now_ms: int) -> set[str]:
     """Return the nodes on which a recently started run is working."""
     return {
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -210,11 +210,14 @@
         candidate = next((candidate for candidate in placed if candidate is not None), None)
         if candidate is None:
             unplaced = len(waiting) - position
-            if tiers[-1] is not usable:
+            urgent = job.priority == preemption.URGENT_PRIORITY
+            if tiers[-1] is not usable and not urgent:
                 _log_waiting(state, job, step_progress, unplaced, candidates, now_ms)
                 return position
             eligible = [
-                candidate for candidate in usable if fit.is_eligible(candidate, step, job.service)
+                candidate
+                for candidate in tiers[-1]
+                if fit.is_eligible(candidate, step, job.service)
             ]
             plan = _preemption_plan(
                 state, job, step_progress, unplaced, [eligible], avoided, protected, now_ms
@@ -378,7 +381,7 @@
         _stop_filling_tasks(state, candidate, task)
     fit.assign(candidate, step)
     slot = steps.progress_index(step, index)
-    state.last_attempt_wait_since.pop(
+    state.attempt_wait_since.pop(
         (job.id, step_progress.occurrence, step_progress.step, slot), None
     )
     if job.state is steps.JobState.QUEUED:
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -163,9 +163,9 @@
         Open runs by node, as (job, progress, run).
     retry_at : dict
         Store time before which a task must not be retried, by job, occurrence, step and index.
-    last_attempt_wait_since : dict
-        Store time at which the last attempt of a task began to wait for a healthy worker, by job,
-        occurrence, step and index.
+    attempt_wait_since : dict
+        Store time at which an attempt of a task began to wait for a worker on which it is likely
+        to succeed, by job, occurrence, step and index.
     failed_nodes : dict
         Nodes on which tasks of a step failed, by job, occurrence and step.
     locality_wait_since : dict
@@ -221,7 +221,7 @@
         default_factory=dict
     )
     retry_at: dict[tuple[str, int, int, int], int] = dataclasses.field(default_factory=dict)
-    last_attempt_wait_since: dict[tuple[str, int, int, int], int] = dataclasses.field(
+    attempt_wait_since: dict[tuple[str, int, int, int], int] = dataclasses.field(
         default_factory=dict
     )
     failed_nodes: dict[tuple[str, int, int], set[str]] = dataclasses.field(default_factory=dict)
@@ -306,7 +306,7 @@
     state.cancelled.discard(job.id)
     per_step = (
         state.failed_nodes,
-        state.last_attempt_wait_since,
+        state.attempt_wait_since,
         state.locality_wait_since,
         state.wait_logged_at,
         state.retry_at,
--- a/packages/core/tests/schedule/test_last_attempt.py
+++ b/packages/core/tests/schedule/test_last_attempt.py
@@ -1,5 +1,6 @@
 import dataclasses
 
+import pytest
 import schedule_harness as harness
 
 from peridothatch_core.model import steps
@@ -102,3 +103,22 @@
     )
     harness.run(scheduler, AGAIN_MS)
     assert sorted(run_.index for run_ in harness.open_runs(job)) == [1, 2]
+
+
+@pytest.mark.parametrize("failures", [0, 1])
+def test_an_urgent_attempt_does_not_go_to_the_worker_that_has_just_failed_its_step(failures):
+    # Only the faulty worker had room while others were being freed: it failed four tasks of an
+    # urgent job within a second, one of them for the second time, and so the whole job.
+    scheduler, job, failed_on = _failed_once(priority=0)
+    job.progress[0].failures[0] = failures
+    for node in {"n0", "n1", "n2"} - {failed_on}:
+        _add_run(scheduler, node, AGAIN_MS, accelerators=8)
+    harness.run(scheduler, AGAIN_MS)
+    assert not harness.open_runs(job)
+    stopping = [
+        run_ for entries in scheduler.runs.values() for _, _, run_ in entries if run_.stopping
+    ]
+    assert stopping, "room is made on another worker"
+    harness.renew(scheduler, AGAIN_MS + last_attempt.FAILED_WORKER_WAIT_MS)
+    harness.run(scheduler, AGAIN_MS + last_attempt.FAILED_WORKER_WAIT_MS)
+    assert [run_.node for run_ in harness.open_runs(job)] == [failed_on]
