Compare the progress of runs over at least a second, however often rows come

Cause: the speed of a worker is taken from two successive rows of its agent, and rows less than a second apart are not compared. The older row was replaced all the same, so the worker of an agent that writes often (claims and ends, or renewals more than once a second) was never found to be slow or standing still. Change: the row that was compared last is kept per agent. Test: test_a_worker_without_progress_is_found_among_agents_that_renew_often, fails before.

--- a/packages/core/src/peridothatch_core/schedule/speeds.py
+++ b/packages/core/src/peridothatch_core/schedule/speeds.py
@@ -70,10 +70,14 @@
         Speeds by node.
     rates : dict
         Latest rate of progress by task and attempt, in percent per second.
+    compared : dict
+        Row of each agent that was compared last, by node. Rows may follow each other faster than
+        reports can be compared.
     """
 
     workers: dict[str, WorkerSpeed] = dataclasses.field(default_factory=dict)
     rates: dict[tuple[str, int], float] = dataclasses.field(default_factory=dict)
+    compared: dict[str, agents.Agent] = dataclasses.field(default_factory=dict)
 
 
 def observe(state: states.State, old: agents.Agent, new: agents.Agent) -> None:
@@ -83,10 +87,13 @@
     """
     if old.worker and new.worker and old.worker.started_ms != new.worker.started_ms:
         _reset_after_restart(state, old, new)
+        state.speeds.compared[new.node] = new
         return
+    old = state.speeds.compared.setdefault(new.node, old)
     interval_ms = new.hold_until_ms - old.hold_until_ms
     if interval_ms < MIN_INTERVAL_MS:
         return
+    state.speeds.compared[new.node] = new
     before, after = _progress_by_run(old), _progress_by_run(new)
     ratios = []
     for job, progress, run in state.runs.get(new.node, ()):
--- a/packages/core/tests/schedule/test_speeds.py
+++ b/packages/core/tests/schedule/test_speeds.py
@@ -16,14 +16,14 @@
     return scheduler, job
 
 
-def _report(scheduler, job, percents):
+def _report(scheduler, job, percents, interval_ms=INTERVAL_MS):
     """Renew the lease of each agent with a report of its task's progress."""
     for run in harness.open_runs(job):
         old = scheduler.agents[run.node]
         task = steps.task_name(job.id, 0, 0, run.index)
         report = agents.RunReport(task, run.attempt, "", percents[run.node])
         new = agents.Agent(
-            run.node, old.zone, 1, 0, old.hold_until_ms + INTERVAL_MS, old.worker, (report,)
+            run.node, old.zone, 1, 0, old.hold_until_ms + interval_ms, old.worker, (report,)
         )
         speeds.observe(scheduler, old, new)
         scheduler.agents[run.node] = new
@@ -127,3 +127,13 @@
     )
     speeds.observe(scheduler, late, new)
     assert not scheduler.speeds.rates
+
+
+def test_a_worker_without_progress_is_found_among_agents_that_renew_often():
+    # Each row was compared with the one before it, and rows less than a second apart never were.
+    scheduler, job = _running()
+    for round_ in range(12):
+        percents = {"n1": 20, "n2": 20 + 3 * round_, "n3": 20 + 3 * round_}
+        _report(scheduler, job, percents, interval_ms=500)
+    now_ms = harness.NOW_MS + 6_000
+    assert speeds.avoided_nodes(scheduler, now_ms, include_slower_kinds=False) == {"n1"}
