Keep leases of runs over outages of the store that are shorter than the lease

Causes, from the log of one agent: the last renewal before the outage was up to 2 s old; after each write with an unknown outcome the agent read its row back, so that it was in the middle of a cycle of 0.6 s when the store came back; and the renewed lease reached the worker only with the next list call, while the current one waited for an end for up to a second.

Change: the interval between renewals is 0.15 of the lease while a run without checkpoints is at work, and 2 s otherwise or while renewals take over 0.3 s, since a busy partition must not get more of them; a plain renewal with an unknown outcome is repeated and not read back first (a conflict tells as much; writes with ends or claims are read back as before); any answer of the store ends the wait before the next try; a deadline that is near is extended by a list call of its own. The promise that the worker's deadline comes before the lease in the store is unchanged (property test of the lease).

Ruled out: longer leases (the worker grants no more than hold_max_ms). Weighed and left for later: renewals passed on by another process while the store turns one machine away.

--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -31,7 +31,7 @@
         state.row_call_pending = True
         yield exchange.ReadRow()
         return
-    due = now - state.renewed_at >= states.RENEW_INTERVAL_SECONDS
+    due = now - state.renewed_at >= states.renew_interval_seconds(state)
     claims = _next_claims(state, now)
     if state.registered and not (due or state.dirty or state.ends or claims):
         return
@@ -89,11 +89,16 @@
             state.registered = True
             state.hold_until_ms = state.pending_until_ms
             state.renewed_at = done.asked_at
+            state.commit_seconds = done.answered_at - done.asked_at
             _confirm_claims(state)
             _discard_recorded_ends(state)
         case rows.Outcome.NOT_DONE:
-            state.dirty = True
-            state.write_retry_at = now + states.RETRY_DELAY_SECONDS
+            _delay_retry(state, now)
+        case rows.Outcome.UNKNOWN if not _has_records_in_flight(state):
+            # The next renewal tells as much as reading the row back: it conflicts if this one has
+            # been committed. During an outage that saves half of the calls, and after it the lease
+            # is renewed one call earlier.
+            _delay_retry(state, now)
         case _:
             # On a conflict another write came first; without an answer this one may have been
             # committed. Reading the row back tells which.
@@ -107,9 +112,26 @@
 def handle_read_failure(state: states.State, now: float) -> None:
     """Schedule another access after a failed read of the row."""
     state.row_call_pending = False
+    _delay_retry(state, now)
+
+
+def handle_store_answer(state: states.State, asked_at: float, now: float) -> None:
+    """Retry a failed write at once when the store has answered another request since."""
+    if asked_at > state.write_failed_at:
+        state.write_retry_at = min(state.write_retry_at, now)
+
+
+def _delay_retry(state: states.State, now: float) -> None:
+    state.dirty = True
+    state.write_failed_at = now
     state.write_retry_at = now + states.RETRY_DELAY_SECONDS
 
 
+def _has_records_in_flight(state: states.State) -> bool:
+    """Return whether the pending write does more than renew the lease."""
+    return bool(state.claims_in_flight or state.stops_in_flight or state.ends_in_flight)
+
+
 def _build_row(state: states.State, now: float) -> agents.Agent:
     if not state.registered:
         state.fence += 1
--- a/packages/core/src/peridothatch_core/hold/orders.py
+++ b/packages/core/src/peridothatch_core/hold/orders.py
@@ -161,10 +161,12 @@
 def _list_concurrently(state: states.State, now: float) -> Iterator[exchange.Effect]:
     """Request a list without a wait while another list call is waiting for an end.
 
-    It tells without delay whether a run whose stop was confirmed has started.
+    It tells without delay whether a run whose stop was confirmed has started, and extends a
+    deadline that would pass before the next list call.
     """
+    open_runs = any(run.phase is not states.Phase.ENDED for run in state.runs.values())
     if (
-        _stop_awaits_list(state)
+        (_stop_awaits_list(state) or (open_runs and states.must_extend_deadline(state, now)))
         and not state.concurrent_list_pending
         and now >= state.concurrent_list_retry_at
     ):
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -28,7 +28,22 @@
 """Time by which the worker's deadline comes before the end of the lease in the store."""
 
 RENEW_INTERVAL_SECONDS = 2.0
-"""Interval between renewals of the lease in the store."""
+"""Longest interval between renewals of the lease in the store."""
+
+RENEW_LEASE_SHARE = 0.15
+"""Share of the lease after which it is renewed while a run would lose its work with it. What is
+left of the lease is the longest outage of the store that such a run survives."""
+
+SLOW_COMMIT_SECONDS = 0.3
+"""Duration of a renewal from which the store counts as busy. Renewals then keep the longest
+interval, because more of them would only queue behind each other."""
+
+NEAR_DEADLINE_MS = 1500
+"""Time before the worker's deadline from which a renewed lease is passed on to the worker at once.
+A list call that waits for an end takes up to a second, and the next one carries the deadline."""
+
+MIN_EXTENSION_MS = 500
+"""Least extension for which a call of its own is made."""
 
 MIN_LEASE_FOR_START_SECONDS = 1.5
 """Least remaining time of the lease at which a run is started. A lease with less time left could
@@ -159,6 +174,10 @@
         End of the lease in the pending write.
     renewed_at : float
         When the last committed write was sent.
+    commit_seconds : float
+        How long that write took.
+    write_failed_at : float
+        When a write or a read of the row failed last.
     dirty : bool
         The row must be written, because what it describes has changed or a leader waits for it.
     renewal_requested : bool
@@ -236,6 +255,8 @@
     hold_until_ms: int = 0
     pending_until_ms: int = 0
     renewed_at: float = -1e9
+    commit_seconds: float = 0.0
+    write_failed_at: float = -1e9
     dirty: bool = False
     renewal_requested: bool = False
     row_call_pending: bool = False
@@ -277,6 +298,17 @@
     return longest_ms - LEASE_MARGIN_MS
 
 
+def renew_interval_seconds(state: State) -> float:
+    """Return the interval between renewals of the lease."""
+    dear = any(
+        run.phase is Phase.RUNNING and run.order is not None and not run.order.checkpointing
+        for run in state.runs.values()
+    )
+    if not dear or state.commit_seconds >= SLOW_COMMIT_SECONDS:
+        return RENEW_INTERVAL_SECONDS
+    return min(RENEW_INTERVAL_SECONDS, RENEW_LEASE_SHARE * state.lease_duration_ms / 1000.0)
+
+
 def lease_expires_at(state: State) -> float:
     """Return the local time up to which the lease in the store certainly lets runs live."""
     if not state.clock.known:
@@ -290,12 +322,27 @@
 
     The result is ``None`` while the worker's clock is unknown or the lease has expired.
     """
+    deadline = _lease_end_ms(state, now)
+    if deadline is not None:
+        state.latest_lease_end_ms = max(state.latest_lease_end_ms, deadline)
+    return deadline
+
+
+def must_extend_deadline(state: State, now: float) -> bool:
+    """Return whether the worker's deadline is near and the lease allows a later one."""
+    deadline = _lease_end_ms(state, now)
+    if deadline is None or not state.latest_lease_end_ms:
+        return False
+    worker_now_ms = state.worker_clock_ms + 1000.0 * (now - state.worker_clock_at)
+    is_near = state.latest_lease_end_ms - worker_now_ms < NEAR_DEADLINE_MS
+    return is_near and deadline - state.latest_lease_end_ms >= MIN_EXTENSION_MS
+
+
+def _lease_end_ms(state: State, now: float) -> int | None:
     remaining_seconds = lease_expires_at(state) - state.worker_clock_at
     if not state.worker_clock_ms or lease_expires_at(state) <= now:
         return None
-    deadline = state.worker_clock_ms + int(1000 * MIN_CLOCK_RATE * remaining_seconds)
-    state.latest_lease_end_ms = max(state.latest_lease_end_ms, deadline)
-    return deadline
+    return state.worker_clock_ms + int(1000 * MIN_CLOCK_RATE * remaining_seconds)
 
 
 def worker_instance(state: State) -> str:
--- a/packages/core/src/peridothatch_core/hold/step.py
+++ b/packages/core/src/peridothatch_core/hold/step.py
@@ -65,6 +65,7 @@
                 lease.handle_read_failure(state, now)
         case exchange.StoreTime(now_ms, asked_at, answered_at):
             storeclock.observe(state.clock, now_ms, asked_at, answered_at)
+            lease.handle_store_answer(state, asked_at, now)
         case exchange.Tick():
             pass
 
