Order no more runs than their agents can claim in time

A gang of 18 was ordered five times: each time one member was withdrawn and the others were stopped.

Cause: all rows are in one partition, which applies 200 transactions a second, one after another. 103 runs ordered and 103 ended in a second, each with a transaction of its agent, and 80 renewals, are more. Orders come in bursts of up to 40 for each job and cycle; the claims queue for a second; the leader takes the wait for a dead agent. Class: a deadline for somebody else's work that does not count the queue which the same process has filled.

Urgent jobs are not held back; a job that is held back holds back the less urgent ones of the cycle, and a gang keeps its workers. The write latency that lengthens the claim timeout is the slowest of the latest writes, not the last one.

What it does not do: the load itself stays in one partition.

--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -6,7 +6,15 @@
 
 from peridothatch_core.model import steps
 from peridothatch_core.order import runtimes
-from peridothatch_core.schedule import fit, last_attempt, preemption, progress, speeds, tickets
+from peridothatch_core.schedule import (
+    fit,
+    last_attempt,
+    pacing,
+    preemption,
+    progress,
+    speeds,
+    tickets,
+)
 from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
@@ -41,6 +49,8 @@
     """Order runs of all tasks that may start now and fit on a worker."""
     protected = preemption.protected_jobs(state)
     candidates = fit.available_workers(state, now_ms)
+    state.nodes_without_claim = pacing.nodes_without_claim(state)
+    state.is_paced = False
     for job in _by_urgency(state.jobs.values(), protected):
         starts_left = MAX_STARTS_PER_JOB
         for step_progress in progress.ready_steps(job):
@@ -172,6 +182,11 @@
     chosen: list[fit.Candidate],
     now_ms: int,
 ) -> None:
+    if not pacing.may_order(state, job, {candidate.agent.node for candidate in chosen}):
+        # The gang keeps its workers, so that smaller tasks do not take them meanwhile.
+        preemption.reserve(job.steps[step_progress.step], preemption.Plan(targets=chosen))
+        _log_paced(state, job, step_progress, now_ms)
+        return
     step_progress.attempts[0] += 1
     for index, candidate in zip(waiting, chosen, strict=True):
         _order_run(state, job, step_progress, index, step_progress.attempts[0], candidate, now_ms)
@@ -226,6 +241,9 @@
                 preemption.reserve(step, plan)
             _log_waiting(state, job, step_progress, unplaced, candidates, now_ms)
             return position
+        if not pacing.may_order(state, job, {candidate.agent.node}):
+            _log_paced(state, job, step_progress, now_ms)
+            return position
         tasks_on_node[candidate.agent.node] = tasks_on_node.get(candidate.agent.node, 0) + 1
         step_progress.attempts[index] += 1
         _order_run(
@@ -280,6 +298,21 @@
     state.events.append(states.Event("waiting", job.id, detail=detail))
 
 
+def _log_paced(
+    state: states.State, job: steps.Job, step_progress: steps.StepProgress, now_ms: int
+) -> None:
+    """Log at a limited rate that tasks fit and wait for the claims of other orders."""
+    key = (job.id, step_progress.occurrence, step_progress.step)
+    if now_ms - state.wait_logged_at.get(key, -WAIT_LOG_INTERVAL_MS) < WAIT_LOG_INTERVAL_MS:
+        return
+    state.wait_logged_at[key] = now_ms
+    detail = (
+        f"{len(state.nodes_without_claim)} agents have unclaimed orders; at most "
+        f"{pacing.max_nodes(state)} may, and writes take {state.write_latency_ms:.0f} ms"
+    )
+    state.events.append(states.Event("paced", job.id, detail=detail))
+
+
 def _preemption_plan(
     state: states.State,
     job: steps.Job,
@@ -400,6 +433,7 @@
         if step_tickets
         else "",
     )
+    state.nodes_without_claim.add(candidate.agent.node)
     states.open_run(
         state,
         job,
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -54,6 +54,9 @@
 Counts the write of the order, the write of the claim, and the feed that delivers each of them.
 """
 
+WRITE_LATENCY_DECAY = 0.8
+"""Share of an earlier write latency that still counts after another write."""
+
 LAPSE_MARGIN_MS = 1200
 """Delay between the end of a lease and the point at which its runs count as ended.
 
@@ -86,11 +89,14 @@
         Duration of an agent's lease, counted from its renewal.
     remote_factor : float
         Slowdown of tasks that run on another rack than their data, or of a gang spread over racks.
+    partition_writes_per_second : float
+        Transactions that the store applies in one partition, one after another.
     """
 
     retention_ms: int = 120_000
     hold_ms: int = 9500
     remote_factor: float = 3.0
+    partition_writes_per_second: float = 200.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -191,7 +197,11 @@
     renewal_requests : list of str
         Nodes whose agents are to be asked to renew their leases.
     write_latency_ms : float
-        Duration of the most recent transaction.
+        Duration of the slowest of the latest transactions; see `record_write_latency`.
+    nodes_without_claim : set of str
+        Nodes with orders that their agents have not claimed, as of the current cycle.
+    is_paced : bool
+        A job has been held back in the current cycle, because too many orders wait for a claim.
     runtimes : History
         Run times recorded by customer and queue.
     health : Record
@@ -235,6 +245,8 @@
     unconfirmed: set[str] = dataclasses.field(default_factory=set)
     renewal_requests: list[str] = dataclasses.field(default_factory=list)
     write_latency_ms: float = 0.0
+    nodes_without_claim: set[str] = dataclasses.field(default_factory=set)
+    is_paced: bool = False
     runtimes: runtimes.History = dataclasses.field(default_factory=runtimes.History)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
     speeds: speeds.Speeds = dataclasses.field(default_factory=speeds.Speeds)
@@ -317,6 +329,15 @@
             del by_step[key]
 
 
+def record_write_latency(state: State, latency_ms: float) -> None:
+    """Record the duration of a transaction.
+
+    A slow one counts for some time: a quick write among slow ones says nothing about the claims
+    that are still queued.
+    """
+    state.write_latency_ms = max(latency_ms, WRITE_LATENCY_DECAY * state.write_latency_ms)
+
+
 def open_run(
     state: State, job: steps.Job, progress: steps.StepProgress, run: steps.Run, order: steps.Order
 ) -> None:
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -110,7 +110,10 @@
         await ticket_service.start(machine.ticket_service) if machine.ticket_service else None
     )
     limits = state.Limits(
-        machine.retention_ms, hold_state.lease_ms(machine.longest_hold_ms), machine.remote_factor
+        machine.retention_ms,
+        hold_state.lease_ms(machine.longest_hold_ms),
+        machine.remote_factor,
+        machine.partition_writes_per_second,
     )
     scheduler_task = scheduler.start(
         machine.node,
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -216,7 +216,8 @@
     match committed.outcome:
         case rows.Outcome.COMMITTED:
             state.record_latency(committed.answered_at - committed.asked_at)
-            state.schedule.write_latency_ms = 1000 * (committed.answered_at - committed.asked_at)
+            latency_ms = 1000 * (committed.answered_at - committed.asked_at)
+            core_state.record_write_latency(state.schedule, latency_ms)
             _apply_batch(state, batch, committed.version)
             state.batches.pop(0)
             _send_batch(state)
