Accept a guarantee only if it holds when all are bound anew

Change: slots.bind_each tries other orders of the shapes (at most 24) until one binds all slots; where none does, the largest first counts as before. A guarantee is accepted only if a ledger that binds all guarantees anew has no shortfall.

--- a/packages/core/src/peridothatch_core/place/guarantee_placement.py
+++ b/packages/core/src/peridothatch_core/place/guarantee_placement.py
@@ -81,7 +81,16 @@
     if short:
         detail = f"data centre {name} lacks hardware for guarantees {', '.join(short[:5])}"
         return result.Err(verdict.not_run(verdict.Code.UNAVAILABLE, detail))
-    return guarantees.check_feasible(ledger, wanted).map(lambda _: wanted)
+    feasible = guarantees.check_feasible(ledger, wanted)
+    if feasible.is_err():
+        return feasible
+    # A planner that takes over binds all slots anew, so the promise must hold in that order too.
+    rebuilt = _build_ledger(digest, (*_others(snapshot, name, wanted.name), wanted))
+    short = sorted(item.guarantee for item in guarantees.shortfalls(rebuilt))
+    if short:
+        detail = f"with it, guarantees {', '.join(short[:5])} could not be bound anew"
+        return result.Err(verdict.not_run(verdict.Code.NEVER_FITS, detail))
+    return result.Ok(wanted)
 
 
 def unpromised_accelerators(
@@ -201,12 +210,20 @@
     cached = state.ledgers.get(digest.data_centre)
     if cached is not None and (cached.hardware, cached.others) == (digest, others):
         return cached.ledger
+    ledger = _build_ledger(digest, others)
+    state.ledgers[digest.data_centre] = CachedLedger(digest, others, ledger)
+    return ledger
+
+
+def _build_ledger(
+    digest: link.HardwareDigest, promised: tuple[customer.Guarantee, ...]
+) -> slots.Ledger:
+    """Return a ledger of a data centre's hardware with guarantees bound to it."""
     ledger = slots.Ledger()
     for item in _workers(digest):
         guarantees.add_worker(ledger, item)
-    guarantees.set_guarantees(ledger, others)
+    guarantees.set_guarantees(ledger, promised)
     guarantees.bind_all(ledger)
-    state.ledgers[digest.data_centre] = CachedLedger(digest, others, ledger)
     return ledger
 
 
--- a/packages/core/src/peridothatch_core/place/slots.py
+++ b/packages/core/src/peridothatch_core/place/slots.py
@@ -9,11 +9,15 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable
+import itertools
+from collections.abc import Iterable, Iterator
 
 from peridothatch_core.model import customer, job, shape
 from peridothatch_core.place import block, fleet, gang
 
+MAX_BINDING_ORDERS = 24
+"""Maximum number of orders of shapes that are tried when slots are bound: all of four shapes."""
+
 PARTIAL = "partial"
 """Key under which the first cells of a slot are allocated during the search for the others."""
 
@@ -79,15 +83,35 @@
 
 
 def bind_each(ledger: Ledger, unbound: Iterable[Slot]) -> bool:
-    """Bind slots, the largest first; return whether all were bound."""
-    complete = True
-    for slot in sorted(unbound, key=_size_key, reverse=True):
-        cells = gang.find_cells(ledger.promised, slot.shape)
-        if cells is None:
-            complete = False
-        else:
-            bind(ledger, slot, cells)
-    return complete
+    """Bind slots, the largest first; return whether all were bound.
+
+    If some remain, other orders of the shapes are tried until one binds all: a large gang may take
+    the only cells that a smaller one fits, and fit elsewhere itself.
+    """
+    wanted = list(unbound)
+    largest_first: dict[str, tuple[job.Cell, ...]] | None = None
+    for order in _binding_orders(wanted):
+        for slot in order:
+            cells = gang.find_cells(ledger.promised, slot.shape)
+            if cells is not None:
+                bind(ledger, slot, cells)
+        bound = {slot.id: slot.cells for slot in wanted if slot.cells}
+        if len(bound) == len(wanted):
+            return True
+        largest_first = bound if largest_first is None else largest_first
+        restore(ledger, wanted, {})
+    restore(ledger, wanted, largest_first or {})
+    return False
+
+
+def _binding_orders(wanted: list[Slot]) -> Iterator[list[Slot]]:
+    """Yield orders in which slots may be bound, the largest first at first."""
+    by_shape: dict[shape.GangShape, list[Slot]] = {}
+    for slot in sorted(wanted, key=_size_key, reverse=True):
+        by_shape.setdefault(slot.shape, []).append(slot)
+    orders = itertools.permutations(by_shape)
+    for shapes in itertools.islice(orders, MAX_BINDING_ORDERS):
+        yield [slot for item in shapes for slot in by_shape[item]]
 
 
 def restore(
