Authorise a call again before each attempt to commit it

Report of other operators: a process that had been paused or delayed acted on a permission that had run out meanwhile. Shown here by a test: the key of a call was checked when it arrived; the store refused the write, the key was revoked, and the repeated write was committed. A suspended entry does the same when it wakes up, for callers that wait long.

Change: a call is authorised before each request to the store, by the desired state of that moment; the memory of unknown outcomes keeps the refusal true.

--- a/packages/core/tests/schedule/test_writes.py
+++ b/packages/core/tests/schedule/test_writes.py
@@ -33,6 +33,32 @@
                 assert tables.order_key(run.node, task, run.attempt) in written
 
 
+def test_every_transaction_of_a_leader_fails_once_another_entry_leads():
+    # A leader that was paused between any two of its steps must write nothing afterwards: no
+    # order, stop, lapse, withdrawal, cancellation, deletion or request to renew.
+    jobs = [harness.job(f"j{number}", harness.step(3, 1)) for number in range(6)]
+    scheduler = harness.make_scheduler(jobs, [harness.agent(f"n{n}") for n in range(3)])
+    batches = _batches(scheduler)
+    harness.renew(scheduler, harness.NOW_MS)
+    state.add_job(scheduler, harness.job("unclaimed", harness.step(1, 1)), 9)
+    scheduler.cancelled.add("j0")
+    run_ = harness.open_runs(jobs[1])[0]
+    end = steps.End(
+        steps.task_name("j1", 0, 0, run_.index), run_.attempt, run_.node, steps.EndKind.DONE
+    )
+    scheduler.ends[tables.end_key(end.task, end.attempt).key] = end
+    scheduler.renewal_requests = ["n1"]
+    for later_ms in (10, state.CLAIM_TIMEOUT_MS + 10, 30_000, 500_000):
+        cycle.run(scheduler, harness.NOW_MS + later_ms, harness.UNIX_MS)
+        batches += writes.build_batches(scheduler, 77, _encode)
+    kinds = {key.key.split("/")[0] + ("" if value else " deleted")
+             for batch in batches for key, value in batch.transaction.writes}  # fmt: skip
+    assert {"j", "agent", "n1"} <= kinds
+    assert {"n0 deleted", "n1 deleted", "n2 deleted"} & kinds
+    for batch in batches:
+        assert rows.Condition(tables.EPOCH_KEY, 77) in batch.transaction.conditions
+
+
 def test_transactions_respect_the_limit_of_the_store():
     jobs = [harness.job(f"j{number}", harness.step(40, 0, 1)) for number in range(8)]
     scheduler = harness.make_scheduler(jobs, [harness.agent("n1"), harness.agent("n2")])
--- a/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
@@ -126,11 +126,26 @@
 
 
 def send(state: State, pending: Pending) -> None:
-    """Send the store request of a call unless too little of the caller's time remains."""
-    remaining = pending.answer_by - clock.now()
+    """Send the store request of a call unless too little of the caller's time remains.
+
+    The call is authorised again, because the request may be a retry, or the process may have been
+    suspended: the key may have been revoked since the call arrived.
+    """
+    now = clock.now()
+    remaining = pending.answer_by - now
     if remaining <= MIN_ATTEMPT_SECONDS:
         _give_up(state, pending, "the caller's time is over")
         return
+    call = pending.call
+    admitted = admission.admit(
+        state.desired, now - state.desired_at, state.revoke_seconds, call.host, call.path, call.key
+    )
+    if admitted.is_err():
+        refusal = admitted.err_value
+        if pending.outcome_unknown:
+            remember_unknown_outcome(state, call)
+        answer_refused(state, call, pending.reply, refusal)
+        return
     timeout = min(ATTEMPT_TIMEOUT_SECONDS, remaining)
     if pending.transaction is None:
         key = tables.job_key(pending.admitted.remaining_path)
