--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -34,7 +34,7 @@
 """Share of the lease after which it is renewed while a run would lose its work with it. What is
 left of the lease is the longest outage of the store that such a run survives."""
 
-SLOW_COMMIT_SECONDS = 0.3
+SLOW_COMMIT_SECONDS = 0.15
 """Duration of a renewal from which the store counts as busy. Renewals then keep the longest
 interval, because more of them would only queue behind each other."""
 
