Group the commits of agents while a partition of the store is busy

And an agent that the store turns away loses its lease and all runs, while other processes are served.

Change: core.commit decides, as pure functions, whether an agent commits directly or through an entry, and which transactions may share one. An agent whose commits take 0.15 s or more, or are refused, lets an entry in the leader's data centre commit for 5 s (hosted.commit_route, platform.relay_calls); the entry collects such transactions for 20 ms and writes up to 96 entries in one transaction (hosted.grouping). A conflict splits the group, an unknown outcome is unknown to each member.

--- /dev/null
+++ b/packages/core/src/peridothatch_core/commit/group.py
@@ -0,0 +1,52 @@
+"""Combines transactions that can be applied together."""
+
+from __future__ import annotations
+
+import typing
+
+from peridothatch_core.message import rows
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MAX_ENTRIES = 96
+"""Maximum number of conditions and writes in one transaction; the store accepts 100."""
+
+
+def pack(commits: Iterable[rows.Commit]) -> list[list[rows.Commit]]:
+    """Return groups of commits, in order, that touch different rows and fit in a transaction.
+
+    Two transactions on the same row depend on each other's outcome, so they are not combined.
+    """
+    groups: list[list[rows.Commit]] = []
+    used: set[rows.Key] = set()
+    size = 0
+    for commit in commits:
+        keys = _keys(commit.transaction)
+        entries = _size(commit.transaction)
+        if not groups or size + entries > MAX_ENTRIES or keys & used:
+            groups.append([])
+            used, size = set(), 0
+        groups[-1].append(commit)
+        used |= keys
+        size += entries
+    return groups
+
+
+def combine(commits: Iterable[rows.Commit]) -> rows.Transaction:
+    """Return one transaction that applies all of them, or none if any condition fails."""
+    transactions = [commit.transaction for commit in commits]
+    return rows.Transaction(
+        tuple(condition for item in transactions for condition in item.conditions),
+        tuple(write for item in transactions for write in item.writes),
+    )
+
+
+def _keys(transaction: rows.Transaction) -> set[rows.Key]:
+    return {condition.key for condition in transaction.conditions} | {
+        key for key, _ in transaction.writes
+    }
+
+
+def _size(transaction: rows.Transaction) -> int:
+    return len(transaction.conditions) + len(transaction.writes)
--- a/packages/core/src/peridothatch_core/message/peers.py
+++ b/packages/core/src/peridothatch_core/message/peers.py
@@ -69,6 +69,14 @@
     reason: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relay:
+    """Let the entry at an address commit a transaction; its ``rows.Committed`` is the answer."""
+
+    commit: rows.Commit
+    address: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LookUp:
     """Ask an entry whether a row is in the store; answered by a ``LookedUp`` with the same token.
--- a/packages/core/src/peridothatch_core/model/entries.py
+++ b/packages/core/src/peridothatch_core/model/entries.py
@@ -16,9 +16,13 @@
     callers : str
         Address that accepts client requests, as ``host:port``.
     internal : str
-        Address that answers other entries, as ``host:port``; empty if there is none.
+        Address that answers other processes of the system, as ``host:port``; empty if there is
+        none.
+    data_centre : str
+        Data centre of the machine; empty in rows of older processes.
     """
 
     node: str
     callers: str
     internal: str = ""
+    data_centre: str = ""
--- a/packages/daemon/src/peridothatch_daemon/hosted/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/agent.py
@@ -7,9 +7,9 @@
 
 from peridothatch_core.hold import state
 from peridothatch_core.model import tables
-from peridothatch_daemon.hosted import clock, log, observe, serving, supervisor
+from peridothatch_daemon.hosted import clock, commit_route, log, observe, serving, supervisor
 from peridothatch_daemon.observe import metrics
-from peridothatch_platform import heartbeats, listeners, settings, store, worker
+from peridothatch_platform import heartbeats, listeners, peer_calls, settings, store, worker
 from peridothatch_wire import mailbox, task
 
 
@@ -18,6 +18,8 @@
     """The clients, tasks and servers of a running agent."""
 
     store: store.Client
+    peer_calls: peer_calls.Client
+    commit_route: commit_route.CommitRoute
     calls: worker.Client
     feed: store.Feed
     supervisor: supervisor.Supervisor
@@ -57,10 +59,12 @@
     worker_calls = await worker.start(machine.worker, clock.now, deliver, log.unreadable)
     hold = state.State(machine.node, machine.data_centre, state.lease_ms(machine.longest_hold_ms))
     exported = metrics.start(machine.node)
+    peer_client = await peer_calls.start(clock.now)
+    route_task = commit_route.start(machine.node, store_client.inbox, peer_client.inbox)
     supervisor_task = supervisor.start(
         hold,
         inbox,
-        store_client.inbox,
+        route_task.inbox,
         worker_calls.inbox,
         on_replaced,
         metrics.create_latency_recorder(
@@ -77,7 +81,9 @@
         log.unreadable,
     )
     identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "agent"}
-    observed = observe.application(identity, {"supervisor": inbox}, exported)
+    observed = observe.application(
+        identity, {"supervisor": inbox, "commit_route": route_task.inbox}, exported
+    )
     applications = [
         ("heartbeats", machine.heartbeats, heartbeats.application(deliver, _rejected)),
         ("metrics", machine.metrics, observed),
@@ -89,13 +95,24 @@
         for name, address, application in applications
     ]
     log.event("agent:started", data_centre=machine.data_centre, region=machine.region)
-    return Agent(store_client, worker_calls, feed, supervisor_task, servers, exported)
+    return Agent(
+        store_client,
+        peer_client,
+        route_task,
+        worker_calls,
+        feed,
+        supervisor_task,
+        servers,
+        exported,
+    )
 
 
 def tasks(agent: Agent) -> tuple[task.Task, ...]:
     """Return the tasks that the agent cannot go on without."""
     return (
         agent.store.running,
+        agent.peer_calls.running,
+        agent.commit_route.running,
         agent.calls.running,
         agent.feed.running,
         agent.supervisor.running,
@@ -112,6 +129,8 @@
     await store.unfollow(agent.feed)
     await supervisor.close(agent.supervisor)
     await worker.close(agent.calls)
+    await commit_route.close(agent.commit_route)
+    await peer_calls.close(agent.peer_calls)
     await store.close(agent.store)
     metrics.close(agent.exported)
     log.event("agent:stopped")
--- /dev/null
+++ b/packages/daemon/src/peridothatch_daemon/hosted/commit_route.py
@@ -0,0 +1,141 @@
+"""Task of an agent that sends its transactions directly or through an entry."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from peridothatch_core.commit import route
+from peridothatch_core.message import peers, rows
+from peridothatch_core.model import tables
+from peridothatch_daemon import messages as daemon_messages
+from peridothatch_daemon.decide import loop
+from peridothatch_daemon.hosted import clock, counters, log, messages, records
+from peridothatch_wire import mailbox, task
+
+FIRST_READ_SECONDS = 5.0
+"""Time after the start at which the entries and the leader are read first."""
+
+REFRESH_SECONDS = 60.0
+"""Interval at which they are read again; an agent that the store turns away cannot read them."""
+
+GROUPED_REFRESH_SECONDS = 5.0
+"""Interval while commits go through an entry, which may have been replaced."""
+
+READ_TIMEOUT_SECONDS = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refresh:
+    """Read the rows of the entries."""
+
+
+@dataclasses.dataclass(slots=True)
+class _State:
+    route: route.Route
+    store: mailbox.Mailbox
+    peer_calls: mailbox.Mailbox
+    inbox: mailbox.Mailbox
+    counters: counters.CommitRoute = dataclasses.field(default_factory=counters.CommitRoute)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommitRoute:
+    """The running task; its mailbox takes ``rows.Commit`` and ``rows.Fetch``."""
+
+    inbox: mailbox.Mailbox
+    running: task.Task
+
+
+def start(node: str, store: mailbox.Mailbox, peer_calls: mailbox.Mailbox) -> CommitRoute:
+    """Start the task.
+
+    Parameters
+    ----------
+    store : Mailbox
+        Takes ``rows.Commit`` and ``rows.Fetch``.
+    peer_calls : Mailbox
+        Takes ``peers.Relay``.
+    """
+    inbox = mailbox.create("commit route")
+    state = _State(route.Route(node), store, peer_calls, inbox)
+
+    def handle(message: typing.Any) -> None:
+        _handle(state, message)
+
+    messages.post_later(inbox, _Refresh(), FIRST_READ_SECONDS)
+    return CommitRoute(inbox, task.start("commit route", loop.run(inbox, handle)))
+
+
+async def close(commit_route: CommitRoute) -> None:
+    """Stop the task."""
+    await task.close(commit_route.running)
+
+
+def _handle(state: _State, message: typing.Any) -> None:
+    match message:
+        case rows.Commit():
+            _send(state, message)
+        case rows.Fetch():
+            mailbox.post(state.store, message)
+        case _Refresh():
+            _refresh(state)
+        case rows.Fetched():
+            _apply_entries(state, message)
+        case daemon_messages.DumpState(reply):
+            mailbox.answer(reply, _dump(state))
+
+
+def _send(state: _State, commit: rows.Commit) -> None:
+    address = route.address(state.route, clock.now())
+
+    def answer(committed: rows.Committed) -> None:
+        record = route.record_grouped if address else route.record_direct
+        record(state.route, committed, clock.now())
+        commit.answer(committed)
+
+    if not address:
+        state.counters.commits_direct += 1
+        mailbox.post(state.store, dataclasses.replace(commit, answer=answer))
+        return
+    state.counters.commits_grouped += 1
+    relay = peers.Relay(dataclasses.replace(commit, answer=answer), address)
+    if not mailbox.post(state.peer_calls, relay):
+        reason = "too many commits are queued"
+        answer(rows.Committed(commit.token, rows.Outcome.NOT_DONE, reason=reason))
+
+
+def _refresh(state: _State) -> None:
+    def answer(fetched: rows.Fetched) -> None:
+        mailbox.post(state.inbox, fetched)
+
+    lease = tables.LEASE_KEY
+    for prefix, exact in ((tables.ENTRY_PREFIX, False), (lease.key, True)):
+        message = rows.Fetch(
+            prefix, tables.MEMBERS_TABLE, prefix, READ_TIMEOUT_SECONDS, answer, exact
+        )
+        mailbox.post(state.store, message)
+    grouped = route.address(state.route, clock.now())
+    delay = GROUPED_REFRESH_SECONDS if grouped else REFRESH_SECONDS
+    messages.post_later(state.inbox, _Refresh(), delay)
+
+
+def _apply_entries(state: _State, fetched: rows.Fetched) -> None:
+    for row in fetched.rows or ():
+        try:
+            record = records.decode_row(row)
+        except ValueError as error:
+            log.unreadable("commit route", row.key, str(error))
+            continue
+        if row.key == tables.LEASE_KEY.key:
+            state.route.leader = record.holder.partition("/")[0]
+        elif record is not None:
+            state.route.known[record.node] = record
+
+
+def _dump(state: _State) -> dict[str, typing.Any]:
+    return {
+        "leader": state.route.leader,
+        "address": route.address(state.route, clock.now()),
+        "counters": dataclasses.asdict(state.counters),
+    }
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -22,6 +22,23 @@
     calls_not_passed_on: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Grouping:
+    """Counters of the task that commits transactions of agents in groups."""
+
+    groups_committed: int = 0
+    transactions_grouped: int = 0
+    groups_split: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class CommitRoute:
+    """Counters of the task that sends an agent's transactions."""
+
+    commits_direct: int = 0
+    commits_grouped: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Scheduler:
     """Counters of the scheduler task."""
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -14,6 +14,7 @@
 from peridothatch_daemon.hosted import (
     clock,
     desired_feed,
+    grouping,
     log,
     messages,
     observe,
@@ -28,6 +29,7 @@
     listeners,
     operator,
     peer_calls,
+    relay_calls,
     settings,
     store,
     ticket_service,
@@ -78,6 +80,7 @@
     reception: reception.Reception
     peer_calls: peer_calls.Client
     passing: passing.Forwarder
+    grouping: grouping.Grouping
     scheduler: scheduler.Scheduler
     servers: list[serving.Server]
     exported: metrics.Metrics
@@ -128,9 +131,10 @@
             exported, "scheduler_wait_seconds", "Time from submission to an order"
         ),
     )
-    peer_client = await peer_calls.start()
+    peer_client = await peer_calls.start(clock.now)
     callers = machine.callers.text if machine.callers else ""
-    row = entries.Entry(machine.node, callers, machine.metrics.text)
+    row = entries.Entry(machine.node, callers, machine.metrics.text, machine.data_centre)
+    grouping_task = grouping.start(store_client.inbox)
     forwarder = passing.start(row, store_client.inbox, peer_client.inbox)
     desired = desired_feed.filter_into(
         operator.decode_desired_state,
@@ -177,6 +181,7 @@
         reception_task,
         peer_client,
         forwarder,
+        grouping_task,
         scheduler_task,
         [],
         exported,
@@ -197,6 +202,7 @@
         entry.reception.running,
         entry.peer_calls.running,
         entry.passing.running,
+        entry.grouping.running,
         entry.scheduler.running,
         entry.scheduler.ticking,
         *(server.serving for server in entry.servers),
@@ -219,6 +225,7 @@
     await scheduler.close(entry.scheduler)
     await reception.close(entry.reception)
     await passing.close(entry.passing)
+    await grouping.close(entry.grouping)
     await peer_calls.close(entry.peer_calls)
     for feed in entry.feeds:
         await store.unfollow(feed)
@@ -281,6 +288,7 @@
         "reception": entry.reception.inbox,
         "scheduler": entry.scheduler.inbox,
         "peers": entry.passing.inbox,
+        "grouping": entry.grouping.inbox,
     }
     identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "entry"}
     applications = [
@@ -289,7 +297,15 @@
         (
             "metrics",
             machine.metrics,
-            observe.application(identity, tasks, entry.exported, [ingress.look_up_route(has_row)]),
+            observe.application(
+                identity,
+                tasks,
+                entry.exported,
+                [
+                    ingress.look_up_route(has_row),
+                    relay_calls.route(entry.grouping.inbox, clock.now),
+                ],
+            ),
         ),
     ]
     for name, address, application in applications:
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -215,6 +215,29 @@
     ),
 }
 
+_GROUPING = {
+    "groups_committed": Text(
+        "Transactions of the store that hold those of several agents, or of one.",
+        "None; with the next metric it shows how many are grouped.",
+    ),
+    "transactions_grouped": Text(
+        "Transactions of agents that this entry committed.",
+        "A steady rise shows that a partition of the store is busy, or turns agents away.",
+    ),
+    "groups_split": Text(
+        "Groups of which a condition failed, so that each transaction was committed by itself.",
+        "A rise shows agents that conflict with the scheduler; look at `grouping:conflict`.",
+    ),
+}
+
+_COMMIT_ROUTE = {
+    "commits_direct": Text("Transactions that the agent sent to the store.", "None."),
+    "commits_grouped": Text(
+        "Transactions that the agent let an entry commit.",
+        "Look for a busy store or a lost path to it (`feed:lost`).",
+    ),
+}
+
 _SCHEDULER = {
     "claims": Text("Times that this entry became the leader.", "Look for stopped entries."),
     "runs_ordered": Text("Runs that were ordered.", "None; shows the work."),
@@ -266,6 +289,8 @@
     "planner": _PLANNER,
     "slots": _SLOTS,
     "members": _MEMBERS,
+    "commit_route": _COMMIT_ROUTE,
+    "grouping": _GROUPING,
     "peers": _PEERS,
     "reception": _RECEPTION,
     "scheduler": _SCHEDULER,
--- a/tests/platform/decoder_registry.py
+++ b/tests/platform/decoder_registry.py
@@ -4,7 +4,7 @@
 import json
 import typing
 
-from peridothatch_core.message import link
+from peridothatch_core.message import link, rows
 from peridothatch_core.model import entries, steps
 from peridothatch_core.schedule import leadership
 from peridothatch_daemon import messages
@@ -14,7 +14,14 @@
 from peridothatch_daemon.outlet import backend, config_rows, entry_rows, store_rows
 from peridothatch_daemon.outlet import rows as own_rows
 from peridothatch_daemon.outlet import worker as own_worker
-from peridothatch_platform import operator, store, submission, ticket_service, worker
+from peridothatch_platform import (
+    operator,
+    relay_calls,
+    store,
+    submission,
+    ticket_service,
+    worker,
+)
 from peridothatch_wire import codec
 
 JOB_ID = "00000000000000aa"
@@ -108,6 +115,14 @@
             _of(entries.Entry("front-1", "10.0.0.1:80", "10.0.0.1:81"))),
     Decoder("hosted.records", "lease", lambda data: records.decode(records.LEASE, data),
             _of(leadership.Lease("a/1", 1, 2))),
+    Decoder("platform.relay_calls", "transaction", relay_calls.decode_transaction,
+            relay_calls.encode_transaction(rows.Transaction(
+                (rows.Condition(rows.Key("members", "agent/a"), 1),),
+                ((rows.Key("members", "agent/a"), b"{}"), (rows.Key("work", "e/x/1"), None))),
+                1.0)),
+    Decoder("platform.relay_calls", "outcome",
+            lambda data: relay_calls.decode_outcome(data, "token"),
+            b'{"outcome": "COMMITTED", "version": 4, "now_ms": 5, "reason": ""}'),
     Decoder("intake.bodies", "body", bodies.decode, b'{"a": [1.5, "b", null]}'),
     Decoder("outlet.store_rows", "rows",
             lambda data: store_rows.decode_rows(
