Withdraw orders by what has been read of their agents, not by the clock

Cause: the claims were in the store, but the leader's feed of the agents' rows was up to a second late (other feeds of the entries timed out at the same moments); the claim timeout is counted by the clock, and only the leader's own writes lengthen it, which had become fast. Class: absence is concluded from a view that is older than the deadline.

Change: the timeout is compared with the store time up to which the agents' rows have been read.

Test, failing before: test_an_order_is_not_withdrawn_before_the_agents_rows_of_ that_time_have_been_read.

--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -198,6 +198,8 @@
         Nodes whose agents are to be asked to renew their leases.
     write_latency_ms : float
         Duration of the slowest of the latest transactions; see `record_write_latency`.
+    agents_seen_ms : int or None
+        Store time up to which the agents' rows have been read; ``None`` before the first feed.
     nodes_without_claim : set of str
         Nodes with orders that their agents have not claimed, as of the current cycle.
     is_paced : bool
@@ -245,6 +247,7 @@
     unconfirmed: set[str] = dataclasses.field(default_factory=set)
     renewal_requests: list[str] = dataclasses.field(default_factory=list)
     write_latency_ms: float = 0.0
+    agents_seen_ms: int | None = None
     nodes_without_claim: set[str] = dataclasses.field(default_factory=set)
     is_paced: bool = False
     runtimes: runtimes.History = dataclasses.field(default_factory=runtimes.History)
--- a/packages/core/src/peridothatch_core/schedule/withdraw.py
+++ b/packages/core/src/peridothatch_core/schedule/withdraw.py
@@ -63,11 +63,14 @@
     state: states.State, now_ms: int
 ) -> Iterator[tuple[steps.Job, steps.StepProgress, steps.Run]]:
     timeout_ms = states.CLAIM_TIMEOUT_MS + states.CLAIM_TIMEOUT_WRITES * state.write_latency_ms
+    # A claim may be in the store and not have been read yet, so the time counts up to which the
+    # agents' rows have been read.
+    seen_ms = now_ms if state.agents_seen_ms is None else min(now_ms, state.agents_seen_ms)
     for node, entries in state.runs.items():
         if node not in state.agents or node in state.lapsing:
             continue
         for job, step_progress, run_ in entries:
-            if now_ms - run_.ordered_ms < timeout_ms:
+            if seen_ms - run_.ordered_ms < timeout_ms:
                 continue
             task = steps.task_name(
                 job.id, step_progress.occurrence, step_progress.step, run_.index
--- a/packages/core/tests/schedule/test_withdraw.py
+++ b/packages/core/tests/schedule/test_withdraw.py
@@ -144,3 +144,17 @@
     assert [run_.attempt for run_ in harness.open_runs(job)] == [1]
     harness.run(scheduler, LATER_MS + state.FEED_CATCH_UP_MS)
     assert [run_.attempt for run_ in harness.open_runs(job)] == [2]
+
+
+def test_an_order_is_not_withdrawn_before_the_agents_rows_of_that_time_have_been_read():
+    # The feed of a busy leader was more than a second late: claims that were in the store had not
+    # been read, each withdrawal failed on its condition, and all rows were read again.
+    job = harness.job("a")
+    scheduler, first = _with_order(job)
+    scheduler.agents_seen_ms = harness.NOW_MS + state.CLAIM_TIMEOUT_MS - 1
+    harness.run(scheduler, LATER_MS + 1_000)
+    assert [(run_.node, run_.attempt) for run_ in harness.open_runs(job)] == [(first, 1)]
+    scheduler.agents_seen_ms = LATER_MS
+    harness.run(scheduler, LATER_MS + 1_000)
+    (run_,) = harness.open_runs(job)
+    assert run_.attempt == 2
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -67,6 +67,7 @@
         # The agents' rows are read after the work rows. An agent's row may no longer list a run
         # that has ended, while the end is not yet among the work rows.
         claimed_runs=previous.claimed_runs,
+        agents_seen_ms=previous.agents_seen_ms,
     )
     state.schedule = fresh
     # Only work rows count: the members were read later, so a change of a work row with a lower
@@ -116,6 +117,8 @@
         start_load(state)
     if not state.leadership.leading:
         return
+    if message.table == tables.MEMBERS_TABLE and message.now_ms:
+        state.schedule.agents_seen_ms = message.now_ms
     if state.loading:
         state.deferred_changes.extend((message.table, row) for row in message.rows)
         return
