Relay commits only while the store turns an agent away; split what had grown

Change: an agent commits through an entry only after the store has refused it or left it without an answer, and the agents are spread over all entries. Reading the leader and the data centre of entries goes.

--- a/packages/core/src/peridothatch_core/commit/__init__.py
+++ b/packages/core/src/peridothatch_core/commit/__init__.py
@@ -1,1 +1,1 @@
-"""Group commit: transactions of many agents in one transaction of the store."""
+"""Commits of agents through entries, which group them."""
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -14,6 +14,7 @@
     progress,
     speeds,
     tickets,
+    wait_log,
 )
 from peridothatch_core.schedule import state as states
 
@@ -26,9 +27,6 @@
 They are written in one transaction, and the store limits a transaction to 100 entries.
 """
 
-WAIT_LOG_INTERVAL_MS = 2000
-"""Minimum interval between log lines about the same waiting step."""
-
 HEADROOM_BY_PRIORITY = {1: 0.04}
 """Share of a service's accelerators that jobs of each priority leave free for urgent jobs."""
 
@@ -129,7 +127,7 @@
     if len(waiting) < step.count:
         return
     if _max_starts(state, job, step, candidates) < step.count:
-        _log_waiting(state, job, step_progress, len(waiting), candidates, now_ms)
+        wait_log.log_waiting(state, job, step_progress, len(waiting), candidates, now_ms)
         return
     avoided = _avoided_nodes(state, job, step_progress, now_ms)
     *preferred, candidates = last_attempt.candidate_tiers(
@@ -169,7 +167,7 @@
     if chosen is None:
         if plan is not None:
             preemption.reserve(step, plan)
-        _log_waiting(state, job, step_progress, len(waiting), candidates, now_ms)
+        wait_log.log_waiting(state, job, step_progress, len(waiting), candidates, now_ms)
         return
     _order_gang(state, job, step_progress, waiting, chosen, now_ms)
 
@@ -185,7 +183,7 @@
     if not pacing.may_order(state, job, {candidate.agent.node for candidate in chosen}):
         # The gang keeps its workers, so that smaller tasks do not take them meanwhile.
         preemption.reserve(job.steps[step_progress.step], preemption.Plan(targets=chosen))
-        _log_paced(state, job, step_progress, now_ms)
+        wait_log.log_paced(state, job, step_progress, now_ms)
         return
     step_progress.attempts[0] += 1
     for index, candidate in zip(waiting, chosen, strict=True):
@@ -213,7 +211,7 @@
         usable = full_speed[0]
     allowed = _max_starts(state, job, step, candidates)
     if allowed < len(waiting):
-        _log_waiting(state, job, step_progress, len(waiting) - allowed, candidates, now_ms)
+        wait_log.log_waiting(state, job, step_progress, len(waiting) - allowed, candidates, now_ms)
     waiting = waiting[:allowed]
     # A last attempt may have to wait for a healthy worker, which must not delay other tasks.
     waiting.sort(key=lambda index: last_attempt.is_last(job, step_progress, index))
@@ -227,7 +225,7 @@
             unplaced = len(waiting) - position
             urgent = job.priority == preemption.URGENT_PRIORITY
             if tiers[-1] is not usable and not urgent:
-                _log_waiting(state, job, step_progress, unplaced, candidates, now_ms)
+                wait_log.log_waiting(state, job, step_progress, unplaced, candidates, now_ms)
                 return position
             eligible = [
                 candidate
@@ -239,10 +237,10 @@
             )
             if plan is not None and not _preempt(state, job, step, plan, protected, now_ms):
                 preemption.reserve(step, plan)
-            _log_waiting(state, job, step_progress, unplaced, candidates, now_ms)
+            wait_log.log_waiting(state, job, step_progress, unplaced, candidates, now_ms)
             return position
         if not pacing.may_order(state, job, {candidate.agent.node}):
-            _log_paced(state, job, step_progress, now_ms)
+            wait_log.log_paced(state, job, step_progress, now_ms)
             return position
         tasks_on_node[candidate.agent.node] = tasks_on_node.get(candidate.agent.node, 0) + 1
         step_progress.attempts[index] += 1
@@ -275,44 +273,6 @@
     return max(0, (free - headroom) // needed)
 
 
-def _log_waiting(
-    state: states.State,
-    job: steps.Job,
-    step_progress: steps.StepProgress,
-    count: int,
-    candidates: list[fit.Candidate],
-    now_ms: int,
-) -> None:
-    """Log why tasks wait, at a limited rate, so that late jobs can be explained."""
-    key = (job.id, step_progress.occurrence, step_progress.step)
-    if now_ms - state.wait_logged_at.get(key, -WAIT_LOG_INTERVAL_MS) < WAIT_LOG_INTERVAL_MS:
-        return
-    state.wait_logged_at[key] = now_ms
-    free = sum(candidate.free[2] for candidate in candidates)
-    step = job.steps[step_progress.step]
-    detail = (
-        f"{count} tasks of step {step_progress.step} need {step.demand.accelerators} accelerators "
-        f"each; {free} are free on {len(candidates)} workers; affinity {step.affinity or 'none'}, "
-        f"gang {step.gang}, one rack {step.same_rack}"
-    )
-    state.events.append(states.Event("waiting", job.id, detail=detail))
-
-
-def _log_paced(
-    state: states.State, job: steps.Job, step_progress: steps.StepProgress, now_ms: int
-) -> None:
-    """Log at a limited rate that tasks fit and wait for the claims of other orders."""
-    key = (job.id, step_progress.occurrence, step_progress.step)
-    if now_ms - state.wait_logged_at.get(key, -WAIT_LOG_INTERVAL_MS) < WAIT_LOG_INTERVAL_MS:
-        return
-    state.wait_logged_at[key] = now_ms
-    detail = (
-        f"{len(state.nodes_without_claim)} agents have unclaimed orders; at most "
-        f"{pacing.max_nodes(state)} may, and writes take {state.write_latency_ms:.0f} ms"
-    )
-    state.events.append(states.Event("paced", job.id, detail=detail))
-
-
 def _preemption_plan(
     state: states.State,
     job: steps.Job,
--- a/packages/daemon/src/peridothatch_daemon/hosted/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/agent.py
@@ -71,29 +71,11 @@
             exported, "supervisor_start_seconds", "Time until a start is confirmed"
         ),
     )
-    feed = await store.follow(
-        machine.store,
-        tables.orders_table(machine.node),
-        clock.now,
-        deliver,
-        log.feed_lost,
-        log.feed_regained,
-        log.unreadable,
-    )
-    identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "agent"}
-    observed = observe.application(
-        identity, {"supervisor": inbox, "commit_route": route_task.inbox}, exported
+    feed = await _follow_orders(machine, deliver)
+    named_tasks = {"supervisor": inbox, "commit_route": route_task.inbox}
+    servers = await _start_servers(
+        machine, machine.heartbeats, deliver, named_tasks, exported, opened or {}
     )
-    applications = [
-        ("heartbeats", machine.heartbeats, heartbeats.application(deliver, _rejected)),
-        ("metrics", machine.metrics, observed),
-    ]
-    servers = [
-        await serving.start(
-            name, listeners.take(opened or {}, address.host, address.port), application
-        )
-        for name, address, application in applications
-    ]
     log.event("agent:started", data_centre=machine.data_centre, region=machine.region)
     return Agent(
         store_client,
@@ -136,5 +118,40 @@
     log.event("agent:stopped")
 
 
+async def _follow_orders(
+    machine: settings.Machine, deliver: typing.Callable[[typing.Any], None]
+) -> store.Feed:
+    return await store.follow(
+        machine.store,
+        tables.orders_table(machine.node),
+        clock.now,
+        deliver,
+        log.feed_lost,
+        log.feed_regained,
+        log.unreadable,
+    )
+
+
+async def _start_servers(
+    machine: settings.Machine,
+    heartbeat_address: settings.Address,
+    deliver: typing.Callable[[typing.Any], None],
+    named_tasks: dict[str, mailbox.Mailbox],
+    exported: metrics.Metrics,
+    opened: listeners.Listeners,
+) -> list[serving.Server]:
+    """Serve the worker's heartbeats, and the metrics and the state of the tasks."""
+    identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "agent"}
+    observed = observe.application(identity, named_tasks, exported)
+    applications = [
+        ("heartbeats", heartbeat_address, heartbeats.application(deliver, _rejected)),
+        ("metrics", machine.metrics, observed),
+    ]
+    return [
+        await serving.start(name, listeners.take(opened, address.host, address.port), application)
+        for name, address, application in applications
+    ]
+
+
 def _rejected(instance: str, reason: str) -> None:
     log.event("heartbeat:rejected", instance=instance, reason=reason)
--- a/packages/daemon/src/peridothatch_daemon/hosted/commit_route.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/commit_route.py
@@ -14,12 +14,12 @@
 from peridothatch_wire import mailbox, task
 
 FIRST_READ_SECONDS = 5.0
-"""Time after the start at which the entries and the leader are read first."""
+"""Time after the start at which the entries are read first."""
 
 REFRESH_SECONDS = 60.0
 """Interval at which they are read again; an agent that the store turns away cannot read them."""
 
-GROUPED_REFRESH_SECONDS = 5.0
+RELAYED_REFRESH_SECONDS = 5.0
 """Interval while commits go through an entry, which may have been replaced."""
 
 READ_TIMEOUT_SECONDS = 1.5
@@ -90,7 +90,7 @@
     address = route.address(state.route, clock.now())
 
     def answer(committed: rows.Committed) -> None:
-        record = route.record_grouped if address else route.record_direct
+        record = route.record_relayed if address else route.record_direct
         record(state.route, committed, clock.now())
         commit.answer(committed)
 
@@ -98,7 +98,7 @@
         state.counters.commits_direct += 1
         mailbox.post(state.store, dataclasses.replace(commit, answer=answer))
         return
-    state.counters.commits_grouped += 1
+    state.counters.commits_relayed += 1
     relay = peers.Relay(dataclasses.replace(commit, answer=answer), address)
     if not mailbox.post(state.peer_calls, relay):
         reason = "too many commits are queued"
@@ -109,14 +109,12 @@
     def answer(fetched: rows.Fetched) -> None:
         mailbox.post(state.inbox, fetched)
 
-    lease = tables.LEASE_KEY
-    for prefix, exact in ((tables.ENTRY_PREFIX, False), (lease.key, True)):
-        message = rows.Fetch(
-            prefix, tables.MEMBERS_TABLE, prefix, READ_TIMEOUT_SECONDS, answer, exact
-        )
-        mailbox.post(state.store, message)
-    grouped = route.address(state.route, clock.now())
-    delay = GROUPED_REFRESH_SECONDS if grouped else REFRESH_SECONDS
+    message = rows.Fetch(
+        "entries", tables.MEMBERS_TABLE, tables.ENTRY_PREFIX, READ_TIMEOUT_SECONDS, answer
+    )
+    mailbox.post(state.store, message)
+    relayed = route.address(state.route, clock.now())
+    delay = RELAYED_REFRESH_SECONDS if relayed else REFRESH_SECONDS
     messages.post_later(state.inbox, _Refresh(), delay)
 
 
@@ -127,15 +125,13 @@
         except ValueError as error:
             log.unreadable("commit route", row.key, str(error))
             continue
-        if row.key == tables.LEASE_KEY.key:
-            state.route.leader = record.holder.partition("/")[0]
-        elif record is not None:
+        if record is not None:
             state.route.known[record.node] = record
 
 
 def _dump(state: _State) -> dict[str, typing.Any]:
     return {
-        "leader": state.route.leader,
+        "entries": sorted(state.route.known),
         "address": route.address(state.route, clock.now()),
         "counters": dataclasses.asdict(state.counters),
     }
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -36,7 +36,7 @@
     """Counters of the task that sends an agent's transactions."""
 
     commits_direct: int = 0
-    commits_grouped: int = 0
+    commits_relayed: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -37,6 +37,8 @@
 from peridothatch_wire import mailbox, task
 
 if typing.TYPE_CHECKING:
+    from starlette import applications
+
     from peridothatch_core.message import peers
     from peridothatch_core.reception import attempts, calls
 
@@ -112,66 +114,15 @@
     tickets = (
         await ticket_service.start(machine.ticket_service) if machine.ticket_service else None
     )
-    limits = state.Limits(
-        machine.retention_ms,
-        hold_state.lease_ms(machine.longest_hold_ms),
-        machine.remote_factor,
-        machine.partition_writes_per_second,
-    )
-    scheduler_task = scheduler.start(
-        machine.node,
-        secrets.token_hex(4),
-        limits,
-        store_client.inbox,
-        tickets.inbox if tickets else None,
-        metrics.create_latency_recorder(
-            exported, "scheduler_write_seconds", "Time of a write of decisions"
-        ),
-        metrics.create_latency_recorder(
-            exported, "scheduler_wait_seconds", "Time from submission to an order"
-        ),
-    )
+    scheduler_task = _start_scheduler(machine, store_client.inbox, tickets, exported)
     peer_client = await peer_calls.start(clock.now)
     callers = machine.callers.text if machine.callers else ""
-    row = entries.Entry(machine.node, callers, machine.metrics.text, machine.data_centre)
+    row = entries.Entry(machine.node, callers, machine.metrics.text)
     grouping_task = grouping.start(store_client.inbox)
     forwarder = passing.start(row, store_client.inbox, peer_client.inbox)
-    desired = desired_feed.filter_into(
-        operator.decode_desired_state,
-        operator.CONFIG_KEY,
-        operator.evacuated_data_centre,
-        (reception_task.inbox, scheduler_task.inbox),
+    feeds = await _follow_tables(
+        machine, reception_task.inbox, scheduler_task.inbox, forwarder.inbox
     )
-    feeds = [
-        await store.follow(
-            machine.store,
-            store.OPERATOR_TABLE,
-            clock.now,
-            desired,
-            log.feed_lost,
-            log.feed_regained,
-            log.unreadable,
-        ),
-        await store.follow(
-            machine.store,
-            tables.WORK_TABLE,
-            clock.now,
-            _deliver_to(reception_task.inbox, scheduler_task.inbox),
-            _log_and_report(reception_task.inbox),
-            log.feed_regained,
-            log.unreadable,
-        ),
-        await store.follow(
-            machine.store,
-            tables.MEMBERS_TABLE,
-            clock.now,
-            _deliver_to(scheduler_task.inbox, forwarder.inbox),
-            log.feed_lost,
-            log.feed_regained,
-            log.unreadable,
-            MEMBERS_POLL_INTERVAL_SECONDS,
-        ),
-    ]
     draining = [False]
     entry = Entry(
         machine,
@@ -236,6 +187,79 @@
     log.event("entry:stopped")
 
 
+def _start_scheduler(
+    machine: settings.Machine,
+    store_inbox: mailbox.Mailbox,
+    tickets: ticket_service.Client | None,
+    exported: metrics.Metrics,
+) -> scheduler.Scheduler:
+    """Start the scheduler with the limits of the installation."""
+    limits = state.Limits(
+        machine.retention_ms,
+        hold_state.lease_ms(machine.longest_hold_ms),
+        machine.remote_factor,
+        machine.partition_writes_per_second,
+    )
+    return scheduler.start(
+        machine.node,
+        secrets.token_hex(4),
+        limits,
+        store_inbox,
+        tickets.inbox if tickets else None,
+        metrics.create_latency_recorder(
+            exported, "scheduler_write_seconds", "Time of a write of decisions"
+        ),
+        metrics.create_latency_recorder(
+            exported, "scheduler_wait_seconds", "Time from submission to an order"
+        ),
+    )
+
+
+async def _follow_tables(
+    machine: settings.Machine,
+    reception_inbox: mailbox.Mailbox,
+    scheduler_inbox: mailbox.Mailbox,
+    forwarder_inbox: mailbox.Mailbox,
+) -> list[store.Feed]:
+    """Follow the tables of the operator, the jobs and the members."""
+    desired = desired_feed.filter_into(
+        operator.decode_desired_state,
+        operator.CONFIG_KEY,
+        operator.evacuated_data_centre,
+        (reception_inbox, scheduler_inbox),
+    )
+    return [
+        await store.follow(
+            machine.store,
+            store.OPERATOR_TABLE,
+            clock.now,
+            desired,
+            log.feed_lost,
+            log.feed_regained,
+            log.unreadable,
+        ),
+        await store.follow(
+            machine.store,
+            tables.WORK_TABLE,
+            clock.now,
+            _deliver_to(reception_inbox, scheduler_inbox),
+            _log_and_report(reception_inbox),
+            log.feed_regained,
+            log.unreadable,
+        ),
+        await store.follow(
+            machine.store,
+            tables.MEMBERS_TABLE,
+            clock.now,
+            _deliver_to(scheduler_inbox, forwarder_inbox),
+            log.feed_lost,
+            log.feed_regained,
+            log.unreadable,
+            MEMBERS_POLL_INTERVAL_SECONDS,
+        ),
+    ]
+
+
 async def _await_initial_rows(reception_task: reception.Reception) -> None:
     """Wait for the first rows; without them, calls waiting in the backlog would be refused."""
     reply = mailbox.Reply()
@@ -284,36 +308,38 @@
         except TimeoutError:
             return False
 
-    tasks = {
-        "reception": entry.reception.inbox,
-        "scheduler": entry.scheduler.inbox,
-        "peers": entry.passing.inbox,
-        "grouping": entry.grouping.inbox,
-    }
-    identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "entry"}
-    applications = [
+    served = [
         ("callers", machine.callers, ingress.callers(handle_call, forward)),
         ("readiness", machine.readiness, ingress.readiness(is_ready)),
         (
             "metrics",
             machine.metrics,
-            observe.application(
-                identity,
-                tasks,
-                entry.exported,
-                [
-                    ingress.look_up_route(has_row),
-                    relay_calls.route(entry.grouping.inbox, clock.now),
-                ],
-            ),
+            _internal_application(entry, has_row),
         ),
     ]
-    for name, address, application in applications:
+    for name, address, application in served:
         if address is not None:
             listener = listeners.take(opened, address.host, address.port)
             entry.servers.append(await serving.start(name, listener, application))
 
 
+def _internal_application(entry: Entry, has_row: ingress.HasRow) -> applications.Starlette:
+    """Return the application for operators and for other processes of the system."""
+    machine = entry.machine
+    tasks = {
+        "reception": entry.reception.inbox,
+        "scheduler": entry.scheduler.inbox,
+        "peers": entry.passing.inbox,
+        "grouping": entry.grouping.inbox,
+    }
+    identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "entry"}
+    routes = [
+        ingress.look_up_route(has_row),
+        relay_calls.route(entry.grouping.inbox, clock.now),
+    ]
+    return observe.application(identity, tasks, entry.exported, routes)
+
+
 async def _has_row(store_inbox: mailbox.Mailbox, key: rows.Key) -> bool | None:
     reply = mailbox.Reply()
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/grouping.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/grouping.py
@@ -13,7 +13,7 @@
 from peridothatch_wire import mailbox, task
 
 WINDOW_SECONDS = 0.02
-"""Time for which transactions are collected; in a busy partition each waits many times longer."""
+"""Time for which transactions are collected, which is short beside the lease of an agent."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -222,7 +222,7 @@
     ),
     "transactions_grouped": Text(
         "Transactions of agents that this entry committed.",
-        "A steady rise shows that a partition of the store is busy, or turns agents away.",
+        "A rise shows that the store turns agents away.",
     ),
     "groups_split": Text(
         "Groups of which a condition failed, so that each transaction was committed by itself.",
@@ -232,9 +232,9 @@
 
 _COMMIT_ROUTE = {
     "commits_direct": Text("Transactions that the agent sent to the store.", "None."),
-    "commits_grouped": Text(
+    "commits_relayed": Text(
         "Transactions that the agent let an entry commit.",
-        "Look for a busy store or a lost path to it (`feed:lost`).",
+        "The store turns this machine away, or the path to it is lost; look at `feed:lost`.",
     ),
 }
 
