--- a/tests/platform/test_played_days.py
+++ b/tests/platform/test_played_days.py
@@ -29,6 +29,14 @@
     assert [text.split(": ")[1] for text in failed] == ["TWICE", "a program does not start"]
 
 
+def test_a_day_that_was_not_played_is_reported_and_does_not_count_in_the_means():
+    # The machine ran out of memory in a hunt, and its entry could not be read at all.
+    fault = {"gate": False, "G": 0.0, "served": None, "short": None, "fault": "out of memory"}
+    run = played_days.read(_entry(DAY, DAY | fault))
+    assert (run.days, run.worth, run.served) == (1, 0.5, 0.8)
+    assert run.failures == ("scale-1 --seed 7: out of memory",)
+
+
 def test_an_unfinished_run_has_no_result():
     assert played_days.read(_entry()) is None
 
