Log ends without an open run, and job rows that change unnoticed

The logs could not tell why: the leader deletes the row of an end whose run it does not know without a line, and ignores newer versions of the rows of known jobs without a line.

Both are logged and counted now.

--- a/packages/core/src/peridothatch_core/schedule/progress.py
+++ b/packages/core/src/peridothatch_core/schedule/progress.py
@@ -112,7 +112,11 @@
 def _close_run(
     state: states.State, end: steps.End
 ) -> tuple[steps.Job, steps.StepProgress, steps.Run] | None:
-    """Close the run that has ended and return it, or return ``None`` if no such run is open."""
+    """Close the run that has ended and return it, or return ``None`` if no such run is open.
+
+    The row of an end without an open run is deleted as well. Usually the run has been closed for
+    another reason, or its end is read a second time.
+    """
     parsed = steps.parse_task_name(end.task)
     job_id = parsed[0] if parsed else end.task
     states.pending_change(state, job_id).deferred_deletes.append(
@@ -123,6 +127,9 @@
         _find_run(job, parsed, end.attempt) if parsed is not None and job is not None else None
     )
     if job is None or closed_run is None:
+        state.events.append(
+            states.Event("unmatched end", job_id, end.task, end.attempt, end.node, str(end.kind))
+        )
         return None
     progress, run = closed_run
     states.close_run(state, job, progress, run)
--- a/packages/core/tests/schedule/test_cycle.py
+++ b/packages/core/tests/schedule/test_cycle.py
@@ -427,3 +427,14 @@
     scheduler = harness.make_scheduler([gang], nodes)
     harness.run(scheduler)
     assert {run.node for run in harness.open_runs(gang)} == {"n3"}
+
+
+def test_an_end_without_an_open_run_is_reported():
+    # A discarded end left no trace in the log, so a job that lost one could not be explained.
+    job = harness.job("a")
+    scheduler = harness.make_scheduler([job])
+    task = steps.task_name("a", 0, 0, 0)
+    scheduler.ends["e"] = steps.End(task, 2, "n1", steps.EndKind.DONE)
+    cycle.run(scheduler, harness.NOW_MS, harness.UNIX_MS)
+    found = [event for event in scheduler.events if event.kind == "unmatched end"]
+    assert [(event.job, event.task, event.attempt) for event in found] == [("a", task, 2)]
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -52,6 +52,8 @@
     orders_withdrawn: int = 0
     leases_lapsed: int = 0
     writes_unclear: int = 0
+    ends_unmatched: int = 0
+    job_rows_outdated: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,5 +80,7 @@
             scheduler.runs_failed += 1
         case "ended withdrawn":
             scheduler.orders_withdrawn += 1
+        case "unmatched end":
+            scheduler.ends_unmatched += 1
         case _ if kind.startswith("ended"):
             scheduler.runs_lost += 1
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -132,5 +132,15 @@
 def _apply_change(state: schedule_state.State, table: str, row: rows.Row) -> None:
     if table == tables.MEMBERS_TABLE:
         schedule_rows.apply_agent_row(state.schedule, row)
-    elif row.value is not None and row.version > state.loaded_version:
+        return
+    job_id = schedule_rows.outdated_job(state.schedule, state.batches, row)
+    if job_id is not None:
+        state.counters.job_rows_outdated += 1
+        log.event(
+            "scheduler:job_row_outdated",
+            job=job_id,
+            version=row.version,
+            known_version=state.schedule.job_versions[job_id],
+        )
+    if row.value is not None and row.version > state.loaded_version:
         schedule_rows.apply_work_row(state.schedule, row)
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_rows.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_rows.py
@@ -9,7 +9,10 @@
 from peridothatch_daemon.hosted import log, records
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from peridothatch_core.message import rows
+    from peridothatch_core.schedule import writes
 
 
 def apply_work_row(schedule: state.State, row: rows.Row) -> None:
@@ -30,6 +33,27 @@
         log.unreadable("scheduler", row.key, str(error))
 
 
+def outdated_job(
+    schedule: state.State, in_flight: Sequence[writes.Batch], row: rows.Row
+) -> str | None:
+    """Return the job whose row has changed without the leader's knowledge, or ``None``.
+
+    Parameters
+    ----------
+    in_flight : sequence of Batch
+        Transactions without a known outcome. A row that they write is not judged: it is their
+        result, or they fail on its new version.
+    """
+    if not row.key.startswith(tables.JOB_PREFIX):
+        return None
+    job_id = row.key.removeprefix(tables.JOB_PREFIX)
+    if row.version <= schedule.job_versions.get(job_id, row.version):
+        return None
+    if any(job_id in (*batch.saved_jobs, *batch.deleted_jobs) for batch in in_flight):
+        return None
+    return job_id
+
+
 def apply_agent_row(schedule: state.State, row: rows.Row) -> None:
     """Apply an agent's row if it is newer than the known one."""
     if not row.key.startswith(tables.AGENT_PREFIX) or row.value is None:
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -261,6 +261,15 @@
         "Transactions that conflicted or were not answered; all rows were read again.",
         "None while rare; a steady rise means that two entries lead or the store is failing.",
     ),
+    "ends_unmatched": Text(
+        "Ends of runs that were not open for the leader; their rows were deleted.",
+        "None while rare. If a job stands still, look for `scheduler:unmatched end` with its id.",
+    ),
+    "job_rows_outdated": Text(
+        "Changes of job rows that the leader learned from the feed, not from its own writes.",
+        "None while rare: such a write had no answer and was applied late. Otherwise another "
+        "process writes job rows.",
+    ),
     "leading": Text("1 while this entry leads.", "Exactly one entry leads for most of the time."),
     "jobs_open": Text("Jobs that have not ended, on the leading entry.", "None."),
     "runs_open": Text("Runs that have not ended, on the leading entry.", "None."),
