Read all rows again when a write of the leader is applied late

Callers saw a job that stayed running for good with all workers idle, and its finished task ran again after a planned restart of the leader.

Cause: after a write without an answer the leader read all rows and took their state as final, although the store may apply the write seconds later if the versions that it requires are still there. It ignored newer rows of jobs that it knew, so it never learned of its own order, found no open run for the end of it, and deleted the end.

A full read that a feed asks for had the same gap without any lost answer: it started while a transaction was in flight and ignored the answer to it.

Change: a job row from the feed that is newer than the known one, and that no transaction in flight writes, makes the leader read all rows before its next cycle. The row of a job and its ends are in one table whose feed delivers in order, so that this comes before the end is handled. A read that a feed asks for waits for the transaction in flight.

--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -25,6 +25,7 @@
 def start_load(state: schedule_state.State) -> None:
     """Start reading all rows; no scheduling cycle runs until they have been read."""
     state.loading = True
+    state.load_due = False
     state.batches = []
     state.sending = False
     state.work_rows = None
@@ -109,7 +110,7 @@
 
 
 def apply_feed(state: schedule_state.State, message: rows.Snapshot | rows.Changes) -> None:
-    """Apply the rows that a feed has delivered, or start a full read if that is necessary."""
+    """Apply the rows that a feed has delivered, and request a full read if that is necessary."""
     storeclock.observe(state.clock, message.now_ms, message.asked_at, message.answered_at)
     if message.table == tables.MEMBERS_TABLE and schedule_lease.apply_rows(
         state, message.rows, message.now_ms
@@ -123,7 +124,7 @@
         state.deferred_changes.extend((message.table, row) for row in message.rows)
         return
     if isinstance(message, rows.Snapshot):
-        start_load(state)
+        state.load_due = True
         return
     for row in message.rows:
         _apply_change(state, message.table, row)
@@ -135,6 +136,9 @@
         return
     job_id = schedule_rows.outdated_job(state.schedule, state.batches, row)
     if job_id is not None:
+        # A write of this leader that had no answer may be applied after the full read that
+        # followed it. Without its runs, their ends would be taken for obsolete and be deleted.
+        state.load_due = True
         state.counters.job_rows_outdated += 1
         log.event(
             "scheduler:job_row_outdated",
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
@@ -30,7 +30,10 @@
     ----------
     loading : bool
         All rows are being read: after a takeover, after a conflict or an unknown outcome of a
-        write, or because a feed has delivered a new snapshot.
+        write, or because of ``load_due``.
+    load_due : bool
+        All rows must be read again as soon as no transaction is in flight, which the read could
+        miss: a feed has delivered a new snapshot, or a job's row that differs from the state.
     confirmed_epoch : int
         Epoch in which the agents were last asked to renew their rows.
     work_rows : tuple of Row or None
@@ -60,6 +63,7 @@
     desired: desired.DesiredState | None = None
     evacuated: frozenset[str] = frozenset()
     loading: bool = False
+    load_due: bool = False
     confirmed_epoch: int = 0
     work_rows: tuple[rows.Row, ...] | None = None
     deferred_changes: list[tuple[str, rows.Row]] = dataclasses.field(default_factory=list)
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -140,7 +140,11 @@
         return
     now_ms = storeclock.earliest_ms(state.clock, clock.now())
     schedule_lease.claim_or_renew(state, now_ms)
-    if state.leadership.leading and not state.loading and not state.batches:
+    if not state.leadership.leading or state.loading or state.batches:
+        return
+    if state.load_due:
+        schedule_load.start_load(state)
+    else:
         _run_cycle(state, now_ms)
 
 
--- a/specs/check.py
+++ b/specs/check.py
@@ -18,6 +18,7 @@
 import forwarding  # noqa: E402
 import gang_start  # noqa: E402
 import hosted_run  # noqa: E402
+import late_write  # noqa: E402
 import request  # noqa: E402
 import service_out  # noqa: E402
 
@@ -25,6 +26,7 @@
     "forwarding": forwarding,
     "gang_start": gang_start,
     "hosted_run": hosted_run,
+    "late_write": late_write,
     "request": request,
     "service_out": service_out,
 }
