Keep the lease of the leader when one of its renewals is applied late

A renewal requires only the epoch, so the store may apply one that was given up after later ones. Its older end replaced theirs, and another entry claimed the lease of a leader that had renewed it in time, which costs a change of the leader and a full read.

A lease of the same holder and epoch keeps its latest known end, unless its holder releases it. What the leader may write still hangs on the epoch alone.

Test: test_a_renewal_that_is_applied_late_does_not_end_the_lease, which failed before; test_a_resignation_ends_the_lease_at_once holds before and after.

--- a/packages/core/src/peridothatch_core/schedule/leadership.py
+++ b/packages/core/src/peridothatch_core/schedule/leadership.py
@@ -30,6 +30,9 @@
 RETRY_DELAY_SECONDS = 0.1
 """Delay before the next write after a failed write of the lease."""
 
+RELEASED_UNTIL_MS = 0
+"""End of a lease that its holder has released."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lease:
@@ -125,7 +128,7 @@
     """Return the transaction that ends the lease immediately."""
     return rows.Transaction(
         (rows.Condition(tables.EPOCH_KEY, state.epoch_version),),
-        ((tables.LEASE_KEY, encode(Lease(state.holder_id, state.epoch, 0))),),
+        ((tables.LEASE_KEY, encode(Lease(state.holder_id, state.epoch, RELEASED_UNTIL_MS))),),
     )
 
 
@@ -158,12 +161,25 @@
     """Process a version of the lease row, read at store time ``now_ms``.
 
     A row that cannot be read, or that ends later than any lease, is not a lease: it is replaced
-    by the next claim.
+    by the next claim. A renewal that had no answer may be applied after later ones, so a lease
+    keeps its latest known end unless its holder releases it.
     """
-    if version > state.lease_version:
-        state.lease_version = version
-        is_lease = lease is not None and lease.until_ms <= now_ms + 2 * LEASE_DURATION_MS
-        state.lease = lease if is_lease else None
+    if version <= state.lease_version:
+        return
+    state.lease_version = version
+    if lease is None or lease.until_ms > now_ms + 2 * LEASE_DURATION_MS:
+        state.lease = None
+    elif not _is_late_renewal(state.lease, lease):
+        state.lease = lease
+
+
+def _is_late_renewal(known: Lease | None, lease: Lease) -> bool:
+    """Return whether a row renews a lease to an earlier end than a known renewal."""
+    return (
+        known is not None
+        and (known.holder, known.epoch) == (lease.holder, lease.epoch)
+        and RELEASED_UNTIL_MS < lease.until_ms < known.until_ms
+    )
 
 
 def become_leader(state: Leadership, version: int, sent_at: float) -> None:
--- a/packages/core/tests/schedule/test_leadership.py
+++ b/packages/core/tests/schedule/test_leadership.py
@@ -126,3 +126,18 @@
 def test_urgent_work_starts_in_time_after_the_loss_of_a_leader():
     # A longer lease alone would exceed the time within which urgent work must start.
     assert leadership.LEASE_DURATION_MS <= 1100
+
+
+def test_a_renewal_that_is_applied_late_does_not_end_the_lease():
+    # A renewal without an answer was applied after later ones. Its older end replaced theirs, and
+    # another entry claimed the lease of a leader that had renewed it in time.
+    entry = _follower(until_ms=10_000)
+    leadership.observe_lease(entry, leadership.Lease("a/1", 4, 8_000), 22, 9_000)
+    assert not leadership.may_claim(entry, 9_000, 0)
+    assert leadership.may_claim(entry, 10_001, 0)
+
+
+def test_a_resignation_ends_the_lease_at_once():
+    entry = _follower(until_ms=10_000)
+    leadership.observe_lease(entry, leadership.Lease("a/1", 4, 0), 22, 9_000)
+    assert leadership.may_claim(entry, 9_000, 0)
