Keep transactions below the size that the store accepts

Callers saw 40 accepted jobs stand still for good after the leader was killed, with all workers idle.

Cause: the first cycle of the next leader handles the ends of all jobs. build_batches counted the entries of a transaction, not its bytes; 31 job rows of about 30 KB made a call of 1.2 MB, which the store refuses each time. Grouped commits of agents had the same gap: 96 rows of up to 64 KiB.

Both now count bytes as well, by an upper estimate of the encoded size. build_batches is a packing of parts (a lapse, a request to renew, a job's row with its orders, a deletion), each of which stays in one transaction.

--- a/packages/core/src/peridothatch_core/commit/group.py
+++ b/packages/core/src/peridothatch_core/commit/group.py
@@ -4,14 +4,12 @@
 
 import typing
 
+from peridothatch_core.commit import limits
 from peridothatch_core.message import rows
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterable
 
-MAX_ENTRIES = 96
-"""Maximum number of conditions and writes in one transaction; the store accepts 100."""
-
 
 def pack(commits: Iterable[rows.Commit]) -> list[list[rows.Commit]]:
     """Return groups of commits, in order, that touch different rows and fit in a transaction.
@@ -20,16 +18,22 @@
     """
     groups: list[list[rows.Commit]] = []
     used: set[rows.Key] = set()
-    size = 0
+    entries = size_bytes = 0
     for commit in commits:
         keys = _keys(commit.transaction)
-        entries = _size(commit.transaction)
-        if not groups or size + entries > MAX_ENTRIES or keys & used:
+        own_entries = limits.count_entries(commit.transaction)
+        own_bytes = limits.estimate_bytes(commit.transaction)
+        fits = (
+            entries + own_entries <= limits.MAX_ENTRIES
+            and size_bytes + own_bytes <= limits.MAX_BYTES
+        )
+        if not groups or not fits or keys & used:
             groups.append([])
-            used, size = set(), 0
+            used, entries, size_bytes = set(), 0, 0
         groups[-1].append(commit)
         used |= keys
-        size += entries
+        entries += own_entries
+        size_bytes += own_bytes
     return groups
 
 
@@ -46,7 +50,3 @@
     return {condition.key for condition in transaction.conditions} | {
         key for key, _ in transaction.writes
     }
-
-
-def _size(transaction: rows.Transaction) -> int:
-    return len(transaction.conditions) + len(transaction.writes)
--- a/packages/core/src/peridothatch_core/schedule/writes.py
+++ b/packages/core/src/peridothatch_core/schedule/writes.py
@@ -5,17 +5,15 @@
 import dataclasses
 import typing
 
+from peridothatch_core.commit import limits
 from peridothatch_core.message import rows
 from peridothatch_core.model import tables
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Iterator
 
     from peridothatch_core.schedule import state as states
 
-MAX_ENTRIES = 96
-"""Maximum number of conditions and writes in one transaction; the store accepts 100."""
-
 Encode = typing.Callable[[typing.Any], bytes]
 """Encodes a data class as the value of a row."""
 
@@ -40,18 +38,25 @@
     lapsed_nodes: list[str] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Part:
+    """Entries that belong into the same transaction, and the changes that they stand for."""
+
+    transaction: rows.Transaction
+    saved_job: str | None = None
+    deleted_job: str | None = None
+    lapsed_node: str | None = None
+
+
 @dataclasses.dataclass(slots=True)
-class _OpenBatch:
-    conditions: list[rows.Condition] = dataclasses.field(default_factory=list)
-    writes: list[tuple[rows.Key, bytes | None]] = dataclasses.field(default_factory=list)
-    saved_jobs: list[str] = dataclasses.field(default_factory=list)
-    deleted_jobs: list[str] = dataclasses.field(default_factory=list)
-    lapsed_nodes: list[str] = dataclasses.field(default_factory=list)
+class _Packing:
+    """Batches that are full, and the parts of the next one with the size of its entries."""
 
-    @property
-    def size(self) -> int:
-        """Number of entries, including the condition on the epoch."""
-        return 1 + len(self.conditions) + len(self.writes)
+    epoch: rows.Condition
+    batches: list[Batch] = dataclasses.field(default_factory=list)
+    parts: list[_Part] = dataclasses.field(default_factory=list)
+    entries: int = 0
+    size_bytes: int = 0
 
 
 def build_batches(state: states.State, epoch_version: int, encode: Encode) -> list[Batch]:
@@ -60,45 +65,55 @@
     A job's row and its orders are always written in the same transaction, so that the next leader
     never sees a run without an order.
     """
-    batches: list[Batch] = []
-    current = _OpenBatch()
-
-    def flush() -> None:
-        nonlocal current
-        if current.writes:
-            batches.append(_finish(current, epoch_version))
-        current = _OpenBatch()
-
-    for node, agent in state.lapsing.items():
-        if current.size + 2 > MAX_ENTRIES:
-            flush()
-        key = tables.agent_key(node)
-        current.conditions.append(rows.Condition(key, state.agent_versions.get(node, 0)))
-        current.writes.append((key, encode(agent)))
-        current.lapsed_nodes.append(node)
+    packing = _Packing(rows.Condition(tables.EPOCH_KEY, epoch_version))
+    for part in _lapses(state, encode):
+        _add(packing, part)
     for node in state.renewal_requests:
-        if current.size + 1 > MAX_ENTRIES:
-            flush()
-        current.writes.append((tables.renewal_key(node), encode({"epoch_version": epoch_version})))
+        _add(packing, _write(tables.renewal_key(node), encode({"epoch_version": epoch_version})))
     state.renewal_requests.clear()
-    deferred_deletes: list[rows.Key] = []
     for job_id, change in state.changes.items():
-        deferred_deletes.extend(change.deferred_deletes)
-        if not (change.save_job or change.delete_job) or job_id not in state.jobs:
-            continue
-        if current.size + 2 + len(change.writes) + len(change.conditions) > MAX_ENTRIES:
-            flush()
-            for key, value in _split_off_stops(change):
-                if current.size + 1 > MAX_ENTRIES:
-                    flush()
-                current.writes.append((key, None if value is None else encode(value)))
-            if current.size + 2 + len(change.writes) + len(change.conditions) > MAX_ENTRIES:
-                flush()
-        _add_job(state, current, job_id, change, encode)
+        if (change.save_job or change.delete_job) and job_id in state.jobs:
+            for part in _job_parts(state, job_id, change, encode):
+                _add(packing, part)
+    deferred_deletes = [
+        key for change in state.changes.values() for key in change.deferred_deletes
+    ]
     state.changes.clear()
-    _add_deferred_deletes(deferred_deletes, lambda: current, flush)
-    flush()
-    return batches
+    for key in dict.fromkeys(deferred_deletes):
+        _add(packing, _write(key, None))
+    _flush(packing)
+    return packing.batches
+
+
+def _lapses(state: states.State, encode: Encode) -> Iterator[_Part]:
+    for node, agent in state.lapsing.items():
+        key = tables.agent_key(node)
+        condition = rows.Condition(key, state.agent_versions.get(node, 0))
+        transaction = rows.Transaction((condition,), ((key, encode(agent)),))
+        yield _Part(transaction, lapsed_node=node)
+
+
+def _write(key: rows.Key, value: bytes | None) -> _Part:
+    return _Part(rows.Transaction((), ((key, value),)))
+
+
+def _job_parts(
+    state: states.State, job_id: str, change: states.JobChange, encode: Encode
+) -> Iterator[_Part]:
+    """Yield the stops of a job that do not fit beside its row, then its row with the rest."""
+    key = tables.job_key(job_id)
+    for stop_key, stop in _split_off_stops(change):
+        yield _write(stop_key, encode(stop))
+    saved = None if change.delete_job else encode(state.jobs[job_id])
+    others = [(key, None if value is None else encode(value)) for key, value in change.writes]
+    transaction = rows.Transaction(
+        (rows.Condition(key, state.job_versions[job_id]), *change.conditions),
+        ((key, saved), *others),
+    )
+    if change.delete_job:
+        yield _Part(transaction, deleted_job=job_id)
+    else:
+        yield _Part(transaction, saved_job=job_id)
 
 
 def _split_off_stops(change: states.JobChange) -> list[tuple[rows.Key, typing.Any]]:
@@ -107,7 +122,7 @@
     They are written before the job's row. If the leader is lost in between, the stopped runs end,
     and the next leader starts them again, so the intermediate state is safe.
     """
-    excess = len(change.writes) + len(change.conditions) + 3 - MAX_ENTRIES
+    excess = len(change.writes) + len(change.conditions) + 3 - limits.MAX_ENTRIES
     if excess <= 0:
         return []
     stops = [item for item in change.writes if item[0].key.endswith(tables.STOP_SUFFIX)]
@@ -117,34 +132,35 @@
     return split_off
 
 
-def _add_job(
-    state: states.State, current: _OpenBatch, job_id: str, change: states.JobChange, encode: Encode
-) -> None:
-    key = tables.job_key(job_id)
-    current.conditions.append(rows.Condition(key, state.job_versions[job_id]))
-    current.conditions += [
-        condition for condition in change.conditions if condition not in current.conditions
-    ]
-    if change.delete_job:
-        current.writes.append((key, None))
-        current.deleted_jobs.append(job_id)
-    else:
-        current.writes.append((key, encode(state.jobs[job_id])))
-        current.saved_jobs.append(job_id)
-    for other_key, value in change.writes:
-        current.writes.append((other_key, None if value is None else encode(value)))
-
-
-def _add_deferred_deletes(
-    deferred_deletes: list[rows.Key], current: Callable[[], _OpenBatch], flush: Callable[[], None]
-) -> None:
-    for key in dict.fromkeys(deferred_deletes):
-        if current().size + 1 > MAX_ENTRIES:
-            flush()
-        current().writes.append((key, None))
-
-
-def _finish(current: _OpenBatch, epoch_version: int) -> Batch:
-    conditions = (rows.Condition(tables.EPOCH_KEY, epoch_version), *current.conditions)
-    transaction = rows.Transaction(conditions, tuple(current.writes))
-    return Batch(transaction, current.saved_jobs, current.deleted_jobs, current.lapsed_nodes)
+def _add(packing: _Packing, part: _Part) -> None:
+    """Add a part to the next batch, or to a new one if it does not fit."""
+    entries = limits.count_entries(part.transaction)
+    size_bytes = limits.estimate_bytes(part.transaction)
+    if (
+        1 + packing.entries + entries > limits.MAX_ENTRIES
+        or packing.size_bytes + size_bytes > limits.MAX_BYTES
+    ):
+        _flush(packing)
+    packing.parts.append(part)
+    packing.entries += entries
+    packing.size_bytes += size_bytes
+
+
+def _flush(packing: _Packing) -> None:
+    """Complete the next batch, if it has any parts."""
+    parts, packing.parts = packing.parts, []
+    packing.entries = packing.size_bytes = 0
+    if not parts:
+        return
+    conditions = dict.fromkeys(
+        condition for part in parts for condition in part.transaction.conditions
+    )
+    written = tuple(write for part in parts for write in part.transaction.writes)
+    packing.batches.append(
+        Batch(
+            rows.Transaction((packing.epoch, *conditions), written),
+            [part.saved_job for part in parts if part.saved_job is not None],
+            [part.deleted_job for part in parts if part.deleted_job is not None],
+            [part.lapsed_node for part in parts if part.lapsed_node is not None],
+        )
+    )
--- a/packages/core/tests/commit/test_commit.py
+++ b/packages/core/tests/commit/test_commit.py
@@ -1,5 +1,7 @@
 """Load: many agents that the store turns away commit through the entries."""
 
+import base64
+
 import pytest
 
 from peridothatch_core.commit import group, route
@@ -32,6 +34,19 @@
     ]
 
 
+def test_a_group_respects_the_byte_limit_of_the_store():
+    # The store refuses a call of more than 1 MB each time it is sent.
+    commits = []
+    for number in range(30):
+        large = rows.Transaction((), ((tables.agent_key(f"n{number}"), b"x" * 60_000),))
+        commits.append(rows.Commit(f"n{number}", large, 1.0, print))
+    groups = group.pack(commits)
+    assert [commit for commits in groups for commit in commits] == commits
+    for packed in groups:
+        values = [value for _, value in group.combine(packed).writes]
+        assert sum(len(base64.b64encode(value)) for value in values) < 950_000
+
+
 def test_two_transactions_on_one_row_are_not_combined():
     # The second one expects the version that the first one writes.
     assert len(group.pack([_commit("n1"), _commit("n2"), _commit("n1")])) == 2
--- a/packages/core/tests/schedule/test_writes.py
+++ b/packages/core/tests/schedule/test_writes.py
@@ -1,3 +1,4 @@
+import base64
 import json
 
 import schedule_harness as harness
@@ -70,6 +71,19 @@
         assert len(batch.transaction.conditions) + len(batch.transaction.writes) <= 100
 
 
+def test_transactions_respect_the_byte_limit_of_the_store():
+    # After a takeover the ends of many jobs with large rows were written in one call of more than
+    # 1 MB. The store refused it each time, and nothing was scheduled any more.
+    jobs = [harness.job(f"j{number}", harness.step(1, 0, 1)) for number in range(40)]
+    scheduler = harness.make_scheduler(jobs, [harness.agent("n1")])
+    cycle.run(scheduler, harness.NOW_MS, harness.UNIX_MS)
+    batches = writes.build_batches(scheduler, 77, lambda _: b"x" * 40_000)
+    assert sorted(job for batch in batches for job in batch.saved_jobs) == sorted(scheduler.jobs)
+    for batch in batches:
+        values = [value or b"" for _, value in batch.transaction.writes]
+        assert sum(len(base64.b64encode(value)) for value in values) < 950_000
+
+
 def test_a_lapse_is_conditional_on_the_row_that_was_seen():
     # If the agent renews first, the lapse must fail.
     job = harness.job("a")
