Bound the orders of one job by the entries of its transaction

MAX_STARTS_PER_JOB bounds tasks, but not gangs: two gangs of 60 that became ready in one cycle gave a transaction of 123 entries (the store accepts 100), and a gang of 80 that was ordered again in the cycle that withdrew the last members of its previous run gave 104. Nothing would have been scheduled any more.

A gang now waits for the next cycle, and tasks are cut, when the job's transaction has no entries left. Later steps of the job wait with the gang.

Tests: test_gangs_that_start_at_the_same_time_respect_the_transaction_limit and test_a_gang_that_replaces_withdrawn_members_respects_the_transaction_limit; both failed before.

--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -15,6 +15,7 @@
     speeds,
     tickets,
     wait_log,
+    write_limits,
 )
 from peridothatch_core.schedule import state as states
 
@@ -55,15 +56,20 @@
             waiting = progress.waiting_tasks(state, job, step_progress, now_ms)
             if not waiting:
                 continue
+            new_runs = write_limits.max_new_runs(state, job)
+            step = job.steps[step_progress.step]
+            if step.gang and len(waiting) == step.count > new_runs:
+                # Later steps wait as well, because their runs could keep the gang out for good.
+                break
             permitted = _ticketed_candidates(state, job, step_progress, candidates, now_ms)
-            if job.steps[step_progress.step].gang:
+            if step.gang:
                 _start_gang(state, job, step_progress, waiting, permitted, protected, now_ms)
             else:
                 starts_left -= _start_tasks(
                     state,
                     job,
                     step_progress,
-                    waiting[:starts_left],
+                    waiting[: min(starts_left, new_runs)],
                     permitted,
                     protected,
                     now_ms,
--- /dev/null
+++ b/packages/core/src/peridothatch_core/schedule/write_limits.py
@@ -0,0 +1,25 @@
+"""Bounds the new runs of a job, so that the store accepts the transaction that orders them."""
+
+from __future__ import annotations
+
+import typing
+
+from peridothatch_core.commit import limits
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.model import steps
+    from peridothatch_core.schedule import state as states
+
+ROW_ENTRIES = 3
+"""Entries of a transaction for the epoch and for the version and the value of the job's row."""
+
+
+def max_new_runs(state: states.State, job: steps.Job) -> int:
+    """Return how many runs of a job may still be ordered in this cycle.
+
+    All orders of a job are written in the transaction of its row, together with its withdrawals
+    and stops. Each takes at least one entry.
+    """
+    change = state.changes.get(job.id)
+    used = len(change.writes) + len(change.conditions) if change else 0
+    return max(0, limits.MAX_ENTRIES - ROW_ENTRIES - used)
--- a/packages/core/src/peridothatch_core/schedule/writes.py
+++ b/packages/core/src/peridothatch_core/schedule/writes.py
@@ -8,6 +8,7 @@
 from peridothatch_core.commit import limits
 from peridothatch_core.message import rows
 from peridothatch_core.model import tables
+from peridothatch_core.schedule import write_limits
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterator
@@ -122,7 +123,8 @@
     They are written before the job's row. If the leader is lost in between, the stopped runs end,
     and the next leader starts them again, so the intermediate state is safe.
     """
-    excess = len(change.writes) + len(change.conditions) + 3 - limits.MAX_ENTRIES
+    entries = len(change.writes) + len(change.conditions)
+    excess = write_limits.ROW_ENTRIES + entries - limits.MAX_ENTRIES
     if excess <= 0:
         return []
     stops = [item for item in change.writes if item[0].key.endswith(tables.STOP_SUFFIX)]
--- a/packages/core/tests/schedule/schedule_harness.py
+++ b/packages/core/tests/schedule/schedule_harness.py
@@ -1,5 +1,7 @@
 """Builders of jobs, agents and scheduler states for tests."""
 
+import dataclasses
+
 from peridothatch_core.model import agents, desired, steps
 from peridothatch_core.schedule import cycle, state
 
@@ -86,6 +88,13 @@
     return run(scheduler, now_ms)
 
 
+def renew_unclaimed(scheduler, now_ms):
+    """Renew the leases of all agents, none of which has claimed an order."""
+    for node, old in list(scheduler.agents.items()):
+        renewed = dataclasses.replace(old, hold_until_ms=now_ms + HOLD_MS)
+        state.update_agent(scheduler, renewed, scheduler.agent_versions.get(node, 0) + 1)
+
+
 def renew(scheduler, now_ms):
     """Renew the leases of all agents; each has claimed all of its orders."""
     for node, old in list(scheduler.agents.items()):
--- a/packages/core/tests/schedule/test_writes.py
+++ b/packages/core/tests/schedule/test_writes.py
@@ -145,3 +145,29 @@
     assert batches[-1].saved_jobs == ["a"]
     for batch in batches:
         assert len(batch.transaction.conditions) + len(batch.transaction.writes) <= 100
+
+
+def test_gangs_that_start_at_the_same_time_respect_the_transaction_limit():
+    # Two gangs of one job that started in the same cycle took more than 100 entries. The store
+    # refused the transaction each time, and nothing was scheduled any more.
+    job = harness.job("a", harness.step(60, 0, 1, gang=True), harness.step(60, 0, 1, gang=True))
+    scheduler = harness.make_scheduler([job], [harness.agent(f"n{number}") for number in range(4)])
+    for _ in range(2):
+        for batch in _batches(scheduler):
+            assert len(batch.transaction.conditions) + len(batch.transaction.writes) <= 100
+    assert len(harness.open_runs(job)) == 120
+
+
+def test_a_gang_that_replaces_withdrawn_members_respects_the_transaction_limit():
+    # The withdrawals and the new orders of a wide gang share the transaction of the job's row.
+    job = harness.job("a", harness.step(80, 0, 1, gang=True))
+    scheduler = harness.make_scheduler([job], [harness.agent(f"n{number}") for number in range(4)])
+    now_ms = harness.NOW_MS
+    assert _batches(scheduler)
+    for _ in range(20):
+        now_ms += state.CLAIM_TIMEOUT_MS + 10
+        harness.renew_unclaimed(scheduler, now_ms)
+        cycle.run(scheduler, now_ms, harness.UNIX_MS)
+        for batch in writes.build_batches(scheduler, 77, _encode):
+            assert len(batch.transaction.conditions) + len(batch.transaction.writes) <= 100
+    assert min(run.attempt for run in harness.open_runs(job)) > 1
