Bound the open runs of a job by what its row can hold

Callers saw a scheduled job and all jobs that were handed in later stand still for good after an outage of the store of 6.5 s.

Cause: reception.limits accepts a job if its row holds the runs of two occurrences. Nothing kept more of them from running: all that fell due during the outage were started at once, the row grew to 69 KB in the test (the store accepts 65,536 bytes), and the transaction was refused each time. Tasks that take longer than the period do the same without an outage.

The leader now orders at most as many runs as the row can hold beside the rest, at least those of two occurrences.

--- a/packages/core/src/peridothatch_core/reception/limits.py
+++ b/packages/core/src/peridothatch_core/reception/limits.py
@@ -35,7 +35,7 @@
 """Estimated size of an open run."""
 
 OPEN_OCCURRENCES = 2
-"""Occurrences that usually have open runs at the same time."""
+"""Occurrences that may have open runs at the same time in every job that is accepted."""
 
 
 def check(
@@ -63,6 +63,24 @@
     """Return an upper estimate of the size of a job's row, in bytes."""
     times = timetable.times if timetable else 1
     tasks = sum(step.count for step in job_steps)
-    per_occurrence = PROGRESS_BYTES * len(job_steps) + TASK_BYTES * tasks
     runs = RUN_BYTES * tasks * min(times, OPEN_OCCURRENCES)
-    return JOB_BYTES + STEP_BYTES * len(job_steps) + times * per_occurrence + runs
+    return _bytes_without_runs(job_steps, timetable) + runs
+
+
+def max_open_runs(job_steps: tuple[steps.Step, ...], timetable: steps.Timetable | None) -> int:
+    """Return how many runs of an accepted job may be open, so that the store takes its row.
+
+    More occurrences than usual have open runs when they fall due during an outage, or when their
+    tasks take longer than the interval between them.
+    """
+    left_bytes = MAX_ROW_BYTES - _bytes_without_runs(job_steps, timetable)
+    return max(0, left_bytes) // RUN_BYTES
+
+
+def _bytes_without_runs(
+    job_steps: tuple[steps.Step, ...], timetable: steps.Timetable | None
+) -> int:
+    times = timetable.times if timetable else 1
+    tasks = sum(step.count for step in job_steps)
+    per_occurrence = PROGRESS_BYTES * len(job_steps) + TASK_BYTES * tasks
+    return JOB_BYTES + STEP_BYTES * len(job_steps) + times * per_occurrence
--- a/packages/core/src/peridothatch_core/schedule/write_limits.py
+++ b/packages/core/src/peridothatch_core/schedule/write_limits.py
@@ -1,10 +1,11 @@
-"""Bounds the new runs of a job, so that the store accepts the transaction that orders them."""
+"""Bounds the new runs of a job, so that the store accepts its row and their transaction."""
 
 from __future__ import annotations
 
 import typing
 
 from peridothatch_core.commit import limits
+from peridothatch_core.reception import limits as row_limits
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.model import steps
@@ -18,8 +19,11 @@
     """Return how many runs of a job may still be ordered in this cycle.
 
     All orders of a job are written in the transaction of its row, together with its withdrawals
-    and stops. Each takes at least one entry.
+    and stops. Each takes at least one entry. The row holds all open runs.
     """
     change = state.changes.get(job.id)
     used = len(change.writes) + len(change.conditions) if change else 0
-    return max(0, limits.MAX_ENTRIES - ROW_ENTRIES - used)
+    free_entries = limits.MAX_ENTRIES - ROW_ENTRIES - used
+    open_runs = sum(len(step_progress.runs) for step_progress in job.progress)
+    free_runs = row_limits.max_open_runs(job.steps, job.timetable) - open_runs
+    return max(0, min(free_entries, free_runs))
