Isolate jobs whose transaction the store rejects

The jobs of a rejected transaction are written one by one, after all others. All rows are read again, which undoes what was not written. A group of agents' transactions that is rejected is committed one by one.

The stand-in of the store gets the modes "reject" and "late"; the latter is for the soak.

--- a/packages/core/src/peridothatch_core/message/rows.py
+++ b/packages/core/src/peridothatch_core/message/rows.py
@@ -75,6 +75,9 @@
         Store time in the response; 0 if there was no response.
     asked_at, answered_at : float
         Local time in seconds before the request and after the response.
+    rejected : bool
+        The transaction was not done and will not be done when it is sent again, because it is
+        invalid or exceeds a limit of the store.
     """
 
     token: typing.Any
@@ -84,6 +87,7 @@
     asked_at: float = 0.0
     answered_at: float = 0.0
     reason: str = ""
+    rejected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/schedule/cycle.py
+++ b/packages/core/src/peridothatch_core/schedule/cycle.py
@@ -6,7 +6,7 @@
 
 from peridothatch_core.model import agents, steps, tables
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import progress, starts, withdraw
+from peridothatch_core.schedule import progress, rejection, starts, withdraw
 from peridothatch_core.schedule import state as states
 
 
@@ -23,6 +23,7 @@
     unix_ms : int
         Current Unix time in milliseconds.
     """
+    rejection.resume_jobs(state, now_ms)
     _declare_lapsed_leases(state, now_ms)
     _close_lapsed_runs(state, now_ms)
     progress.process_ends(state, now_ms)
@@ -31,6 +32,8 @@
     _cancel(state, now_ms)
     _eject(state, now_ms)
     for job in list(state.jobs.values()):
+        if rejection.is_suspended(state, job.id):
+            continue
         if job.state in steps.FINAL_STATES:
             _delete_expired(state, job, now_ms)
         else:
@@ -65,6 +68,8 @@
         for job, step_progress, run_ in list(entries):
             if agent is not None and agent.lapses <= run_.lapses:
                 continue
+            if rejection.is_suspended(state, job.id):
+                continue
             states.close_run(state, job, step_progress, run_)
             task = steps.task_name(
                 job.id, step_progress.occurrence, step_progress.step, run_.index
@@ -93,6 +98,8 @@
         if agent is None or not _is_silent(state, agent, now_ms):
             continue
         for job, step_progress, run_ in list(entries):
+            if rejection.is_suspended(state, job.id):
+                continue
             task = steps.task_name(
                 job.id, step_progress.occurrence, step_progress.step, run_.index
             )
@@ -117,7 +124,7 @@
 def _cancel(state: states.State, now_ms: int) -> None:
     for job_id in list(state.cancelled):
         job = state.jobs.get(job_id)
-        if job is not None:
+        if job is not None and not rejection.is_suspended(state, job_id):
             state.cancelled.discard(job_id)
             progress.cancel(state, job, now_ms)
 
--- a/packages/core/src/peridothatch_core/schedule/progress.py
+++ b/packages/core/src/peridothatch_core/schedule/progress.py
@@ -7,8 +7,8 @@
 from peridothatch_core.model import steps, tables
 from peridothatch_core.order import runtimes
 from peridothatch_core.place import ejection
+from peridothatch_core.schedule import rejection, tickets
 from peridothatch_core.schedule import state as states
-from peridothatch_core.schedule import tickets
 
 if typing.TYPE_CHECKING:
     from collections.abc import Iterator
@@ -101,6 +101,9 @@
     """
     closed = []
     for key, end in list(state.ends.items()):
+        parsed = steps.parse_task_name(end.task)
+        if parsed is not None and rejection.is_suspended(state, parsed[0]):
+            continue
         del state.ends[key]
         closed_run = _close_run(state, end)
         if closed_run is not None:
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import typing
-
 from peridothatch_core.model import steps
 from peridothatch_core.order import runtimes
 from peridothatch_core.schedule import (
@@ -12,6 +10,7 @@
     pacing,
     preemption,
     progress,
+    rejection,
     speeds,
     tickets,
     wait_log,
@@ -19,9 +18,6 @@
 )
 from peridothatch_core.schedule import state as states
 
-if typing.TYPE_CHECKING:
-    from collections.abc import Iterable
-
 MAX_STARTS_PER_JOB = 40
 """Maximum number of starts of one job in one cycle.
 
@@ -50,7 +46,7 @@
     candidates = fit.available_workers(state, now_ms)
     state.nodes_without_claim = pacing.nodes_without_claim(state)
     state.is_paced = False
-    for job in _by_urgency(state.jobs.values(), protected):
+    for job in _by_urgency(state, protected):
         starts_left = MAX_STARTS_PER_JOB
         for step_progress in progress.ready_steps(job):
             waiting = progress.waiting_tasks(state, job, step_progress, now_ms)
@@ -112,9 +108,13 @@
         state.events.append(states.Event("asking for tickets", job.id, detail=detail))
 
 
-def _by_urgency(jobs: Iterable[steps.Job], protected: set[str]) -> list[steps.Job]:
-    """Return the jobs that are not final, the most urgent first."""
-    waiting = [job for job in jobs if job.state not in steps.FINAL_STATES]
+def _by_urgency(state: states.State, protected: set[str]) -> list[steps.Job]:
+    """Return the jobs that are neither final nor suspended, the most urgent first."""
+    waiting = [
+        job
+        for job in state.jobs.values()
+        if job.state not in steps.FINAL_STATES and not rejection.is_suspended(state, job.id)
+    ]
     return sorted(
         waiting, key=lambda job: (job.id not in protected, job.priority, job.submitted_ms, job.id)
     )
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -204,6 +204,10 @@
         Nodes with orders that their agents have not claimed, as of the current cycle.
     is_paced : bool
         A job has been held back in the current cycle, because too many orders wait for a claim.
+    written_alone : set of str
+        Jobs that are written in transactions of their own; see `rejection`.
+    suspended_until_ms : dict
+        Store time until which nothing is decided for a job, by job id; see `rejection`.
     runtimes : History
         Run times recorded by customer and queue.
     health : Record
@@ -250,6 +254,8 @@
     agents_seen_ms: int | None = None
     nodes_without_claim: set[str] = dataclasses.field(default_factory=set)
     is_paced: bool = False
+    written_alone: set[str] = dataclasses.field(default_factory=set)
+    suspended_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     runtimes: runtimes.History = dataclasses.field(default_factory=runtimes.History)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
     speeds: speeds.Speeds = dataclasses.field(default_factory=speeds.Speeds)
@@ -319,6 +325,8 @@
     state.jobs.pop(job.id, None)
     state.job_versions.pop(job.id, None)
     state.cancelled.discard(job.id)
+    state.written_alone.discard(job.id)
+    state.suspended_until_ms.pop(job.id, None)
     per_step = (
         state.failed_nodes,
         state.attempt_wait_since,
--- a/packages/core/src/peridothatch_core/schedule/withdraw.py
+++ b/packages/core/src/peridothatch_core/schedule/withdraw.py
@@ -7,7 +7,7 @@
 
 from peridothatch_core.message import rows
 from peridothatch_core.model import steps, tables
-from peridothatch_core.schedule import progress
+from peridothatch_core.schedule import progress, rejection
 from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
@@ -70,7 +70,7 @@
         if node not in state.agents or node in state.lapsing:
             continue
         for job, step_progress, run_ in entries:
-            if seen_ms - run_.ordered_ms < timeout_ms:
+            if seen_ms - run_.ordered_ms < timeout_ms or rejection.is_suspended(state, job.id):
                 continue
             task = steps.task_name(
                 job.id, step_progress.occurrence, step_progress.step, run_.index
--- a/packages/core/src/peridothatch_core/schedule/writes.py
+++ b/packages/core/src/peridothatch_core/schedule/writes.py
@@ -72,10 +72,19 @@
     for node in state.renewal_requests:
         _add(packing, _write(tables.renewal_key(node), encode({"epoch_version": epoch_version})))
     state.renewal_requests.clear()
-    for job_id, change in state.changes.items():
-        if (change.save_job or change.delete_job) and job_id in state.jobs:
-            for part in _job_parts(state, job_id, change, encode):
-                _add(packing, part)
+    changed = [
+        job_id
+        for job_id, change in state.changes.items()
+        if (change.save_job or change.delete_job) and job_id in state.jobs
+    ]
+    for job_id in sorted(changed, key=lambda job_id: job_id in state.written_alone):
+        is_alone = job_id in state.written_alone
+        if is_alone:
+            _flush(packing)
+        for part in _job_parts(state, job_id, state.changes[job_id], encode):
+            _add(packing, part)
+        if is_alone:
+            _flush(packing)
     deferred_deletes = [
         key for change in state.changes.values() for key in change.deferred_deletes
     ]
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -52,6 +52,7 @@
     orders_withdrawn: int = 0
     leases_lapsed: int = 0
     writes_unclear: int = 0
+    writes_rejected: int = 0
     ends_unmatched: int = 0
     job_rows_outdated: int = 0
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/grouping.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/grouping.py
@@ -89,11 +89,12 @@
 
 
 def _handle_committed(state: _State, committed: rows.Committed) -> None:
-    """Pass the outcome on; after a conflict of any of them, commit each by itself."""
+    """Pass the outcome on; after a conflict or a rejection of any of them, commit each alone."""
     commits: list[rows.Commit] = committed.token
-    if committed.outcome is rows.Outcome.CONFLICT and len(commits) > 1:
+    failed = committed.outcome is rows.Outcome.CONFLICT or committed.rejected
+    if failed and len(commits) > 1:
         state.counters.groups_split += 1
-        log.event("grouping:conflict", transactions=len(commits))
+        log.event("grouping:conflict", transactions=len(commits), reason=committed.reason)
         for commit in commits:
             _send(state, [commit])
         return
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -19,7 +19,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reload:
-    """Read all rows again after a failed read."""
+    """Read all rows again after a failed read, or after a write that the store rejects."""
 
 
 def start_load(state: schedule_state.State) -> None:
@@ -65,6 +65,8 @@
         speeds=previous.speeds,
         runtimes=previous.runtimes,
         write_latency_ms=previous.write_latency_ms,
+        written_alone=previous.written_alone,
+        suspended_until_ms=previous.suspended_until_ms,
         # The agents' rows are read after the work rows. An agent's row may no longer list a run
         # that has ended, while the end is not yet among the work rows.
         claimed_runs=previous.claimed_runs,
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -8,7 +8,7 @@
 from peridothatch_core.message import rows
 from peridothatch_core.message import tickets as ticket_messages
 from peridothatch_core.model import steps, storeclock
-from peridothatch_core.schedule import cycle, leadership, tickets, writes
+from peridothatch_core.schedule import cycle, leadership, rejection, tickets, writes
 from peridothatch_core.schedule import state as core_state
 from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.decide import loop
@@ -225,6 +225,8 @@
             _apply_batch(state, batch, committed.version)
             state.batches.pop(0)
             _send_batch(state)
+        case rows.Outcome.NOT_DONE if committed.rejected:
+            _handle_rejection(state, batch, committed.reason)
         case rows.Outcome.NOT_DONE:
             log.event("scheduler:write_refused", reason=committed.reason, jobs=batch.saved_jobs)
             messages.post_later(state.inbox, _Resend(), schedule_state.RETRY_DELAY_SECONDS)
@@ -239,8 +241,29 @@
             schedule_load.start_load(state)
 
 
+def _handle_rejection(state: schedule_state.State, batch: writes.Batch, reason: str) -> None:
+    """Isolate the jobs of a transaction that the store will never accept, and read all rows.
+
+    The read undoes the decisions that were not written. Without a job there are none to undo:
+    a lapse stays pending, and the end of a run that is not deleted does no harm.
+    """
+    job_ids = (*batch.saved_jobs, *batch.deleted_jobs)
+    log.event("scheduler:write_rejected", reason=reason, jobs=job_ids)
+    state.counters.writes_rejected += 1
+    if not job_ids:
+        state.batches.pop(0)
+        _send_batch(state)
+        return
+    now_ms = storeclock.earliest_ms(state.clock, clock.now())
+    rejection.record(state.schedule, job_ids, now_ms)
+    state.loading = True
+    state.batches = []
+    messages.post_later(state.inbox, schedule_load.Reload(), schedule_state.RETRY_DELAY_SECONDS)
+
+
 def _apply_batch(state: schedule_state.State, batch: writes.Batch, version: int) -> None:
     schedule = state.schedule
+    rejection.record_committed(schedule, batch.saved_jobs)
     for job_id in batch.saved_jobs:
         schedule.job_versions[job_id] = version
     for job_id in batch.deleted_jobs:
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -261,6 +261,10 @@
         "Transactions that conflicted or were not answered; all rows were read again.",
         "None while rare; a steady rise means that two entries lead or the store is failing.",
     ),
+    "writes_rejected": Text(
+        "Transactions that the store will never accept; their jobs were isolated.",
+        "Must stay zero. `scheduler:write_rejected` names the jobs and the reason.",
+    ),
     "ends_unmatched": Text(
         "Ends of runs that were not open for the leader; their rows were deleted.",
         "None while rare. If a job stands still, look for `scheduler:unmatched end` with its id.",
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -3,21 +3,33 @@
 import asyncio
 import base64
 import json
+import random
 import time
 
 from aiohttp import web
 
 LONGEST_WAIT_SECONDS = 0.5
 
+REFUSAL_STATUSES = {"refuse": 503, "reject": 413}
+
+LATE_SHARE = 0.3
+LATE_SECONDS = (1.0, 6.0)
+"""Share of the writes that are applied late, and bounds of the delay, as the platform states."""
+
+UNANSWERED_SECONDS = 8.0
+"""Time after which a connection without a response is closed."""
+
 
 class Store:
     """Row store with rows by (table, part, key) and one version counter.
 
-    ``mode`` is ``up``, ``refuse`` (status 503), ``lost`` (writes take effect without a response),
-    ``lost_once`` (the same for one write, after which the store refuses everything),
+    ``mode`` is ``up``, ``refuse`` (status 503), ``reject`` (status 413), ``lost`` (writes take
+    effect without a response), ``lost_once`` (the same for one write, after which the store
+    refuses everything),
     ``reset`` (connections close without a response, and nothing takes effect), ``forgotten``
-    (the next feed request gets status 410) or ``long_polls_lost`` (long polls end without a
-    response).
+    (the next feed request gets status 410), ``long_polls_lost`` (long polls end without a
+    response) or ``late`` (a share of the writes gets no response and is applied seconds later if
+    its conditions then hold).
     """
 
     def __init__(self):
@@ -26,6 +38,7 @@
         self.version = 0
         self.mode = "up"
         self.transactions = 0
+        self.random = random.Random(0)
         self.changed = asyncio.Event()
 
     def put(self, table, part, key, value):
@@ -54,21 +67,32 @@
         if self.mode == "reset":
             return _reset(request)
         self.transactions += 1
-        if self.mode == "refuse":
-            return web.Response(status=503)
+        if self.mode in REFUSAL_STATUSES:
+            return web.Response(status=REFUSAL_STATUSES[self.mode])
+        if self.mode == "late" and self.random.random() < LATE_SHARE:
+            delay_seconds = self.random.uniform(*LATE_SECONDS)
+            asyncio.get_running_loop().call_later(delay_seconds, self._apply, body)
+            await asyncio.sleep(UNANSWERED_SECONDS)
+            return web.Response(status=500)
+        if not self._apply(body):
+            return web.json_response({"rows": []}, status=412)
+        if self.mode in ("lost", "lost_once"):
+            self.mode = "refuse" if self.mode == "lost_once" else self.mode
+            return _reset(request)
+        return web.json_response({"row_version": self.version, "now_ms": _now_ms()})
+
+    def _apply(self, body):
+        """Apply a transaction if its conditions hold; return whether they did."""
         for row in body["expect_rev"]:
             name = (row["table"], row["part"], row["key"])
             if self.rows.get(name, ("", 0))[1] != row["row_version"]:
-                return web.json_response({"rows": []}, status=412)
+                return False
         self.version += 1
         for row in body["put_rows"]:
             self._set(row["table"], row["part"], row["key"], row["value"])
         for row in body["delete_keys"]:
             self._set(row["table"], row["part"], row["key"], None)
-        if self.mode in ("lost", "lost_once"):
-            self.mode = "refuse" if self.mode == "lost_once" else self.mode
-            return _reset(request)
-        return web.json_response({"row_version": self.version, "now_ms": _now_ms()})
+        return True
 
     async def _get(self, request):
         if self.mode == "reset":
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -135,3 +135,17 @@
         async with session.post("/v1/transactions", data=b'{"seconds": 1}') as response:
             assert response.status == 400
             assert "conditions" in await response.text()
+
+
+async def test_a_group_that_the_store_rejects_is_committed_one_by_one():
+    # One transaction that the store never accepts must not keep out those of other agents.
+    taken = mailbox.create("store")
+    running = grouping.start(taken)
+    for node in ("side-1", "side-2"):
+        transaction = _transaction(tables.agent_key(node))
+        mailbox.post(running.inbox, rows.Commit(node, transaction, 1.0, print))
+    sent = await asyncio.wait_for(mailbox.take(taken), 5)
+    sent.answer(rows.Committed(sent.token, rows.Outcome.NOT_DONE, rejected=True))
+    alone = [await asyncio.wait_for(mailbox.take(taken), 5) for _ in range(2)]
+    assert [[commit.token for commit in one.token] for one in alone] == [["side-1"], ["side-2"]]
+    await grouping.close(running)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -37,6 +37,19 @@
     await _close(client)
 
 
+async def test_a_transaction_that_the_store_will_never_accept_is_told_from_one_to_be_repeated(
+    store,
+):
+    # A transaction over a limit of the store was repeated for ever.
+    client = await _start(store)
+    put = rows.Transaction((), ((KEY, b"one"),))
+    for mode, rejected in (("refuse", False), ("reject", True)):
+        store.mode = mode
+        found = await _commit(client, put)
+        assert (found.outcome, found.rejected) == (rows.Outcome.NOT_DONE, rejected)
+    await _close(client)
+
+
 async def test_a_refused_connection_is_reported_as_not_done(unused_tcp_port):
     client = await client_module.start(
         settings.Address("127.0.0.1", unused_tcp_port), time.monotonic, _fail
