Order runs only while the evacuations are known

Tasks started in a data centre tens of seconds after operators had taken it out of service, each time after all entries had been killed.

Cause: a new leader waits for the tables of jobs and members, but not for the operator's rows, which come by a feed of their own. Until they came no data centre counted as evacuated. That feed may also fail alone later, and the leader went on with what it had read last.

Runs are ordered only if the operator's rows have been read within evacuate_ms less the 2 s for which an order is good and 0.5 s for clocks, 2.5 s on today's deployments. Ends, stops and cancellations go on. A line tells when it begins and ends.

--- a/packages/core/src/peridothatch_core/schedule/fit.py
+++ b/packages/core/src/peridothatch_core/schedule/fit.py
@@ -46,7 +46,7 @@
         lease_left_ms = agent.hold_until_ms - now_ms
         if lease_left_ms < state.limits.hold_ms - states.MAX_RENEWAL_AGE_MS:
             continue
-        if worker.zone in state.evacuated or agent.node in state.health.ejected_until:
+        if worker.zone in (state.evacuated or ()) or agent.node in state.health.ejected_until:
             continue
         if agent.node in state.unconfirmed:
             continue
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -41,7 +41,12 @@
 
 
 def order_runs(state: states.State, now_ms: int) -> None:
-    """Order runs of all tasks that may start now and fit on a worker."""
+    """Order runs of all tasks that may start now and fit on a worker.
+
+    Nothing is ordered while it is not known which data centres are out of service.
+    """
+    if state.evacuated is None:
+        return
     protected = preemption.protected_jobs(state)
     candidates = fit.available_workers(state, now_ms)
     state.nodes_without_claim = pacing.nodes_without_claim(state)
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -22,6 +22,13 @@
 the last start, so a pending order cannot violate those limits.
 """
 
+EVACUATION_MARGIN_MS = 500
+"""Allowance for the difference between the clocks by which an order and its start are judged."""
+
+MIN_EVACUATIONS_AGE_MS = 1500
+"""Age of the known evacuations that is always accepted. A feed whose calls wait for news reaches
+half of it in normal operation."""
+
 TRUSTED_RENEWAL_AGE_MS = 700
 """Maximum age of a lease renewal that a new leader accepts without asking the agent again.
 
@@ -91,12 +98,15 @@
         Slowdown of tasks that run on another rack than their data, or of a gang spread over racks.
     partition_writes_per_second : float
         Transactions that the store applies in one partition, one after another.
+    evacuate_ms : int
+        Time within which the last run must start in a data centre that is taken out of service.
     """
 
     retention_ms: int = 120_000
     hold_ms: int = 9500
     remote_factor: float = 3.0
     partition_writes_per_second: float = 200.0
+    evacuate_ms: int = 5000
 
 
 @dataclasses.dataclass(slots=True)
@@ -157,8 +167,9 @@
     ----------
     job_versions, agent_versions : dict
         Versions of the rows of jobs (by id) and agents (by node).
-    evacuated : frozenset of str
-        Data centres that are out of service.
+    evacuated : frozenset of str or None
+        Data centres that are out of service; ``None`` if they have not been read recently enough
+        to order any run.
     cancelled : set
         Jobs whose cancellation is in the store but has not been processed.
     ends : dict
@@ -229,7 +240,7 @@
     agents: dict[str, agents.Agent] = dataclasses.field(default_factory=dict)
     agent_versions: dict[str, int] = dataclasses.field(default_factory=dict)
     desired: desired.DesiredState | None = None
-    evacuated: frozenset[str] = frozenset()
+    evacuated: frozenset[str] | None = frozenset()
     cancelled: set[str] = dataclasses.field(default_factory=set)
     ends: dict[str, steps.End] = dataclasses.field(default_factory=dict)
     used: dict[str, list[int]] = dataclasses.field(default_factory=dict)
@@ -264,6 +275,16 @@
     events: list[Event] = dataclasses.field(default_factory=list)
 
 
+def max_evacuations_age_ms(limits: Limits) -> int:
+    """Return the age of the known evacuations up to which runs may be ordered.
+
+    A run starts up to `START_WINDOW_MS` after its order, which may be in a data centre that was
+    taken out of service just after the evacuations were read.
+    """
+    age_ms = limits.evacuate_ms - START_WINDOW_MS - EVACUATION_MARGIN_MS
+    return max(MIN_EVACUATIONS_AGE_MS, age_ms)
+
+
 def pending_change(state: State, job_id: str) -> JobChange:
     """Return the pending row changes of a job, creating them if there are none."""
     return state.changes.setdefault(job_id, JobChange())
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -199,6 +199,7 @@
         hold_state.lease_ms(machine.longest_hold_ms),
         machine.remote_factor,
         machine.partition_writes_per_second,
+        machine.evacuate_ms,
     )
     return scheduler.start(
         machine.node,
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
@@ -28,6 +28,12 @@
 
     Attributes
     ----------
+    evacuated : frozenset of str or None
+        Data centres that are out of service, as last read; ``None`` before the first read.
+    operator_rows_at : float
+        Local time in seconds at which the operator's rows were last requested with success.
+    evacuations_late : bool
+        The evacuations are not known well enough to order runs.
     loading : bool
         All rows are being read: after a takeover, after a conflict or an unknown outcome of a
         write, or because of ``load_due``.
@@ -61,7 +67,9 @@
     clock: storeclock.StoreClock = dataclasses.field(default_factory=storeclock.StoreClock)
     schedule: core_state.State = dataclasses.field(default_factory=core_state.State)
     desired: desired.DesiredState | None = None
-    evacuated: frozenset[str] = frozenset()
+    evacuated: frozenset[str] | None = None
+    operator_rows_at: float = -1e9
+    evacuations_late: bool = False
     loading: bool = False
     load_due: bool = False
     confirmed_epoch: int = 0
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -112,7 +112,8 @@
             schedule_load.handle_fetched(state, message)
         case ticket_messages.Answered():
             _handle_tickets(state, message)
-        case messages.DesiredChanged(desired_state, _):
+        case messages.DesiredChanged(desired_state, asked_at):
+            state.operator_rows_at = max(state.operator_rows_at, asked_at)
             if desired_state is not None and (
                 state.desired is None or desired_state.version > state.desired.version
             ):
@@ -151,7 +152,7 @@
 def _run_cycle(state: schedule_state.State, now_ms: int) -> None:
     schedule = state.schedule
     schedule.desired = state.desired
-    schedule.evacuated = state.evacuated
+    schedule.evacuated = _recent_evacuations(state)
     cycle.run(schedule, now_ms, clock.unix_ms())
     for event in schedule.events:
         log.event(
@@ -176,6 +177,16 @@
     _send_batch(state)
 
 
+def _recent_evacuations(state: schedule_state.State) -> frozenset[str] | None:
+    """Return the data centres out of service, or ``None`` if they must be read first."""
+    age_ms = 1000 * (clock.now() - state.operator_rows_at)
+    late = state.evacuated is None or age_ms > core_state.max_evacuations_age_ms(state.limits)
+    if late != state.evacuations_late:
+        state.evacuations_late = late
+        log.event("scheduler:evacuations_late", late=late, age_ms=round(min(1e6, age_ms)))
+    return None if late else state.evacuated
+
+
 def _request_tickets(state: schedule_state.State, request: tickets.Request) -> None:
     def answer(answered: ticket_messages.Answered) -> None:
         mailbox.post(state.inbox, answered)
@@ -289,7 +300,7 @@
         "leading": state.leadership.leading,
         "epoch": state.leadership.epoch,
         "store_age_seconds": round(storeclock.age_seconds(state.clock, clock.now()), 3),
-        "evacuated": sorted(state.evacuated),
+        "evacuated": None if state.evacuated is None else sorted(state.evacuated),
         "ejected": sorted(schedule.health.ejected_until),
         "counters": dataclasses.asdict(state.counters),
         "gauges": {
--- a/packages/daemon/tests/hosted/row_store.py
+++ b/packages/daemon/tests/hosted/row_store.py
@@ -6,7 +6,7 @@
 from peridothatch_core.message import rows
 from peridothatch_core.model import agents, steps, tables
 from peridothatch_core.schedule import state
-from peridothatch_daemon.hosted import clock, records, scheduler
+from peridothatch_daemon.hosted import clock, messages, records, scheduler
 from peridothatch_wire import mailbox, task
 
 NODE = "side-1"
@@ -98,13 +98,22 @@
     store.deliver = lambda changes: mailbox.post(running.inbox, changes)
     serving = task.start("store", store.serve())
     store.put((tables.entry_key("front-1"), b"{}"))
+    polling = task.start("operator's rows", _poll_operator_rows(running.inbox))
     try:
         yield running
     finally:
+        await task.close(polling)
         await scheduler.close(running)
         await task.close(serving)
 
 
+async def _poll_operator_rows(inbox):
+    mailbox.post(inbox, messages.EvacuationsChanged(frozenset()))
+    while True:
+        mailbox.post(inbox, messages.DesiredChanged(None, clock.now()))
+        await asyncio.sleep(0.3)
+
+
 async def until(condition):
     async with asyncio.timeout(5):
         while not condition():  # noqa: ASYNC110
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -5,12 +5,17 @@
 from peridothatch_core.model import agents, steps, tables
 from peridothatch_core.schedule import leadership, state
 from peridothatch_daemon import messages as daemon_messages
-from peridothatch_daemon.hosted import clock, records, scheduler
+from peridothatch_daemon.hosted import clock, messages, records, scheduler
 from peridothatch_wire import mailbox
 
 NODE = "side-1"
 TASK = "00000000000000aa.0.0.0"
 
+ORDER = tables.order_key(NODE, TASK, 1)
+
+SETTLE_SECONDS = 0.6
+"""Time for several scheduling cycles."""
+
 
 def _job():
     progress = steps.StepProgress(
@@ -64,15 +69,23 @@
         message.answer(rows.Fetched(message.token, found, int(1000 * now), now, now))
 
 
-async def _leading(work, members, meanwhile=None):
+def _post_operator_rows(running, asked_at, evacuated=frozenset()):
+    mailbox.post(running.inbox, messages.DesiredChanged(None, asked_at))
+    mailbox.post(running.inbox, messages.EvacuationsChanged(evacuated))
+
+
+async def _leading(work, members, meanwhile=None, operator_rows=True):
     """Return a scheduler that has become the leader and read the given rows.
 
-    A feed delivers ``meanwhile`` between the two reads.
+    A feed delivers ``meanwhile`` between the two reads. With ``operator_rows``, the operator's
+    table has been read as well.
     """
     store = _Store()
     running = scheduler.start(
         "front-1", "1", state.Limits(), store.inbox, None, lambda _: None, lambda _: None
     )
+    if operator_rows:
+        _post_operator_rows(running, clock.now())
     mailbox.post(running.inbox, _changes(tables.MEMBERS_TABLE))
     claim = await store.next(rows.Commit)
     assert {key for key, _ in claim.transaction.writes} == {tables.EPOCH_KEY, tables.LEASE_KEY}
@@ -229,3 +242,55 @@
     assert store.inbox.depth == 1
     assert _writes(await mailbox.take(store.inbox), tables.EPOCH_KEY)
     await scheduler.close(running)
+
+
+def _ready_agent():
+    worker = agents.Worker(
+        "w-1", 1, "render", "accra-a", agents.WorkerState.READY, steps.Demand(1000, 1000, 8)
+    )
+    until_ms = int(1000 * clock.now()) + state.Limits().hold_ms
+    return agents.Agent(NODE, "accra-a", 1, 0, until_ms, worker)
+
+
+async def _ordered(running, store):
+    """Return whether the scheduler orders a run within some cycles."""
+    found = False
+    ends = clock.now() + SETTLE_SECONDS
+    while clock.now() < ends:
+        mailbox.post(running.inbox, _changes(tables.WORK_TABLE))
+        await asyncio.sleep(0.02)
+        while store.inbox.depth:
+            message = await mailbox.take(store.inbox)
+            found = found or _writes(message, ORDER)
+            store.commit(message, 90)
+    return found
+
+
+async def test_a_leader_orders_nothing_before_it_has_read_the_evacuations():
+    # A process that had just started led before it had read the operator's rows, and started
+    # tasks in a data centre that had been out of service for long.
+    job = dataclasses.replace(_job(), state=steps.JobState.QUEUED, opened=0, progress=[])
+    work = [_row(tables.job_key(job.id), job, 10)]
+    members = [_row(tables.agent_key(NODE), _ready_agent(), 9)]
+    running, store = await _leading(work, members, operator_rows=False)
+    assert not await _ordered(running, store)
+    _post_operator_rows(running, clock.now(), frozenset({"accra-a"}))
+    assert not await _ordered(running, store)
+    _post_operator_rows(running, clock.now())
+    await store.next(rows.Commit, lambda message: _writes(message, ORDER))
+    await scheduler.close(running)
+
+
+async def test_a_leader_orders_nothing_on_evacuations_that_were_read_too_long_ago():
+    # The feed of the operator's rows can fail alone. A task that is ordered then may start more
+    # than the allowed time after the evacuation of its data centre.
+    job = dataclasses.replace(_job(), state=steps.JobState.QUEUED, opened=0, progress=[])
+    work = [_row(tables.job_key(job.id), job, 10)]
+    members = [_row(tables.agent_key(NODE), _ready_agent(), 9)]
+    running, store = await _leading(work, members, operator_rows=False)
+    age_ms = state.max_evacuations_age_ms(state.Limits())
+    _post_operator_rows(running, clock.now() - age_ms / 1000.0)
+    assert not await _ordered(running, store)
+    _post_operator_rows(running, clock.now())
+    await store.next(rows.Commit, lambda message: _writes(message, ORDER))
+    await scheduler.close(running)
