Apply changes that were written between two pages of a read

Cancellations that had been acknowledged were never carried out.

Cause: a new leader reads all rows in pages of 500, each as of another moment, and dropped changes from the feed that were not above the highest version it had read. A cancellation or an end that was written after the first page, and before a job's row on a later page, was in no page and was dropped.

A read now reports the version of the store at its first page. Only changes up to that version are certainly included; all later ones are applied.

--- a/packages/core/src/peridothatch_core/message/rows.py
+++ b/packages/core/src/peridothatch_core/message/rows.py
@@ -110,7 +110,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fetched:
-    """The rows that were read; ``rows`` is ``None`` if the read failed."""
+    """The rows that were read; ``rows`` is ``None`` if the read failed.
+
+    Attributes
+    ----------
+    version : int
+        Version of the store when the first page was read. The rows contain all changes up to it;
+        a later change may be missing, because each page is of another moment.
+    """
 
     token: typing.Any
     rows: tuple[Row, ...] | None
@@ -118,6 +125,7 @@
     asked_at: float = 0.0
     answered_at: float = 0.0
     reason: str = ""
+    version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -44,6 +44,7 @@
         return
     if fetched.token == tables.WORK_TABLE:
         state.work_rows = fetched.rows
+        state.loaded_version = fetched.version
         schedule_state.fetch(state, tables.MEMBERS_TABLE)
         return
     schedule_lease.apply_rows(state, fetched.rows, fetched.now_ms)
@@ -73,9 +74,6 @@
         agents_seen_ms=previous.agents_seen_ms,
     )
     state.schedule = fresh
-    # Only work rows count: the members were read later, so a change of a work row with a lower
-    # version than theirs may not have been read.
-    state.loaded_version = max((row.version for row in work), default=0)
     for row in work:
         schedule_rows.apply_work_row(state.schedule, row)
     for row in members:
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
@@ -47,7 +47,7 @@
     deferred_changes : list
         Changes that feeds delivered during a read, which may not contain them; applied after it.
     loaded_version : int
-        Highest version among the work rows that were read; older changes are already included.
+        Version of the store when the first work rows were read; older changes are included.
     batches : list
         Transactions that are not committed yet, in order; only the first one is in flight.
     sending : bool
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -64,9 +64,11 @@
         now = clock.now()
         message.answer(rows.Committed(message.token, outcome, version, int(1000 * now), now, now))
 
-    def fetched(self, message, *found):
+    def fetched(self, message, *found, version=0):
         now = clock.now()
-        message.answer(rows.Fetched(message.token, found, int(1000 * now), now, now))
+        message.answer(
+            rows.Fetched(message.token, found, int(1000 * now), now, now, version=version)
+        )
 
 
 def _post_operator_rows(running, asked_at, evacuated=frozenset()):
@@ -74,11 +76,11 @@
     mailbox.post(running.inbox, messages.EvacuationsChanged(evacuated))
 
 
-async def _leading(work, members, meanwhile=None, operator_rows=True):
+async def _leading(work, members, meanwhile=None, operator_rows=True, version=0):
     """Return a scheduler that has become the leader and read the given rows.
 
     A feed delivers ``meanwhile`` between the two reads. With ``operator_rows``, the operator's
-    table has been read as well.
+    table has been read as well. ``version`` is that of the first page of the work rows.
     """
     store = _Store()
     running = scheduler.start(
@@ -90,7 +92,7 @@
     claim = await store.next(rows.Commit)
     assert {key for key, _ in claim.transaction.writes} == {tables.EPOCH_KEY, tables.LEASE_KEY}
     store.commit(claim, 30)
-    store.fetched(await store.next(rows.Fetch), *work)
+    store.fetched(await store.next(rows.Fetch), *work, version=version)
     fetch = await store.next(rows.Fetch)
     if meanwhile is not None:
         mailbox.post(running.inbox, meanwhile)
@@ -294,3 +296,22 @@
     _post_operator_rows(running, clock.now())
     await store.next(rows.Commit, lambda message: _writes(message, ORDER))
     await scheduler.close(running)
+
+
+async def test_a_cancellation_written_between_two_pages_of_a_read_is_applied():
+    # The rows are read in pages, each as of another moment, and cancellations come first. One that
+    # was written after the first page was dropped if a job on a later page was newer, and the
+    # cancelled job ran on.
+    newer = dataclasses.replace(_job(), id="00000000000000bb", progress=[], opened=0)
+    work = [
+        _row(tables.job_key("00000000000000aa"), _job(), 10),
+        _row(tables.job_key(newer.id), newer, 40),
+    ]
+    members = [_row(tables.agent_key(NODE), _agent(claimed=((TASK, 1),)), 9)]
+    cancelled = rows.Row(tables.WORK_TABLE, tables.cancel_key("00000000000000aa").key, b"{}", 30)
+    running, store = await _leading(
+        work, members, meanwhile=_changes(tables.WORK_TABLE, cancelled), version=20
+    )
+    stop = tables.stop_key(NODE, TASK, 1)
+    await store.next(rows.Commit, lambda message: _writes(message, stop))
+    await scheduler.close(running)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -67,6 +67,7 @@
     await _commit(client, rows.Transaction((), ((rows.Key("work", "c/1"), b""),)))
     fetched = await _fetch(client, "work", "j/")
     assert [row.value for row in fetched.rows] == [b"%d" % number for number in range(8)]
+    assert fetched.version == store.version
     await _close(client)
 
 
