--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -5,11 +5,12 @@
 import aiohttp
 import process_harness as harness
 import pytest
+from aiohttp import web
 
 from peridothatch_core.message import peers, rows
 from peridothatch_core.model import entries, tables
 from peridothatch_daemon.hosted import clock, commit_route, entry, grouping, records
-from peridothatch_platform import peer_calls
+from peridothatch_platform import peer_calls, relay_calls
 from peridothatch_platform import store as store_client
 from peridothatch_wire import mailbox
 
@@ -85,6 +86,24 @@
     await peer_calls.close(client)
 
 
+async def test_an_entry_that_fails_while_it_commits_leaves_the_outcome_unknown():
+    # An entry that is stopped answers 500 to a call that it has passed to the store. The agent
+    # took this for not done, so that it did not read its row back.
+    async def fail(_):
+        return web.Response(status=500)
+
+    application = web.Application()
+    application.router.add_post(relay_calls.PATH, fail)
+    runner = web.AppRunner(application)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    client = await peer_calls.start(clock.now)
+    done = await _relay(client, f"127.0.0.1:{runner.addresses[0][1]}", _transaction())
+    assert done.outcome is rows.Outcome.UNKNOWN
+    await peer_calls.close(client)
+    await runner.cleanup()
+
+
 @pytest.mark.parametrize("key", [tables.LEASE_KEY, tables.job_key("a"), rows.Key("op", "config")])
 async def test_rows_that_no_agent_writes_are_refused(relaying, key):
     machine, client = relaying
