Apply writes late in the fault soak

The stand-in of the store can leave a share of the writes without an answer and apply them 1 to 6 s later, if their conditions then hold, as the platform's page says. Seeds from 2000 do so twice while jobs wait for room, beside kills, pauses, planned stops and lost history. The plans of other seeds are unchanged.

--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -107,7 +107,8 @@
     "store_reset": _proxy_fault("reset", "store"), "store_silent": _proxy_fault("silent", "store"),
     "store_slow": _proxy_fault("slow", "store"), "store_one_way": _proxy_fault("one_way", "store"),
     "store_lost": _store_fault("lost"), "store_refuse": _store_fault("refuse"),
-    "store_forgets": _store_fault("forgotten"), "worker_silent": _proxy_fault("silent", "worker"),
+    "store_forgets": _store_fault("forgotten"), "store_late": _store_fault("late"),
+    "worker_silent": _proxy_fault("silent", "worker"),
     "worker_reset": _proxy_fault("reset", "worker"), "worker_restart": _restart_worker,
     "worker_fails": _fail_tasks, "revoke": _revoke, "evacuate": _evacuate,
 }  # fmt: skip
--- a/tests/soak/soak_plan.py
+++ b/tests/soak/soak_plan.py
@@ -81,13 +81,28 @@
     return Plan(seed, faults, tuple(submissions), (1.0,) * AGENTS)
 
 
-def make(seed, faults=7, jobs=14):
+def make_late_writes(seed, spells=2, others=3, jobs=26):
+    """Return a plan in which the store applies writes late while jobs wait for room.
+
+    Processes are killed, paused and stopped meanwhile, and the store forgets its history.
+    """
+    kinds = ("kill", "pause", "terminate", "store_forgets", "store_slow", "worker_fails")
+    late = [
+        Fault(at=0.5 + 5.5 * number, kind="store_late", target=0, seconds=4.5)
+        for number in range(spells)
+    ]
+    plan = make(seed, others, jobs, kinds)
+    faults = sorted([*plan.faults, *late], key=lambda fault: fault.at)
+    return dataclasses.replace(plan, faults=tuple(faults))
+
+
+def make(seed, faults=7, jobs=14, kinds=KINDS):
     """Return the plan of a seed; faults may overlap."""
     rng = random.Random(seed)
     planned_faults = [
         Fault(
             at=rng.uniform(0.5, FAULT_SECONDS),
-            kind=rng.choice(KINDS),
+            kind=rng.choice(kinds),
             target=rng.randrange(ENTRIES + AGENTS),
             seconds=rng.uniform(0.3, 4.5),
         )
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -23,10 +23,13 @@
 """Seeds from this one on revoke a key while an entry does not hear from the store."""
 
 
+FIRST_LATE_WRITE_SEED = 2000
+"""Seeds from this one on let the store apply writes late while jobs wait for room."""
+
+
 async def run(seed, folder, plan=None):
     """Run one seed and return the observations; processes write their logs to ``folder``."""
-    make = soak_plan.make_revocation if seed >= FIRST_REVOCATION_SEED else soak_plan.make
-    soak = await soak_installation.start(plan or make(seed), pathlib.Path(folder))
+    soak = await soak_installation.start(plan or make_plan(seed), pathlib.Path(folder))
     background = [
         asyncio.create_task(soak_installation.send_heartbeats(soak)),
         asyncio.create_task(soak_installation.run_workers(soak)),
@@ -48,6 +51,15 @@
     return soak.observations
 
 
+def make_plan(seed):
+    """Return the plan of a seed, whose range selects the kind of plan."""
+    if seed >= FIRST_LATE_WRITE_SEED:
+        return soak_plan.make_late_writes(seed)
+    if seed >= FIRST_REVOCATION_SEED:
+        return soak_plan.make_revocation(seed)
+    return soak_plan.make(seed)
+
+
 def _enough_memory():
     lines = pathlib.Path("/proc/meminfo").read_text().splitlines()
     sizes = {line.split(":")[0]: int(line.split()[1]) for line in lines}
