--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -28,6 +28,14 @@
     assert observations.starts
 
 
+async def test_invariants_hold_while_the_store_applies_writes_late(tmp_path):
+    # A full read does not tell that a write without an answer has not been done.
+    plan = soak_plan.make_late_writes(soak_run.FIRST_LATE_WRITE_SEED, spells=1, others=2, jobs=12)
+    observations = await soak_run.run(plan.seed, tmp_path, plan)
+    assert observations.breaches == []
+    assert observations.starts
+
+
 @pytest.mark.parametrize("seed", soak_regressions.SEEDS)
 async def test_invariants_hold_for_seeds_that_failed_before(seed, tmp_path):
     observations = await soak_run.run(seed, tmp_path)
