--- a/packages/core/src/peridothatch_core/schedule/rejection.py
+++ b/packages/core/src/peridothatch_core/schedule/rejection.py
@@ -22,8 +22,7 @@
 def record(state: states.State, job_ids: Collection[str], now_ms: int) -> None:
     """Record that the store has rejected a transaction with the rows of these jobs."""
     if len(job_ids) == 1:
-        for job_id in job_ids:
-            state.suspended_until_ms[job_id] = now_ms + SUSPENSION_MS
+        state.suspended_until_ms.update(dict.fromkeys(job_ids, now_ms + SUSPENSION_MS))
     state.written_alone.update(job_ids)
 
 
