Make the tests of the scheduler independent of the machine's speed

Rows that have to look recent (an agent's renewal, 0.7 s; the operator's rows, 2.5 s) are dated 60 s ahead, so that a slow machine does not make them look old.

--- a/packages/daemon/tests/hosted/row_store.py
+++ b/packages/daemon/tests/hosted/row_store.py
@@ -14,6 +14,9 @@
 TASK = f"{JOB}.0.0.0"
 ORDER = tables.order_key(NODE, TASK, 1)
 
+AHEAD_SECONDS = 60.0
+"""Lead of a lease that must look recent on a slow machine as well."""
+
 
 class Store:
     """Row store with one version counter that delivers each change to the scheduler's feeds.
@@ -133,5 +136,5 @@
     worker = agents.Worker(
         "w-1", 1, "render", "accra-a", agents.WorkerState.READY, steps.Demand(1000, 1000, 8)
     )
-    until_ms = int(1000 * clock.now()) + state.Limits().hold_ms
+    until_ms = int(1000 * (clock.now() + AHEAD_SECONDS)) + state.Limits().hold_ms
     return agents.Agent(NODE, "accra-a", 1, 0, until_ms, worker)
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -16,6 +16,9 @@
 SETTLE_SECONDS = 0.6
 """Time for several scheduling cycles."""
 
+AHEAD_SECONDS = 60.0
+"""Lead of rows that must look recent on a slow machine as well."""
+
 
 def _job():
     progress = steps.StepProgress(
@@ -87,7 +90,7 @@
         "front-1", "1", state.Limits(), store.inbox, None, lambda _: None, lambda _: None
     )
     if operator_rows:
-        _post_operator_rows(running, clock.now())
+        _post_operator_rows(running, clock.now() + AHEAD_SECONDS)
     mailbox.post(running.inbox, _changes(tables.MEMBERS_TABLE))
     claim = await store.next(rows.Commit)
     assert {key for key, _ in claim.transaction.writes} == {tables.EPOCH_KEY, tables.LEASE_KEY}
@@ -250,7 +253,7 @@
     worker = agents.Worker(
         "w-1", 1, "render", "accra-a", agents.WorkerState.READY, steps.Demand(1000, 1000, 8)
     )
-    until_ms = int(1000 * clock.now()) + state.Limits().hold_ms
+    until_ms = int(1000 * (clock.now() + AHEAD_SECONDS)) + state.Limits().hold_ms
     return agents.Agent(NODE, "accra-a", 1, 0, until_ms, worker)
 
 
@@ -276,9 +279,9 @@
     members = [_row(tables.agent_key(NODE), _ready_agent(), 9)]
     running, store = await _leading(work, members, operator_rows=False)
     assert not await _ordered(running, store)
-    _post_operator_rows(running, clock.now(), frozenset({"accra-a"}))
+    _post_operator_rows(running, clock.now() + AHEAD_SECONDS, frozenset({"accra-a"}))
     assert not await _ordered(running, store)
-    _post_operator_rows(running, clock.now())
+    _post_operator_rows(running, clock.now() + AHEAD_SECONDS)
     await store.next(rows.Commit, lambda message: _writes(message, ORDER))
     await scheduler.close(running)
 
@@ -293,7 +296,7 @@
     age_ms = state.max_evacuations_age_ms(state.Limits())
     _post_operator_rows(running, clock.now() - age_ms / 1000.0)
     assert not await _ordered(running, store)
-    _post_operator_rows(running, clock.now())
+    _post_operator_rows(running, clock.now() + AHEAD_SECONDS)
     await store.next(rows.Commit, lambda message: _writes(message, ORDER))
     await scheduler.close(running)
 
