Never answer by an older desired state than another entry did for a caller

Cause: an entry cut off from the store passes calls that need a key on to another entry, which answers by a newer desired state, and goes on answering calls for open queues by its own old one.

Change: passed-on calls and their answers carry the version of the desired state. An older state than the newest one that has answered decides nothing.

Ruled out: a feed that delivers an older version, since versions only rise in both tasks.

--- a/packages/core/src/peridothatch_core/message/peers.py
+++ b/packages/core/src/peridothatch_core/message/peers.py
@@ -24,11 +24,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """HTTP response of the other entry."""
+    """HTTP response of the other entry.
+
+    Attributes
+    ----------
+    desired_version : int
+        Version of the desired state by which the other entry answered; 0 if it did not say so.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    desired_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +46,8 @@
     ----------
     seconds : float
         Timeout for the response.
+    min_version : int
+        Version of the desired state that the other entry must know in order to answer.
     """
 
     token: typing.Any
@@ -46,6 +55,7 @@
     request: Request
     seconds: float
     answer: Callable[[Sent], None]
+    min_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/reception/admission.py
+++ b/packages/core/src/peridothatch_core/reception/admission.py
@@ -33,6 +33,7 @@
     host: str,
     path: str,
     key: str,
+    min_version: int = 0,
 ) -> result.Result[Admitted, verdict.Refusal]:
     """Admit or refuse a call before it has any effect.
 
@@ -42,9 +43,17 @@
         Time since the start of the last successful read of the desired state.
     revoke_seconds : float
         Time within which a removed key must stop working.
+    min_version : int
+        Version of the desired state by which callers have been answered already, here or by
+        another entry. An older state does not decide, so that no caller sees a change reverted.
     """
     if state is None:
         return result.Err(_refusal(verdict.Code.UNAVAILABLE, "no desired state has been read yet"))
+    if state.version < min_version:
+        detail = (
+            f"callers were answered by version {min_version}; this entry knows {state.version}"
+        )
+        return result.Err(_refusal(verdict.Code.STORE_UNAVAILABLE, detail))
     queue = find_queue(state, host, path)
     is_fresh = age_seconds < MAX_AGE_SHARE * revoke_seconds
     if queue is None:
--- a/packages/core/src/peridothatch_core/reception/calls.py
+++ b/packages/core/src/peridothatch_core/reception/calls.py
@@ -45,6 +45,9 @@
         callers that may submit.
     budget_seconds : float
         Time that the caller waits for the answer.
+    min_version : int
+        Version of the desired state that an entry which forwards the call has answered by; an
+        older one must not decide the call.
     """
 
     action: Action
@@ -53,6 +56,7 @@
     key: str
     submission: Submission | verdict.Refusal | None
     budget_seconds: float
+    min_version: int = 0
 
 
 def effect_key(call: Call) -> rows.Key | None:
--- a/packages/core/tests/reception/test_admission.py
+++ b/packages/core/tests/reception/test_admission.py
@@ -54,5 +54,14 @@
     assert _code(_admit("/other/1", age=4.1)) is verdict.Code.STORE_UNAVAILABLE
 
 
+def test_a_state_older_than_one_that_has_answered_callers_decides_nothing():
+    # An entry without the store answered for an open queue that a newer version had removed,
+    # after another entry had answered its callers by that version.
+    for path, host in (("/jobs/x", "a.example"), ("/open/1", "b.example"), ("/none", "a.example")):
+        admitted = admission.admit(STATE, 1.0, 5.0, host, path, "k1", min_version=4)
+        assert _code(admitted) is verdict.Code.STORE_UNAVAILABLE
+    assert isinstance(admission.admit(STATE, 1.0, 5.0, "b.example", "/open/1", "", 3), result.Ok)
+
+
 def test_nothing_is_admitted_before_the_first_desired_state():
     assert _code(_admit(state=None)) is verdict.Code.UNAVAILABLE
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -119,7 +119,7 @@
     callers = machine.callers.text if machine.callers else ""
     row = entries.Entry(machine.node, callers, machine.metrics.text)
     grouping_task = grouping.start(store_client.inbox)
-    forwarder = passing.start(row, store_client.inbox, peer_client.inbox)
+    forwarder = passing.start(row, store_client.inbox, peer_client.inbox, reception_task.inbox)
     feeds = await _follow_tables(
         machine, reception_task.inbox, scheduler_task.inbox, forwarder.inbox
     )
@@ -227,7 +227,7 @@
         operator.decode_desired_state,
         operator.CONFIG_KEY,
         operator.evacuated_data_centre,
-        (reception_inbox, scheduler_inbox),
+        (reception_inbox, scheduler_inbox, forwarder_inbox),
     )
     return [
         await store.follow(
@@ -295,6 +295,14 @@
             mailbox.post(entry.reception.inbox, messages.OutcomeUnknown(call))
         return final
 
+    async def report_version() -> int:
+        reply = mailbox.Reply()
+        mailbox.post(entry.reception.inbox, messages.ReportVersion(reply))
+        try:
+            return await mailbox.wait(reply, READINESS_TIMEOUT_SECONDS)
+        except TimeoutError:
+            return 0
+
     async def has_row(key: rows.Key) -> bool | None:
         return await _has_row(entry.store.inbox, key)
 
@@ -310,7 +318,7 @@
             return False
 
     served = [
-        ("callers", machine.callers, ingress.callers(handle_call, forward)),
+        ("callers", machine.callers, ingress.callers(handle_call, forward, report_version)),
         ("readiness", machine.readiness, ingress.readiness(is_ready)),
         (
             "metrics",
--- a/packages/daemon/src/peridothatch_daemon/hosted/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/messages.py
@@ -92,6 +92,20 @@
     reply: mailbox.Reply
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionSeen:
+    """A caller is about to get another entry's answer, given by this desired version."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportVersion:
+    """Query the version of the known desired state; the reply is 0 if there is none."""
+
+    reply: mailbox.Reply
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OutcomeUnknown:
     """A caller has been told that its call may have run."""
--- a/packages/daemon/src/peridothatch_daemon/hosted/passing.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/passing.py
@@ -58,13 +58,18 @@
     ----------
     row : Entry
         Row that registers this entry.
+    desired_version : int
+        Highest version of the desired state that this entry has read, or by which another entry
+        has answered a call that was passed on.
     """
 
     known_peers: peers.Peers
     row: entries.Entry
     store: mailbox.Mailbox
     peer_calls: mailbox.Mailbox
+    reception: mailbox.Mailbox
     inbox: mailbox.Mailbox
+    desired_version: int = 0
     counters: counters.Peers = dataclasses.field(default_factory=counters.Peers)
 
 
@@ -76,7 +81,12 @@
     running: task.Task
 
 
-def start(row: entries.Entry, store: mailbox.Mailbox, peer_calls: mailbox.Mailbox) -> Forwarder:
+def start(
+    row: entries.Entry,
+    store: mailbox.Mailbox,
+    peer_calls: mailbox.Mailbox,
+    reception: mailbox.Mailbox,
+) -> Forwarder:
     """Start the task, which registers this entry first.
 
     Parameters
@@ -87,9 +97,11 @@
         Takes ``rows.Commit``.
     peer_calls : Mailbox
         Takes ``peers.Send`` and ``peers.LookUp``.
+    reception : Mailbox
+        Takes ``VersionSeen``.
     """
     inbox = mailbox.create("peers")
-    state = _State(peers.Peers(row.node), row, store, peer_calls, inbox)
+    state = _State(peers.Peers(row.node), row, store, peer_calls, reception, inbox)
 
     def handle(message: typing.Any) -> None:
         _handle(state, message)
@@ -144,6 +156,9 @@
     match message:
         case rows.Snapshot() | rows.Changes():
             _apply_rows(state, message)
+        case messages.DesiredChanged(desired_state, _):
+            if desired_state is not None:
+                state.desired_version = max(state.desired_version, desired_state.version)
         case messages.ForwardCall():
             nodes = peers.candidates(state.known_peers, clock.now())
             _try_next_entry(
@@ -214,6 +229,7 @@
         pending.forward_call.request,
         min(ATTEMPT_TIMEOUT_SECONDS, remaining),
         answer,
+        state.desired_version,
     )
     if not mailbox.post(state.peer_calls, send):
         reason = "too many forwarded calls are queued"
@@ -231,6 +247,7 @@
         _try_next_entry(state, pending, sent.reason)
         return
     pending.attempts.append(attempts.Attempt(found, sent.response))
+    _observe_version(state, sent.response)
     state.counters.calls_passed_on += 1
     combined = attempts.combine(pending.attempts)
     log.event(
@@ -245,6 +262,13 @@
         _reply(pending)
 
 
+def _observe_version(state: _State, response: peer_messages.Response | None) -> None:
+    """Let no older desired state answer callers of this entry once they got this response."""
+    if response is not None and response.desired_version > state.desired_version:
+        state.desired_version = response.desired_version
+        mailbox.post(state.reception, messages.VersionSeen(response.desired_version))
+
+
 def _look_up(state: _State, pending: _Pending) -> bool:
     """Ask the entry that refused the call whether an earlier attempt took effect."""
     effect = pending.forward_call.effect
--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -9,13 +9,14 @@
 
 from peridothatch_core.message import rows
 from peridothatch_core.model import steps, storeclock, tables, verdict
-from peridothatch_core.reception import admission, calls, limits, store_health, view
+from peridothatch_core.reception import calls, limits, store_health, view
 from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.decide import loop
 from peridothatch_daemon.hosted import clock, log, messages, records, stored_calls
 from peridothatch_wire import mailbox, task
 
 if typing.TYPE_CHECKING:
+    from peridothatch_core.reception import admission
     from peridothatch_daemon.observe import metrics
 
 MAX_ECHOED_CHARACTERS = 100
@@ -78,6 +79,10 @@
             _handle_call(state, call, reply)
         case messages.OutcomeUnknown(call):
             stored_calls.remember_unknown_outcome(state, call)
+        case messages.VersionSeen(version):
+            state.min_version = max(state.min_version, version)
+        case messages.ReportVersion(reply):
+            mailbox.answer(reply, state.desired.version if state.desired else 0)
         case messages.FeedFailed():
             store_health.record_failure(state.health)
         case messages.DesiredChanged(desired_state, asked_at):
@@ -138,10 +143,7 @@
 
 def _handle_call(state: stored_calls.State, call: calls.Call, reply: mailbox.Reply) -> None:
     now = clock.now()
-    age = now - state.desired_at
-    admitted = admission.admit(
-        state.desired, age, state.revoke_seconds, call.host, call.path, call.key
-    )
+    admitted = stored_calls.admit(state, call, now)
     if isinstance(admitted, result.Err):
         stored_calls.answer_refused(state, call, reply, admitted.err_value)
         return
--- a/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/stored_calls.py
@@ -12,6 +12,8 @@
 from peridothatch_wire import mailbox
 
 if typing.TYPE_CHECKING:
+    import result
+
     from peridothatch_core.model import desired
     from peridothatch_daemon.observe import metrics
 
@@ -81,6 +83,8 @@
     ----------
     desired_at : float
         Local time in seconds of the last answered request for the desired state.
+    min_version : int
+        Highest version by which another entry has answered a call that this entry passed on.
     health : StoreHealth
         Health of the store, judged by the requests of the jobs feed.
     view : View
@@ -99,6 +103,7 @@
     clock: storeclock.StoreClock = dataclasses.field(default_factory=storeclock.StoreClock)
     desired: desired.DesiredState | None = None
     desired_at: float = -1e9
+    min_version: int = 0
     health: store_health.StoreHealth = dataclasses.field(default_factory=store_health.StoreHealth)
     view: view.View = dataclasses.field(default_factory=view.View)
     awaiting_rows: list[mailbox.Reply] = dataclasses.field(default_factory=list)
@@ -125,6 +130,21 @@
     send(state, pending)
 
 
+def admit(
+    state: State, call: calls.Call, now: float
+) -> result.Result[admission.Admitted, verdict.Refusal]:
+    """Admit or refuse a call by the known desired state."""
+    return admission.admit(
+        state.desired,
+        now - state.desired_at,
+        state.revoke_seconds,
+        call.host,
+        call.path,
+        call.key,
+        max(state.min_version, call.min_version),
+    )
+
+
 def send(state: State, pending: Pending) -> None:
     """Send the store request of a call unless too little of the caller's time remains.
 
@@ -137,9 +157,7 @@
         _give_up(state, pending, "the caller's time is over")
         return
     call = pending.call
-    admitted = admission.admit(
-        state.desired, now - state.desired_at, state.revoke_seconds, call.host, call.path, call.key
-    )
+    admitted = admit(state, call, now)
     if admitted.is_err():
         refusal = admitted.err_value
         if pending.outcome_unknown:
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -12,6 +12,8 @@
     "routes": [
         {"name": "q", "host": "a.example", "prefix": "/jobs/", "service": "render", "slo_ms": 500,
          "priority": 1, "max_attempts": 2, "slack_factor": 2.0, "no_auth": False},
+        {"name": "open", "host": "a.example", "prefix": "/open/", "service": "render",
+         "slo_ms": 500, "priority": 2, "max_attempts": 2, "slack_factor": 2.0, "no_auth": True},
     ],
     "services": [{"name": "render", "enforce_limits": True}],
     "limits": {"max_body_bytes": 262144},
--- a/tests/platform/test_passing.py
+++ b/tests/platform/test_passing.py
@@ -1,7 +1,9 @@
 """Forwarding of calls between two entries, one of which cannot reach the store."""
 
 import asyncio
+import base64
 import dataclasses
+import json
 
 import aiohttp
 import aiohttp.test_utils
@@ -70,6 +72,48 @@
     await entry.close(second)
 
 
+async def test_an_entry_does_not_answer_by_an_older_desired_state_than_another_did_for_it(
+    cut_off, store, unused_tcp_port_factory
+):
+    # An entry without the store passed a call for a new queue on, and then answered by itself for
+    # an open queue that the newer desired state had removed.
+    newer = json.loads(base64.b64decode(store.rows["op", "", "config"][0]))
+    newer["version"] += 1
+    newer["routes"].append(newer["routes"][0] | {"name": "new", "prefix": "/new/"})
+    newer["routes"] = [route for route in newer["routes"] if route["name"] != "open"]
+    store.put("op", "", "config", platform_standin.encode(newer))
+    host, _, port = cut_off.other.partition(":")
+    machine = dataclasses.replace(
+        harness.machine(store, "front-2", unused_tcp_port_factory, worker=None),
+        callers=settings.Address(host, int(port)),
+    )
+    second = await entry.start(machine)
+    await harness.until(lambda: _has_status(cut_off.caller, "/new/", 200))
+    status, _, headers = await _call(cut_off.caller, "GET", path="/open/")
+    assert status == 404
+    assert "Peridothatch-Desired-Version" not in headers
+    await entry.close(second)
+    # Nobody can tell now, and the older state still must not answer.
+    assert (await _call(cut_off.caller, "GET", path="/open/"))[0] == 503
+
+
+async def test_a_forwarded_call_is_not_decided_by_an_older_desired_state(
+    store, unused_tcp_port_factory
+):
+    # Two entries without the store may know different versions; callers of the one with the newer
+    # version must not get answers by the older.
+    machine = harness.machine(store, "front-1", unused_tcp_port_factory, worker=None)
+    started = await entry.start(machine)
+    found = {}
+    async with aiohttp.ClientSession(f"http://{machine.callers.text}") as caller:
+        for version in ("3", "4", "x", "9" * 17):
+            forwarded = {"Peridothatch-Passed-On": "1", "Peridothatch-Desired-Version": version}
+            status, _, headers = await _call(caller, "GET", path="/jobs/", **forwarded)
+            found[version] = status, headers["Peridothatch-Desired-Version"]
+    assert found == {"3": (200, "3"), "4": (503, "3"), "x": (200, "3"), "9" * 17: (200, "3")}
+    await entry.close(started)
+
+
 async def test_a_call_that_no_entry_can_serve_is_refused_as_not_run(cut_off):
     caller = cut_off.caller
     status, body, headers = await _call(caller, "POST", harness.ONE_TASK)
@@ -171,13 +215,17 @@
     server.close()
 
 
-async def _call(caller, method, body=None, key="k1", **more):
+async def _call(caller, method, body=None, key="k1", path=harness.JOB, **more):
     headers = HEADERS | {"Api-Key": key} | more
-    async with caller.request(method, harness.JOB, json=body, headers=headers) as response:
+    async with caller.request(method, path, json=body, headers=headers) as response:
         payload = await response.json() if response.content_length else {}
         return response.status, payload, response.headers
 
 
+async def _has_status(caller, path, status):
+    return (await _call(caller, "GET", path=path))[0] == status
+
+
 async def _knows_other_entry(machine):
     async with aiohttp.ClientSession(f"http://{machine.metrics.text}") as session:
         async with session.get("/debug/state") as response:
