--- a/packages/core/src/peridothatch_core/schedule/cycle.py
+++ b/packages/core/src/peridothatch_core/schedule/cycle.py
@@ -6,7 +6,7 @@
 
 from peridothatch_core.model import agents, steps, tables
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import progress, rejection, starts, withdraw
+from peridothatch_core.schedule import departures, progress, rejection, starts, withdraw
 from peridothatch_core.schedule import state as states
 
 
@@ -39,6 +39,8 @@
         else:
             progress.open_occurrences(state, job, unix_ms)
             progress.complete_if_done(state, job, now_ms)
+    departures.observe(state)
+    departures.stop_doomed_runs(state, now_ms)
     starts.order_runs(state, now_ms)
 
 
@@ -86,39 +88,17 @@
 
 
 def _close_broken_gang_members(state: states.State, now_ms: int) -> None:
-    """Close the members of a broken gang whose agents have not renewed their leases in time.
-
-    A worker ends a member as broken when another member has ended. Once one member is broken, no
-    member of that run is working, so there is no need to wait until the lease of a lost machine
-    lapses. Only members that their agent has reported as running are closed, because a start that
-    was never confirmed may still be carried out late.
-    """
-    for node, entries in list(state.runs.items()):
-        agent = state.agents.get(node)
-        if agent is None or not _is_silent(state, agent, now_ms):
-            continue
-        for job, step_progress, run_ in list(entries):
-            if rejection.is_suspended(state, job.id):
-                continue
-            task = steps.task_name(
-                job.id, step_progress.occurrence, step_progress.step, run_.index
-            )
-            report = agents.find_run_report(agent, task, run_.attempt)
-            if step_progress.broken_attempt != run_.attempt or report is None:
-                continue
-            states.close_run(state, job, step_progress, run_)
-            pending = states.pending_change(state, job.id)
-            pending.deferred_deletes.append(tables.order_key(node, task, run_.attempt))
-            pending.deferred_deletes.append(tables.stop_key(node, task, run_.attempt))
-            reason = "another member ended as broken and the agent has not renewed its lease"
-            progress.apply_end(
-                state, job, step_progress, run_, steps.EndKind.BROKEN, report.saved, reason, now_ms
-            )
-
-
-def _is_silent(state: states.State, agent: agents.Agent, now_ms: int) -> bool:
-    lease_left_ms = agent.hold_until_ms - now_ms
-    return lease_left_ms < state.limits.hold_ms - states.MAX_RENEWAL_AGE_MS
+    """Close the members of a broken gang whose ends have not been reported yet."""
+    for job, step_progress, run_, report in departures.broken_members(state, now_ms):
+        task = steps.task_name(job.id, step_progress.occurrence, step_progress.step, run_.index)
+        states.close_run(state, job, step_progress, run_)
+        pending = states.pending_change(state, job.id)
+        pending.deferred_deletes.append(tables.order_key(run_.node, task, run_.attempt))
+        pending.deferred_deletes.append(tables.stop_key(run_.node, task, run_.attempt))
+        reason = "another member ended as broken, and this one has not reported its end"
+        progress.apply_end(
+            state, job, step_progress, run_, steps.EndKind.BROKEN, report.saved, reason, now_ms
+        )
 
 
 def _cancel(state: states.State, now_ms: int) -> None:
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -198,6 +198,11 @@
         Task and attempt of open runs that an agent's row has listed. Entries are kept until the
         run is closed: an agent's row no longer lists a run that has ended, and the feed may
         deliver the end of the run after that row.
+    leaving_at_ms : dict
+        Store time at which a draining worker leaves at the earliest, by node; see `departures`.
+    broken_at_ms : dict
+        Store time at which a gang was first seen to be broken, by job, occurrence,
+        step and attempt.
     loaded_ms : int
         Store time at which all rows were last read.
     confirmations_requested_ms : int
@@ -257,6 +262,8 @@
     tickets: dict[tickets.StepKey, tickets.StepTickets] = dataclasses.field(default_factory=dict)
     ticket_requests: list[tickets.Request] = dataclasses.field(default_factory=list)
     claimed_runs: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    leaving_at_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    broken_at_ms: dict[tuple[str, int, int, int], int] = dataclasses.field(default_factory=dict)
     loaded_ms: int = 0
     confirmations_requested_ms: int = 0
     unconfirmed: set[str] = dataclasses.field(default_factory=set)
@@ -353,6 +360,7 @@
         state.attempt_wait_since,
         state.locality_wait_since,
         state.wait_logged_at,
+        state.broken_at_ms,
         state.retry_at,
         state.tickets,
     )
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -65,6 +65,7 @@
         tickets=previous.tickets,
         speeds=previous.speeds,
         runtimes=previous.runtimes,
+        leaving_at_ms=previous.leaving_at_ms,
         write_latency_ms=previous.write_latency_ms,
         written_alone=previous.written_alone,
         suspended_until_ms=previous.suspended_until_ms,
