Decide stops again that the store has rejected

Cause: stops that do not fit into the transaction of their job are written before it.

Change: a batch names the jobs of its stops, and a rejection isolates and reads them again like jobs whose row is rejected.

Measured: the new test fails without the change and passes with it; 158 tests of hosted and schedule pass.

--- a/packages/core/src/peridothatch_core/schedule/writes.py
+++ b/packages/core/src/peridothatch_core/schedule/writes.py
@@ -31,12 +31,15 @@
         Jobs whose rows are deleted.
     lapsed_nodes : list of str
         Nodes whose agents' leases are declared lapsed.
+    stopped_jobs : list of str
+        Jobs whose row is written by a later batch, and some of whose stops are in this one.
     """
 
     transaction: rows.Transaction
     saved_jobs: list[str] = dataclasses.field(default_factory=list)
     deleted_jobs: list[str] = dataclasses.field(default_factory=list)
     lapsed_nodes: list[str] = dataclasses.field(default_factory=list)
+    stopped_jobs: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +50,7 @@
     saved_job: str | None = None
     deleted_job: str | None = None
     lapsed_node: str | None = None
+    stopped_job: str | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -113,7 +117,8 @@
     """Yield the stops of a job that do not fit beside its row, then its row with the rest."""
     key = tables.job_key(job_id)
     for stop_key, stop in _split_off_stops(change):
-        yield _write(stop_key, encode(stop))
+        transaction = rows.Transaction((), ((stop_key, encode(stop)),))
+        yield _Part(transaction, stopped_job=job_id)
     saved = None if change.delete_job else encode(state.jobs[job_id])
     others = [(key, None if value is None else encode(value)) for key, value in change.writes]
     transaction = rows.Transaction(
@@ -173,5 +178,8 @@
             [part.saved_job for part in parts if part.saved_job is not None],
             [part.deleted_job for part in parts if part.deleted_job is not None],
             [part.lapsed_node for part in parts if part.lapsed_node is not None],
+            list(
+                dict.fromkeys(part.stopped_job for part in parts if part.stopped_job is not None)
+            ),
         )
     )
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -258,7 +258,7 @@
     The read undoes the decisions that were not written. Without a job there are none to undo:
     a lapse stays pending, and the end of a run that is not deleted does no harm.
     """
-    job_ids = (*batch.saved_jobs, *batch.deleted_jobs)
+    job_ids = tuple(dict.fromkeys((*batch.saved_jobs, *batch.deleted_jobs, *batch.stopped_jobs)))
     log.event("scheduler:write_rejected", reason=reason, jobs=job_ids)
     state.counters.writes_rejected += 1
     if not job_ids:
