Keep the lead while the partition is slow or full

While the store was 51 times slower, the leader's renewals were refused or timed out, its lease of 1.1 s ended, and five takeovers in 7 s ordered nothing.

A batch of decisions carries the renewal where one is due soon. A resignation that a full partition refuses is repeated. A new leader starts with the latency in the lease row.

--- a/packages/core/src/peridothatch_core/message/rows.py
+++ b/packages/core/src/peridothatch_core/message/rows.py
@@ -78,6 +78,8 @@
     rejected : bool
         The transaction was not done and will not be done when it is sent again, because it is
         invalid or exceeds a limit of the store.
+    busy : bool
+        The transaction was not done because too many others wait.
     """
 
     token: typing.Any
@@ -88,6 +90,7 @@
     answered_at: float = 0.0
     reason: str = ""
     rejected: bool = False
+    busy: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/schedule/leadership.py
+++ b/packages/core/src/peridothatch_core/schedule/leadership.py
@@ -2,8 +2,10 @@
 
 Lease times are measured by the store's clock. The epoch row changes only when the leader changes,
 and every transaction of the leader is conditional on its version, so a leader that was paused or
-partitioned cannot write after another process has taken over. The lease row is renewed often. A
-takeover is conditional on both rows, so it fails if the lease was renewed in the meantime.
+partitioned cannot write after another process has taken over. The lease row is renewed often, by
+a transaction of its own or in one that writes decisions. A takeover is conditional on both rows,
+so it fails if the lease was renewed in the meantime. `lease_timing` decides how long a lease
+lasts.
 """
 
 from __future__ import annotations
@@ -13,22 +15,7 @@
 
 from peridothatch_core.message import rows
 from peridothatch_core.model import tables
-
-LEASE_DURATION_MS = 1100
-"""Duration of the lease.
-
-After a leader fails, nothing starts until its lease ends. The duration tolerates a store that
-responds 60 times slower than usual, and the loss of one renewal.
-"""
-
-RENEW_INTERVAL_SECONDS = 0.35
-"""Interval between renewals."""
-
-WRITE_TIMEOUT_SECONDS = 0.45
-"""Timeout of a write of the lease, after which the next write replaces it."""
-
-RETRY_DELAY_SECONDS = 0.1
-"""Delay before the next write after a failed write of the lease."""
+from peridothatch_core.schedule import lease_timing
 
 RELEASED_UNTIL_MS = 0
 """End of a lease that its holder has released."""
@@ -36,11 +23,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lease:
-    """Value of the lease row and of the epoch row; ``until_ms`` is store time."""
+    """Value of the lease row and of the epoch row.
+
+    Attributes
+    ----------
+    until_ms : int
+        End of the lease in store time.
+    write_ms : int
+        Duration of the holder's slowest recent write, by which the other entries know how slow
+        the store is; 0 if it is not known.
+    """
 
     holder: str
     epoch: int
     until_ms: int
+    write_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,6 +65,16 @@
         Local time at which the last successful renewal was sent.
     retry_at : float
         Local time before which no other write is sent.
+    until_ms : int
+        Latest end of a lease that this process has written or tried to write.
+    carried_at : float or None
+        Local time at which decisions were sent that carry a renewal and have no answer yet.
+    seen_ms : int
+        Store time up to which the feed has delivered the lease row.
+    lease_seen_ms : int
+        Store time at which the newest version of the lease row was read first.
+    latency : WriteLatency
+        Duration of this process's writes, and that stated in the lease row.
     """
 
     holder_id: str
@@ -81,6 +88,13 @@
     sent_at: float | None = None
     renewed_at: float = -1e9
     retry_at: float = -1e9
+    until_ms: int = 0
+    carried_at: float | None = None
+    seen_ms: int = 0
+    lease_seen_ms: int = 0
+    latency: lease_timing.WriteLatency = dataclasses.field(
+        default_factory=lease_timing.WriteLatency
+    )
 
 
 def may_claim(state: Leadership, now_ms: int, claim_delay_ms: int) -> bool:
@@ -90,10 +104,40 @@
     ----------
     claim_delay_ms : int
         Additional delay that differs between entries, so that they do not claim simultaneously.
+
+    Notes
+    -----
+    While writes are slow, a claim is also only sent once the feed has shown that the lease was
+    not renewed, and some time after the last write of its holder was seen. A claim that would
+    fail takes as much of the partition's time as one that does not.
     """
     if state.leading or state.sent_at is not None:
         return False
-    return state.lease is None or now_ms > state.lease.until_ms + claim_delay_ms
+    if state.lease is None:
+        return True
+    ends_ms = state.lease.until_ms
+    if lease_timing.is_slow(state.latency) and ends_ms != RELEASED_UNTIL_MS:
+        if state.seen_ms <= ends_ms:
+            return False
+        ends_ms = max(ends_ms, state.lease_seen_ms + lease_timing.claim_grace_ms(state.latency))
+    return now_ms > ends_ms + claim_delay_ms
+
+
+def is_renewal_due(state: Leadership, now: float) -> bool:
+    """Return whether a transaction of its own must renew the lease at local time ``now``.
+
+    Decisions that carry a renewal replace it until they should have been answered.
+    """
+    if not state.leading or now - state.renewed_at < lease_timing.RENEW_INTERVAL_SECONDS:
+        return False
+    timeout = lease_timing.write_timeout_seconds(state.latency)
+    return state.carried_at is None or now - state.carried_at >= timeout
+
+
+def may_carry_renewal(state: Leadership, now: float) -> bool:
+    """Return whether decisions that are sent at local time ``now`` renew the lease as well."""
+    share = lease_timing.CARRY_SHARE * lease_timing.RENEW_INTERVAL_SECONDS
+    return state.leading and now - state.renewed_at >= share
 
 
 def claim_transaction(
@@ -101,7 +145,8 @@
 ) -> rows.Transaction:
     """Return the transaction that claims the leadership."""
     state.claimed_epoch = state.epoch + 1
-    lease = Lease(state.holder_id, state.claimed_epoch, now_ms + LEASE_DURATION_MS)
+    state.until_ms = now_ms + lease_timing.lease_duration_ms(state.latency)
+    lease = Lease(state.holder_id, state.claimed_epoch, state.until_ms, _write_ms(state))
     return rows.Transaction(
         (
             rows.Condition(tables.EPOCH_KEY, state.epoch_version),
@@ -114,21 +159,39 @@
 def renewal_transaction(
     state: Leadership, now_ms: int, encode: typing.Callable[[typing.Any], bytes]
 ) -> rows.Transaction:
-    """Return the transaction that renews the lease."""
-    lease = Lease(state.holder_id, state.epoch, now_ms + LEASE_DURATION_MS)
+    """Return the transaction that renews the lease; it never ends earlier than before."""
+    until_ms = now_ms + lease_timing.lease_duration_ms(state.latency)
+    state.until_ms = max(state.until_ms, until_ms)
+    lease = Lease(state.holder_id, state.epoch, state.until_ms, _write_ms(state))
     return rows.Transaction(
         (rows.Condition(tables.EPOCH_KEY, state.epoch_version),),
         ((tables.LEASE_KEY, encode(lease)),),
     )
 
 
+def carry_renewal(
+    state: Leadership,
+    decisions: rows.Transaction,
+    now_ms: int,
+    encode: typing.Callable[[typing.Any], bytes],
+) -> rows.Transaction:
+    """Return decisions, which are conditional on the epoch, with a renewal of the lease."""
+    renewal = renewal_transaction(state, now_ms, encode)
+    return rows.Transaction(decisions.conditions, (*decisions.writes, *renewal.writes))
+
+
+def _write_ms(state: Leadership) -> int:
+    return int(1000 * state.latency.seconds)
+
+
 def resignation_transaction(
     state: Leadership, encode: typing.Callable[[typing.Any], bytes]
 ) -> rows.Transaction:
     """Return the transaction that ends the lease immediately."""
+    lease = Lease(state.holder_id, state.epoch, RELEASED_UNTIL_MS, _write_ms(state))
     return rows.Transaction(
         (rows.Condition(tables.EPOCH_KEY, state.epoch_version),),
-        ((tables.LEASE_KEY, encode(Lease(state.holder_id, state.epoch, RELEASED_UNTIL_MS))),),
+        ((tables.LEASE_KEY, encode(lease)),),
     )
 
 
@@ -167,7 +230,11 @@
     if version <= state.lease_version:
         return
     state.lease_version = version
-    if lease is None or lease.until_ms > now_ms + 2 * LEASE_DURATION_MS:
+    state.lease_seen_ms = now_ms
+    if lease is not None and not state.leading and lease.holder != state.holder_id:
+        lease_timing.observe_holder(state.latency, lease.write_ms)
+    longest = lease_timing.MAX_LEASE_DURATION_MS + lease_timing.LEASE_DURATION_MS
+    if lease is None or lease.until_ms > now_ms + longest:
         state.lease = None
     elif not _is_late_renewal(state.lease, lease):
         state.lease = lease
@@ -182,6 +249,21 @@
     )
 
 
+def record_outcome(state: Leadership, committed: rows.Committed) -> None:
+    """Record the duration and the outcome of a write of this process."""
+    seconds = committed.answered_at - committed.asked_at
+    match committed.outcome:
+        case rows.Outcome.COMMITTED | rows.Outcome.CONFLICT:
+            lease_timing.record_committed(state.latency, seconds)
+            state.latency.failures = 0
+            return
+        case rows.Outcome.NOT_DONE if committed.busy:
+            lease_timing.record_full(state.latency)
+        case rows.Outcome.UNKNOWN:
+            lease_timing.record_unanswered(state.latency, seconds)
+    state.latency.failures += 1
+
+
 def become_leader(state: Leadership, version: int, sent_at: float) -> None:
     """Record a committed claim; the feed may have delivered its row earlier."""
     state.leading = True
@@ -195,3 +277,4 @@
     """Record that another process has claimed the epoch or that this process gives it up."""
     state.leading = False
     state.epoch_holder = ""
+    state.carried_at = None
--- a/packages/core/src/peridothatch_core/schedule/writes.py
+++ b/packages/core/src/peridothatch_core/schedule/writes.py
@@ -31,12 +31,15 @@
         Jobs whose rows are deleted.
     lapsed_nodes : list of str
         Nodes whose agents' leases are declared lapsed.
+    renewal_sent_at : float or None
+        Local time at which the transaction was last sent with a renewal of the leader's lease.
     """
 
     transaction: rows.Transaction
     saved_jobs: list[str] = dataclasses.field(default_factory=list)
     deleted_jobs: list[str] = dataclasses.field(default_factory=list)
     lapsed_nodes: list[str] = dataclasses.field(default_factory=list)
+    renewal_sent_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/tests/schedule/test_leadership.py
+++ b/packages/core/tests/schedule/test_leadership.py
@@ -4,7 +4,7 @@
 
 from peridothatch_core.message import rows
 from peridothatch_core.model import tables
-from peridothatch_core.schedule import leadership
+from peridothatch_core.schedule import leadership, lease_timing
 
 
 def _encode(value):
@@ -115,17 +115,17 @@
 def test_one_lost_renewal_does_not_end_the_lease():
     # Otherwise another entry takes over from a healthy leader, which delays urgent jobs.
     lost = (
-        leadership.RENEW_INTERVAL_SECONDS
-        + leadership.WRITE_TIMEOUT_SECONDS
-        + leadership.RETRY_DELAY_SECONDS
+        lease_timing.RENEW_INTERVAL_SECONDS
+        + lease_timing.WRITE_TIMEOUT_SECONDS
+        + lease_timing.RETRY_DELAY_SECONDS
     )
     slow_answer = 0.15
-    assert lost + slow_answer < leadership.LEASE_DURATION_MS / 1000
+    assert lost + slow_answer < lease_timing.LEASE_DURATION_MS / 1000
 
 
 def test_urgent_work_starts_in_time_after_the_loss_of_a_leader():
     # A longer lease alone would exceed the time within which urgent work must start.
-    assert leadership.LEASE_DURATION_MS <= 1100
+    assert lease_timing.LEASE_DURATION_MS <= 1100
 
 
 def test_a_renewal_that_is_applied_late_does_not_end_the_lease():
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -44,6 +44,7 @@
     """Counters of the scheduler task."""
 
     claims: int = 0
+    renewals_carried: int = 0
     runs_ordered: int = 0
     runs_stopped: int = 0
     runs_done: int = 0
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_lease.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_lease.py
@@ -2,22 +2,32 @@
 
 from __future__ import annotations
 
+import dataclasses
 import enum
-import zlib
+import typing
 
 from peridothatch_core.message import rows
 from peridothatch_core.model import storeclock, tables
-from peridothatch_core.schedule import leadership
+from peridothatch_core.schedule import leadership, lease_timing
 from peridothatch_core.schedule import state as core_state
-from peridothatch_daemon.hosted import clock, log, records, schedule_state
+from peridothatch_daemon.hosted import clock, log, messages, records, schedule_state
 from peridothatch_wire import mailbox
 
+if typing.TYPE_CHECKING:
+    from peridothatch_core.schedule import writes
+
 CLAIM_DELAY_ROUND_TRIPS = 8
 """Delay before a claim, in round trips to the store. The entry nearest to the store thus claims
 first; as the leader it has the lowest latency."""
 
-CLAIM_DELAY_SPREAD_MS = 40
-"""Range over which the delay is spread among entries with equal round-trip times."""
+COMMIT_TIMEOUT_SECONDS = 1.5
+"""Timeout of a transaction of decisions. It covers the second for which a transaction may wait in
+the partition."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resignation:
+    """Repeat the write that ends the lease."""
 
 
 class Purpose(enum.Enum):
@@ -41,10 +51,7 @@
             leadership.claim_transaction(own_leadership, now_ms, records.encode),
             now,
         )
-    elif (
-        own_leadership.leading
-        and now - own_leadership.renewed_at >= leadership.RENEW_INTERVAL_SECONDS
-    ):
+    elif leadership.is_renewal_due(own_leadership, now):
         _send_write(
             state,
             Purpose.RENEW,
@@ -59,17 +66,22 @@
     sent_at = own_leadership.sent_at or 0.0
     own_leadership.sent_at = None
     committed = write.outcome is rows.Outcome.COMMITTED
+    leadership.record_outcome(own_leadership, write)
     if not committed:
-        own_leadership.retry_at = clock.now() + leadership.RETRY_DELAY_SECONDS
+        own_leadership.retry_at = clock.now() + _retry_seconds(own_leadership, write.token)
     match write.token:
         case Purpose.CLAIM if committed:
             leadership.become_leader(own_leadership, write.version, sent_at)
             _log_leading(state)
             return True
         case Purpose.RENEW if committed:
-            own_leadership.renewed_at = sent_at
+            own_leadership.renewed_at = max(own_leadership.renewed_at, sent_at)
         case Purpose.RENEW if write.outcome is rows.Outcome.CONFLICT:
             _lose_leadership(state, "another entry has taken the epoch")
+        case Purpose.RESIGN if write.busy:
+            messages.post_later(
+                state.inbox, Resignation(), _retry_seconds(own_leadership, Purpose.RESIGN)
+            )
         case Purpose.RESIGN:
             if state.resign_reply is not None:
                 mailbox.answer(state.resign_reply, committed)
@@ -91,6 +103,7 @@
     now_ms : int
         Store time at which the rows were read.
     """
+    state.leadership.seen_ms = max(state.leadership.seen_ms, now_ms)
     for row in members:
         if row.value is None or row.key not in (tables.EPOCH_KEY.key, tables.LEASE_KEY.key):
             continue
@@ -114,10 +127,50 @@
         mailbox.answer(reply, True)
         return
     state.leadership.leading = False
+    send_resignation(state)
+
+
+def send_resignation(state: schedule_state.State) -> None:
+    """Write the end of the lease; repeated while the store refuses it."""
     resignation = leadership.resignation_transaction(state.leadership, records.encode)
     _send_write(state, Purpose.RESIGN, resignation, clock.now())
 
 
+def send_batch(state: schedule_state.State, batch: writes.Batch) -> None:
+    """Send decisions, with a renewal of the lease if one is due soon."""
+    now = clock.now()
+    transaction = batch.transaction
+    batch.renewal_sent_at = None
+    if leadership.may_carry_renewal(state.leadership, now):
+        batch.renewal_sent_at = state.leadership.carried_at = now
+        now_ms = storeclock.earliest_ms(state.clock, now)
+        transaction = leadership.carry_renewal(
+            state.leadership, transaction, now_ms, records.encode
+        )
+    schedule_state.commit(state, batch, transaction, COMMIT_TIMEOUT_SECONDS)
+
+
+def handle_batch_outcome(
+    state: schedule_state.State, batch: writes.Batch, committed: rows.Committed
+) -> None:
+    """Record how long decisions took, and the renewal that they carried, if any."""
+    own_leadership = state.leadership
+    leadership.record_outcome(own_leadership, committed)
+    if batch.renewal_sent_at is None:
+        return
+    if own_leadership.carried_at == batch.renewal_sent_at:
+        own_leadership.carried_at = None
+    if committed.outcome is rows.Outcome.COMMITTED:
+        own_leadership.renewed_at = max(own_leadership.renewed_at, batch.renewal_sent_at)
+        state.counters.renewals_carried += 1
+
+
+def resend_seconds(state: schedule_state.State) -> float:
+    """Return the delay before decisions that the store has refused are sent again."""
+    own_leadership = state.leadership
+    return lease_timing.resend_seconds(own_leadership.latency, own_leadership.holder_id)
+
+
 def _adopt_unacknowledged_claim(state: schedule_state.State) -> bool:
     """Become the leader if a claim of this process was committed but its response was lost."""
     if state.resign_reply is not None or not leadership.has_unacknowledged_claim(state.leadership):
@@ -145,10 +198,23 @@
     state: schedule_state.State, purpose: Purpose, transaction: rows.Transaction, now: float
 ) -> None:
     state.leadership.sent_at = now
-    schedule_state.commit(state, purpose, transaction, leadership.WRITE_TIMEOUT_SECONDS)
+    timeout = lease_timing.write_timeout_seconds(state.leadership.latency)
+    schedule_state.commit(state, purpose, transaction, timeout)
+
+
+def _retry_seconds(own_leadership: leadership.Leadership, purpose: Purpose) -> float:
+    delay = (
+        lease_timing.claim_retry_seconds
+        if purpose is Purpose.CLAIM
+        else lease_timing.renew_retry_seconds
+    )
+    return delay(own_leadership.latency, own_leadership.holder_id)
 
 
 def _claim_delay_ms(state: schedule_state.State) -> int:
-    spread = zlib.crc32(state.leadership.holder_id.encode()) % CLAIM_DELAY_SPREAD_MS
+    own_leadership = state.leadership
+    spread = lease_timing.claim_spread_ms(
+        own_leadership.latency, own_leadership.holder_id, own_leadership.epoch
+    )
     round_trip_ms = storeclock.uncertainty_ms(state.clock, clock.now())
     return int(CLAIM_DELAY_ROUND_TRIPS * round_trip_ms) + spread
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -66,7 +66,8 @@
         speeds=previous.speeds,
         runtimes=previous.runtimes,
         leaving_at_ms=previous.leaving_at_ms,
-        write_latency_ms=previous.write_latency_ms,
+        # A new leader has not written yet; the lease row tells how slow the store is.
+        write_latency_ms=max(previous.write_latency_ms, 1000.0 * state.leadership.latency.seconds),
         written_alone=previous.written_alone,
         suspended_until_ms=previous.suspended_until_ms,
         # The agents' rows are read after the work rows. An agent's row may no longer list a run
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -30,8 +30,6 @@
 TICK_SECONDS = 0.25
 """Interval at which the lease and time-dependent decisions are checked."""
 
-COMMIT_TIMEOUT_SECONDS = 1.5
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Resend:
@@ -126,6 +124,8 @@
             schedule_lease.resign(state, reply)
         case daemon_messages.DumpState(reply):
             mailbox.answer(reply, _dump(state))
+        case schedule_lease.Resignation():
+            schedule_lease.send_resignation(state)
         case _Resend():
             _send_batch(state)
         case schedule_load.Reload():
@@ -219,13 +219,14 @@
     if state.batches and not state.sending:
         state.sending = True
         batch = state.batches[0]
-        schedule_state.commit(state, batch, batch.transaction, COMMIT_TIMEOUT_SECONDS)
+        schedule_lease.send_batch(state, batch)
 
 
 def _handle_batch_outcome(
     state: schedule_state.State, batch: writes.Batch, committed: rows.Committed
 ) -> None:
     state.sending = False
+    schedule_lease.handle_batch_outcome(state, batch, committed)
     if not state.leadership.leading or batch not in state.batches:
         return
     match committed.outcome:
@@ -240,7 +241,7 @@
             _handle_rejection(state, batch, committed.reason)
         case rows.Outcome.NOT_DONE:
             log.event("scheduler:write_refused", reason=committed.reason, jobs=batch.saved_jobs)
-            messages.post_later(state.inbox, _Resend(), schedule_state.RETRY_DELAY_SECONDS)
+            messages.post_later(state.inbox, _Resend(), schedule_lease.resend_seconds(state))
         case _:
             log.event(
                 "scheduler:write_unclear",
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -240,6 +240,10 @@
 
 _SCHEDULER = {
     "claims": Text("Times that this entry became the leader.", "Look for stopped entries."),
+    "renewals_carried": Text(
+        "Renewals of the leader's lease in the transaction of a batch of decisions.",
+        "None; each saves a transaction.",
+    ),
     "runs_ordered": Text("Runs that were ordered.", "None; shows the work."),
     "runs_stopped": Text(
         "Runs that were ordered to stop.", "Look at the reason in `scheduler:stopping`."
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -227,6 +227,44 @@
     await scheduler.close(running)
 
 
+async def test_decisions_renew_the_lease():
+    # In a full partition, a renewal of its own waited beside the decisions and was refused.
+    work = [_row(tables.job_key("00000000000000aa"), _job(), 10)]
+    running, store = await _leading(work, [_row(tables.agent_key(NODE), _agent(), 40)])
+    await asyncio.sleep(0.2)
+    end = steps.End(TASK, 1, NODE, steps.EndKind.DONE)
+    mailbox.post(
+        running.inbox, _changes(tables.WORK_TABLE, _row(tables.end_key(TASK, 1), end, 51))
+    )
+    async with asyncio.timeout(5):
+        while True:
+            message = await mailbox.take(store.inbox)
+            if isinstance(message, rows.Commit) and _deletes_end(message):
+                break
+    assert _writes(message, tables.LEASE_KEY)
+    assert rows.Condition(tables.EPOCH_KEY, 30) in message.transaction.conditions
+    await scheduler.close(running)
+
+
+async def test_a_resignation_that_a_full_partition_refuses_is_repeated():
+    # The lease of a leader that stops otherwise has to end first, which takes longer while the
+    # store is slow.
+    running, store = await _leading([], [])
+    reply = mailbox.Reply()
+    mailbox.post(running.inbox, messages.Resign(reply))
+
+    def releases(message):
+        lease = dict(message.transaction.writes).get(tables.LEASE_KEY)
+        return lease is not None and records.LEASE.decode(lease).until_ms == 0
+
+    refused = await store.next(rows.Commit, releases)
+    now = clock.now()
+    refused.answer(rows.Committed(refused.token, rows.Outcome.NOT_DONE, 0, 0, now, now, busy=True))
+    store.commit(await store.next(rows.Commit, releases), 50)
+    assert await mailbox.wait(reply, 5)
+    await scheduler.close(running)
+
+
 async def test_an_entry_near_the_store_claims_an_expired_lease_promptly():
     # An entry that had not led before waited 0.4 s after the expiry of the lost leader's lease.
     store = _Store()
