Commit for all agents through one entry while the partition is busy

73 agents renewed their rows in transactions of their own, and came again every 0.25 s when the full partition refused them. The leader's writes were refused beside them, and 42 to 73 runs lapsed.

After a refusal with 429, or a commit of 0.5 s or more, an agent goes through the leader's entry or, failing that, the next one in an order that is the same for all agents, then directly. Answers of an entry name the leader and state how long the store took and whether it was full; agents return to direct commits, at different times, 5 to 7 s after the last slow answer. Agents that the store turns away for another reason are spread over the entries as before. Retries after 429 back off with jitter, to at most 0.15 of the lease, and are no longer brought forward by the answer to a read.

Tested with 73 agents and a lease of 5.5 s: no lease lapses when the partition refuses all writes for 2 s.

--- a/packages/core/src/peridothatch_core/commit/route.py
+++ b/packages/core/src/peridothatch_core/commit/route.py
@@ -1,7 +1,9 @@
-"""Decides whether an agent commits directly or through an entry.
+"""Decides whether an agent commits directly or through an entry, and through which.
 
-A store may turn some machines away while it serves others. Without another way, the lease of such
-an agent lapses and all its runs are lost.
+Answers two load patterns. A store may turn some machines away while it serves others: their agents
+are spread over the entries. A partition may be slow or full for all: their agents go through one
+entry, the leader's, which combines their transactions. Otherwise the lease of such an agent
+lapses, and all its runs are lost.
 """
 
 from __future__ import annotations
@@ -10,17 +12,36 @@
 import typing
 import zlib
 
+from peridothatch_core.commit import backoff
 from peridothatch_core.message import rows
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.model import entries
 
 RELAYED_SECONDS = 5.0
-"""Time for which commits go through an entry before a direct one is tried again."""
+"""Time for which commits go through an entry before a direct one is tried again. While the
+partition is busy it begins anew with each answer that says so."""
+
+RELAYED_SPREAD = 0.4
+"""Share of that time over which agents return to direct commits after the partition was busy."""
 
 DIRECT_SECONDS = 2.0
 """Time for which commits are direct after an entry has failed to commit one."""
 
+SLOW_SECONDS = 0.5
+"""Duration of a direct commit from which the partition counts as busy. Below it, the short queues
+of a large fleet in normal operation would send claims the longer way."""
+
+QUICK_SECONDS = 0.15
+"""Duration of an entry's transaction below which direct commits are quick again."""
+
+AVOIDED_SECONDS = 5.0
+"""Time for which an entry is not used that has not answered or could not commit."""
+
+MAX_FAILURES = 2
+"""Failures one after the other from which commits are direct for `DIRECT_SECONDS`, or from which
+an entry is avoided whose commits have unknown outcomes."""
+
 
 @dataclasses.dataclass(slots=True)
 class Route:
@@ -34,6 +55,12 @@
         Local time in seconds until which one of the ways is kept.
     failures : int
         Commits that an entry has failed to make; each leads to another entry.
+    busy : bool
+        The partition is busy, so that all agents use the same entry.
+    leader : str
+        Node of the leading entry, as an entry has stated it last; empty if none has.
+    avoided_until : dict
+        Local time until which an entry is not used, by node.
     """
 
     node: str
@@ -41,6 +68,9 @@
     relayed_until: float = -1e9
     direct_until: float = -1e9
     failures: int = 0
+    busy: bool = False
+    leader: str = ""
+    avoided_until: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def address(route: Route, now: float) -> str:
@@ -48,20 +78,64 @@
     if now >= route.relayed_until or now < route.direct_until:
         return ""
     nodes = sorted(node for node, entry in route.known.items() if entry.internal)
+    if route.busy:
+        nodes = [node for node in nodes if route.avoided_until.get(node, -1e9) <= now]
+        nodes.sort(key=lambda node: (node != route.leader, zlib.crc32(node.encode())))
     if not nodes:
         return ""
-    number = (zlib.crc32(route.node.encode()) + route.failures) % len(nodes)
+    number = 0
+    if not route.busy:
+        number = (zlib.crc32(route.node.encode()) + route.failures) % len(nodes)
     return route.known[nodes[number]].internal
 
 
 def record_direct(route: Route, committed: rows.Committed, now: float) -> None:
     """Record the outcome of a direct commit."""
-    if committed.outcome in (rows.Outcome.NOT_DONE, rows.Outcome.UNKNOWN):
-        route.relayed_until = now + RELAYED_SECONDS
-
-
-def record_relayed(route: Route, committed: rows.Committed, now: float) -> None:
-    """Record the outcome of a commit through an entry."""
-    if committed.outcome in (rows.Outcome.NOT_DONE, rows.Outcome.UNKNOWN):
+    seconds = committed.answered_at - committed.asked_at
+    if committed.busy or seconds >= SLOW_SECONDS:
+        _stay_relayed(route, now)
+    elif committed.outcome in (rows.Outcome.NOT_DONE, rows.Outcome.UNKNOWN):
+        if not route.busy:
+            route.relayed_until = now + RELAYED_SECONDS
+    elif route.busy:
+        route.busy = False
+        route.relayed_until = now
+
+
+def record_relayed(
+    route: Route, committed: rows.Committed, now: float, used_address: str = ""
+) -> None:
+    """Record the outcome of a commit through the entry at an address."""
+    relayed = committed.relayed
+    if relayed is not None and relayed.leader:
+        route.leader = relayed.leader
+    slow = relayed is not None and relayed.store_seconds >= QUICK_SECONDS
+    if committed.busy or slow:
+        _stay_relayed(route, now)
+    if committed.busy or committed.outcome in (rows.Outcome.COMMITTED, rows.Outcome.CONFLICT):
+        route.failures = 0 if route.busy else route.failures
+    elif not route.busy:
         route.failures += 1
         route.direct_until = now + DIRECT_SECONDS
+    else:
+        _record_failed_entry(route, now, used_address, cannot_commit=not slow)
+
+
+def _stay_relayed(route: Route, now: float) -> None:
+    route.busy = True
+    spread = RELAYED_SPREAD * backoff.jitter(route.node, int(now))
+    route.relayed_until = now + RELAYED_SECONDS * (1.0 + spread)
+
+
+def _record_failed_entry(route: Route, now: float, used_address: str, cannot_commit: bool) -> None:
+    """Avoid an entry at once if it cannot commit, or after two outcomes that it does not know."""
+    route.failures += 1
+    is_second = route.failures >= MAX_FAILURES
+    if cannot_commit or is_second:
+        for node, entry in route.known.items():
+            if entry.internal == used_address:
+                route.avoided_until[node] = now + AVOIDED_SECONDS
+    if is_second:
+        route.failures = 0
+        if cannot_commit:
+            route.direct_until = now + DIRECT_SECONDS
--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -83,6 +83,7 @@
 ) -> Iterator[exchange.Effect]:
     """Update the state from the outcome of a write of the row."""
     state.row_call_pending = False
+    state.refusals = state.refusals + 1 if done.busy else 0
     match done.outcome:
         case rows.Outcome.COMMITTED:
             state.version = done.version
@@ -116,15 +117,19 @@
 
 
 def handle_store_answer(state: states.State, asked_at: float, now: float) -> None:
-    """Retry a failed write at once when the store has answered another request since."""
-    if asked_at > state.write_failed_at:
+    """Retry a failed write at once when the store has answered another request since.
+
+    A partition that is too full for writes still answers reads.
+    """
+    if asked_at > state.write_failed_at and not state.refusals:
         state.write_retry_at = min(state.write_retry_at, now)
 
 
 def _delay_retry(state: states.State, now: float) -> None:
     state.dirty = True
     state.write_failed_at = now
-    state.write_retry_at = now + states.RETRY_DELAY_SECONDS
+    delay = states.refused_retry_seconds(state) if state.refusals else states.RETRY_DELAY_SECONDS
+    state.write_retry_at = now + delay
 
 
 def _has_records_in_flight(state: states.State) -> bool:
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -12,6 +12,7 @@
 import enum
 from typing import TYPE_CHECKING
 
+from peridothatch_core.commit import backoff
 from peridothatch_core.model import agents, steps, storeclock
 
 if TYPE_CHECKING:
@@ -52,6 +53,10 @@
 RETRY_DELAY_SECONDS = 0.25
 """Delay before a call without a usable answer is repeated."""
 
+RETRY_LEASE_SHARE = 0.15
+"""Longest delay after the partition was full, as a share of the lease. A lease of 5.5 s that was
+renewed 2 s ago leaves time for three attempts."""
+
 SUSPENSION_SECONDS = 1.0
 """Time without any event from which the agent concludes that it was suspended itself. Ticks are
 more frequent."""
@@ -178,6 +183,8 @@
         How long that write took.
     write_failed_at : float
         When a write or a read of the row failed last.
+    refusals : int
+        Consecutive writes that were refused because the partition was full.
     dirty : bool
         The row must be written, because what it describes has changed or a leader waits for it.
     renewal_requested : bool
@@ -257,6 +264,7 @@
     renewed_at: float = -1e9
     commit_seconds: float = 0.0
     write_failed_at: float = -1e9
+    refusals: int = 0
     dirty: bool = False
     renewal_requested: bool = False
     row_call_pending: bool = False
@@ -309,6 +317,12 @@
     return min(RENEW_INTERVAL_SECONDS, RENEW_LEASE_SHARE * state.lease_duration_ms / 1000.0)
 
 
+def refused_retry_seconds(state: State) -> float:
+    """Return the delay before a write is repeated that a full partition has refused."""
+    longest = max(RETRY_DELAY_SECONDS, RETRY_LEASE_SHARE * state.lease_duration_ms / 1000.0)
+    return backoff.delay_seconds(state.node, state.refusals, RETRY_DELAY_SECONDS, longest)
+
+
 def lease_expires_at(state: State) -> float:
     """Return the local time up to which the lease in the store certainly lets runs live."""
     if not state.clock.known:
--- a/packages/core/src/peridothatch_core/message/rows.py
+++ b/packages/core/src/peridothatch_core/message/rows.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 if typing.TYPE_CHECKING:
@@ -55,12 +56,35 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Commit:
-    """Apply a transaction; answered by a ``Committed`` with the same token."""
+    """Apply a transaction; answered by a ``Committed`` with the same token.
+
+    Attributes
+    ----------
+    due_at : float
+        Local time in seconds at which the lease ends that depends on it; infinity without one.
+    """
 
     token: typing.Any
     transaction: Transaction
     timeout_seconds: float
     answer: Callable[[Committed], None]
+    due_at: float = math.inf
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relayed:
+    """What an entry that commits for others states beside the outcome.
+
+    Attributes
+    ----------
+    leader : str
+        Node of the leading entry, as far as it is known.
+    store_seconds : float
+        Duration of the store's transaction; 0 if none was sent.
+    """
+
+    leader: str
+    store_seconds: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +104,8 @@
         invalid or exceeds a limit of the store.
     busy : bool
         The transaction was not done because too many others wait.
+    relayed : Relayed or None
+        Statement of the entry that committed for the sender.
     """
 
     token: typing.Any
@@ -91,6 +117,7 @@
     reason: str = ""
     rejected: bool = False
     busy: bool = False
+    relayed: Relayed | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/tests/commit/test_commit.py
+++ b/packages/core/tests/commit/test_commit.py
@@ -1,10 +1,10 @@
-"""Load: many agents that the store turns away commit through the entries."""
+"""Load: many agents that the store turns away, or a busy partition, commit through entries."""
 
 import base64
 
 import pytest
 
-from peridothatch_core.commit import group, route
+from peridothatch_core.commit import backoff, group, route
 from peridothatch_core.message import rows
 from peridothatch_core.model import entries, tables
 
@@ -102,3 +102,105 @@
         found.node = f"side-{number}"
         used.add(route.address(found, 100.1))
     assert len(used) == 3
+
+
+def _agents(*nodes):
+    agents = [_route(*nodes) for _ in range(30)]
+    for number, found in enumerate(agents):
+        found.node = f"side-{number}"
+        route.record_direct(found, _refused(), 100.0)
+    return agents
+
+
+def _refused():
+    return rows.Committed("row", rows.Outcome.NOT_DONE, 0, 0, 100.0, 100.3, busy=True)
+
+
+def _relayed(outcome, leader="", store_seconds=0.3):
+    return rows.Committed("row", outcome, relayed=rows.Relayed(leader, store_seconds))
+
+
+@pytest.mark.parametrize("answered_at", [100.0 + route.SLOW_SECONDS, 101.2])
+def test_commits_go_through_an_entry_while_direct_ones_are_slow(answered_at):
+    # Agents that renew directly in a slow partition fill its queue, and all leases lapse.
+    found = _route("front-1")
+    slow = rows.Committed("row", rows.Outcome.COMMITTED, 1, 1, 100.0, answered_at)
+    route.record_direct(found, slow, answered_at)
+    assert route.address(found, answered_at)
+
+
+def test_all_agents_use_the_same_entry_while_the_partition_is_busy():
+    # Groups of 13 entries would take 13 times as many transactions as those of one.
+    agents = _agents("front-1", "front-2", "front-3")
+    assert len({route.address(found, 100.4) for found in agents}) == 1
+
+
+def test_agents_move_to_the_leader_that_an_entry_names():
+    agents = _agents("front-1", "front-2", "front-3")
+    for found in agents:
+        committed = _relayed(rows.Outcome.COMMITTED, "front-2")
+        route.record_relayed(found, committed, 101.0, route.address(found, 101.0))
+    assert {route.address(found, 101.1) for found in agents} == {"10.0.0.2:7000"}
+
+
+def test_after_the_leaders_entry_all_agents_use_the_same_other_one_and_then_commit_directly():
+    agents = _agents("front-1", "front-2", "front-3")
+    used = set()
+    for found in agents:
+        found.leader = "front-2"
+        gone = rows.Committed("row", rows.Outcome.NOT_DONE)
+        route.record_relayed(found, gone, 101.0, route.address(found, 101.0))
+        used.add(route.address(found, 101.1))
+        route.record_relayed(found, gone, 101.2, route.address(found, 101.1))
+        assert route.address(found, 101.3) == ""
+        assert route.address(found, 101.2 + route.DIRECT_SECONDS) not in ("", *used)
+    assert len(used) == 1
+    assert used != {"10.0.0.2:7000"}
+
+
+def test_an_entry_whose_partition_is_full_is_kept():
+    # The partition is full for all entries; moving on would spread the agents.
+    (found, *_) = _agents("front-1", "front-2", "front-3")
+    before = route.address(found, 100.4)
+    for number in range(5):
+        route.record_relayed(found, _refused(), 101.0 + number, before)
+        assert route.address(found, 101.1 + number) == before
+
+
+def test_an_entry_that_never_learns_an_outcome_is_left():
+    # It is cut off from the store; without this its agents stay until their leases lapse.
+    (found, *_) = _agents("front-1", "front-2", "front-3")
+    first = route.address(found, 100.4)
+    for _ in range(route.MAX_FAILURES):
+        route.record_relayed(found, _relayed(rows.Outcome.UNKNOWN, "", 1.5), 102.0, first)
+    assert route.address(found, 102.1) not in ("", first)
+
+
+def test_commits_stay_with_the_entry_until_its_transactions_are_quick():
+    # 73 agents that try a direct commit every 5 s take twice what a slow partition applies.
+    (found, *_) = _agents("front-1")
+    for number in range(8):
+        now = 101.0 + 2 * number
+        used = route.address(found, now)
+        assert used
+        route.record_relayed(found, _relayed(rows.Outcome.COMMITTED), now, used)
+    quick = _relayed(rows.Outcome.COMMITTED, store_seconds=0.02)
+    route.record_relayed(found, quick, 117.0, "10.0.0.1:7000")
+    back = 115.0 + route.RELAYED_SECONDS * (1 + route.RELAYED_SPREAD)
+    assert route.address(found, back) == ""
+    route.record_direct(found, _committed(), back)
+    assert route.address(found, back + 0.1) == ""
+
+
+def test_agents_return_to_direct_commits_at_different_times():
+    # All at once would fill a partition that has just recovered.
+    ends = {round(found.relayed_until, 2) for found in _agents("front-1")}
+    assert max(ends) - min(ends) > 1.0
+
+
+def test_delays_grow_and_differ_between_processes():
+    # Agents that were refused together came again together.
+    delays = [backoff.delay_seconds(f"side-{n}", 3, 0.25, 0.8) for n in range(73)]
+    assert 0.4 <= min(delays) < max(delays) <= 0.8
+    assert max(backoff.delay_seconds(f"side-{n}", 1, 0.25, 0.8) for n in range(73)) <= 0.25
+    assert backoff.delay_seconds("side-1", 10**9, 0.25, 0.8) <= 0.8
--- a/packages/core/tests/hold/test_busy_store.py
+++ b/packages/core/tests/hold/test_busy_store.py
@@ -1,4 +1,4 @@
-"""Load: 160 agents share one partition of the store, which refuses writes for a second."""
+"""Load: 160 agents share one partition of the store, which refuses writes for some time."""
 
 import collections
 
@@ -64,3 +64,33 @@
                 _send_writes(partition, agent, step.step(agent, listed, now), now, refuses)
             assert state.lease_expires_at(agent) > now, f"agent {index} at {now:.2f}"
     assert partition.refused
+
+
+def test_leases_are_renewed_in_time_although_refused_writes_back_off():
+    # Without a back-off, 73 agents send 150 refused writes a second. With one that is too long,
+    # a lease lapses although the store answers again.
+    agents = [harness.registered_agent(orders={harness.KEY: harness.order()}) for _ in range(73)]
+    for index, agent in enumerate(agents):
+        agent.node = f"side-{index}"
+        agent.lease_duration_ms = LEASE_MS
+        agent.commit_seconds = state.SLOW_COMMIT_SECONDS
+    waiting = []
+    refused = 0
+    for number in range(int(9.0 / STEP_SECONDS)):
+        now = 10.2 + number * STEP_SECONDS
+        for agent, write, sent_at in waiting:
+            is_full = 12.5 <= now < 14.5
+            refused += is_full
+            outcome = rows.Outcome.NOT_DONE if is_full else rows.Outcome.COMMITTED
+            done = rows.Committed(
+                "row", outcome, write.version + 1, int(1000 * now), sent_at, now, busy=is_full
+            )
+            step.step(agent, done, now)
+        waiting = []
+        for index, agent in enumerate(agents):
+            read = exchange.StoreTime(int(1000 * now), now - 0.01, now)
+            for effect in step.step(agent, read, now):
+                if isinstance(effect, exchange.WriteRow):
+                    waiting.append((agent, effect, now))
+            assert state.lease_expires_at(agent) > now, f"agent {index} at {now:.2f}"
+    assert 0 < refused < 73 * 6
--- a/packages/daemon/src/peridothatch_daemon/hosted/commit_route.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/commit_route.py
@@ -24,6 +24,10 @@
 
 READ_TIMEOUT_SECONDS = 1.5
 
+RELAYED_TIMEOUT_SECONDS = 2.0
+"""Least timeout of a commit through an entry: one group in flight before it, and its own. After it
+a lease of 5.5 s that is renewed every 2 s leaves time for another attempt."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Refresh:
@@ -90,8 +94,11 @@
     address = route.address(state.route, clock.now())
 
     def answer(committed: rows.Committed) -> None:
-        record = route.record_relayed if address else route.record_direct
-        record(state.route, committed, clock.now())
+        if address:
+            route.record_relayed(state.route, committed, clock.now(), address)
+        else:
+            route.record_direct(state.route, committed, clock.now())
+        state.counters.commits_refused += committed.busy
         commit.answer(committed)
 
     if not address:
@@ -99,7 +106,9 @@
         mailbox.post(state.store, dataclasses.replace(commit, answer=answer))
         return
     state.counters.commits_relayed += 1
-    relay = peers.Relay(dataclasses.replace(commit, answer=answer), address)
+    timeout = max(commit.timeout_seconds, RELAYED_TIMEOUT_SECONDS)
+    relayed = dataclasses.replace(commit, answer=answer, timeout_seconds=timeout)
+    relay = peers.Relay(relayed, address)
     if not mailbox.post(state.peer_calls, relay):
         reason = "too many commits are queued"
         answer(rows.Committed(commit.token, rows.Outcome.NOT_DONE, reason=reason))
@@ -132,6 +141,8 @@
 def _dump(state: _State) -> dict[str, typing.Any]:
     return {
         "entries": sorted(state.route.known),
+        "busy": state.route.busy,
+        "leader": state.route.leader,
         "address": route.address(state.route, clock.now()),
         "counters": dataclasses.asdict(state.counters),
     }
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -37,6 +37,7 @@
 
     commits_direct: int = 0
     commits_relayed: int = 0
+    commits_refused: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -121,7 +121,11 @@
     grouping_task = grouping.start(store_client.inbox)
     forwarder = passing.start(row, store_client.inbox, peer_client.inbox, reception_task.inbox)
     feeds = await _follow_tables(
-        machine, reception_task.inbox, scheduler_task.inbox, forwarder.inbox
+        machine,
+        reception_task.inbox,
+        scheduler_task.inbox,
+        forwarder.inbox,
+        grouping_task.inbox,
     )
     draining = [False]
     entry = Entry(
@@ -221,6 +225,7 @@
     reception_inbox: mailbox.Mailbox,
     scheduler_inbox: mailbox.Mailbox,
     forwarder_inbox: mailbox.Mailbox,
+    grouping_inbox: mailbox.Mailbox,
 ) -> list[store.Feed]:
     """Follow the tables of the operator, the jobs and the members."""
     desired = desired_feed.filter_into(
@@ -252,7 +257,7 @@
             machine.store,
             tables.MEMBERS_TABLE,
             clock.now,
-            _deliver_to(scheduler_inbox, forwarder_inbox),
+            _deliver_to(scheduler_inbox, forwarder_inbox, grouping_inbox),
             log.feed_lost,
             log.feed_regained,
             log.unreadable,
--- a/packages/daemon/src/peridothatch_daemon/hosted/grouping.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/grouping.py
@@ -7,9 +7,11 @@
 
 from peridothatch_core.commit import group
 from peridothatch_core.message import rows
+from peridothatch_core.model import tables
+from peridothatch_core.schedule import leadership
 from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.decide import loop
-from peridothatch_daemon.hosted import counters, log, messages
+from peridothatch_daemon.hosted import counters, log, messages, records
 from peridothatch_wire import mailbox, task
 
 WINDOW_SECONDS = 0.02
@@ -26,12 +28,13 @@
     store: mailbox.Mailbox
     inbox: mailbox.Mailbox
     waiting: list[rows.Commit] = dataclasses.field(default_factory=list)
+    leader: str = ""
     counters: counters.Grouping = dataclasses.field(default_factory=counters.Grouping)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grouping:
-    """The running task; its mailbox takes ``rows.Commit``."""
+    """The running task; its mailbox takes ``rows.Commit`` and the rows of a feed."""
 
     inbox: mailbox.Mailbox
     running: task.Task
@@ -71,6 +74,8 @@
                 _send(state, commits)
         case rows.Committed():
             _handle_committed(state, message)
+        case rows.Snapshot() | rows.Changes():
+            _apply_rows(state, message)
         case daemon_messages.DumpState(reply):
             dump = {"waiting": len(state.waiting), "counters": dataclasses.asdict(state.counters)}
             mailbox.answer(reply, dump)
@@ -98,5 +103,20 @@
         for commit in commits:
             _send(state, [commit])
         return
+    relayed = rows.Relayed(state.leader, committed.answered_at - committed.asked_at)
     for commit in commits:
-        commit.answer(dataclasses.replace(committed, token=commit.token))
+        commit.answer(dataclasses.replace(committed, token=commit.token, relayed=relayed))
+
+
+def _apply_rows(state: _State, message: rows.Snapshot | rows.Changes) -> None:
+    """Learn from the lease row which entry leads."""
+    for row in message.rows:
+        if row.key != tables.LEASE_KEY.key or row.value is None:
+            continue
+        try:
+            lease = records.decode_row(row)
+        except ValueError as error:
+            log.unreadable("grouping", row.key, str(error))
+            continue
+        released = lease.until_ms == leadership.RELEASED_UNTIL_MS
+        state.leader = "" if released else lease.holder.partition("/")[0]
--- a/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
@@ -182,7 +182,9 @@
     def answer(committed: rows.Committed) -> None:
         mailbox.post(state.inbox, committed)
 
-    mailbox.post(state.store, rows.Commit("row", transaction, COMMIT_TIMEOUT_SECONDS, answer))
+    due_at = hold_state.lease_expires_at(state.hold)
+    commit = rows.Commit("row", transaction, COMMIT_TIMEOUT_SECONDS, answer, due_at)
+    mailbox.post(state.store, commit)
 
 
 def _fetch(state: _State, token: typing.Any, key: rows.Key) -> None:
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -234,7 +234,12 @@
     "commits_direct": Text("Transactions that the agent sent to the store.", "None."),
     "commits_relayed": Text(
         "Transactions that the agent let an entry commit.",
-        "The store turns this machine away, or the path to it is lost; look at `feed:lost`.",
+        "The store turns this machine away, its partition is busy, or the path to it is lost; "
+        "look at `feed:lost`.",
+    ),
+    "commits_refused": Text(
+        "Transactions that a full partition of the store refused.",
+        "Look at the latency of the store; the agent backs off and commits through an entry.",
     ),
 }
 
--- a/tests/platform/decoder_registry.py
+++ b/tests/platform/decoder_registry.py
@@ -121,10 +121,11 @@
             relay_calls.encode_transaction(rows.Transaction(
                 (rows.Condition(rows.Key("members", "agent/a"), 1),),
                 ((rows.Key("members", "agent/a"), b"{}"), (rows.Key("work", "e/x/1"), None))),
-                1.0)),
+                1.0, 2.5)),
     Decoder("platform.relay_calls", "outcome",
             lambda data: relay_calls.decode_outcome(data, "token"),
-            b'{"outcome": "COMMITTED", "version": 4, "now_ms": 5, "reason": ""}'),
+            b'{"outcome": "COMMITTED", "version": 4, "now_ms": 5, "reason": "", "busy": true,'
+            b' "leader": "front-1", "store_ms": 7}'),
     Decoder("intake.bodies", "body", bodies.decode, b'{"a": [1.5, "b", null]}'),
     Decoder("outlet.store_rows", "rows",
             lambda data: store_rows.decode_rows(
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -10,7 +10,7 @@
 
 LONGEST_WAIT_SECONDS = 0.5
 
-REFUSAL_STATUSES = {"refuse": 503, "reject": 413}
+REFUSAL_STATUSES = {"refuse": 503, "reject": 413, "full": 429}
 
 LATE_SHARE = 0.3
 LATE_SECONDS = (1.0, 6.0)
@@ -23,7 +23,8 @@
 class Store:
     """Row store with rows by (table, part, key) and one version counter.
 
-    ``mode`` is ``up``, ``refuse`` (status 503), ``reject`` (status 413), ``lost`` (writes take
+    ``mode`` is ``up``, ``refuse`` (status 503), ``reject`` (status 413), ``full``
+    (writes get status 429), ``lost`` (writes take
     effect without a response), ``lost_once`` (the same for one write, after which the store
     refuses everything),
     ``reset`` (connections close without a response, and nothing takes effect), ``forgotten``
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -79,6 +79,27 @@
     assert done.outcome is rows.Outcome.UNKNOWN
 
 
+async def test_an_entry_names_the_leader_and_how_long_the_store_took(relaying):
+    # Without the name, agents stay with the first entry beside the leader that also writes.
+    machine, client = relaying
+
+    async def is_named():
+        done = await _relay(client, machine.metrics.text, _transaction(version=77))
+        return done.relayed is not None and done.relayed.leader == "front-1"
+
+    assert await harness.until(is_named)
+    done = await _relay(client, machine.metrics.text, _transaction(version=77))
+    assert 0.0 < done.relayed.store_seconds <= done.answered_at - done.asked_at
+
+
+async def test_an_agent_learns_that_the_partition_is_full(relaying, store):
+    # It took the refusal for a fault of the entry and went on to the next one.
+    machine, client = relaying
+    store.mode = "full"
+    done = await _relay(client, machine.metrics.text, _transaction())
+    assert (done.outcome, done.busy) == (rows.Outcome.NOT_DONE, True)
+
+
 async def test_an_entry_that_is_not_there_has_done_nothing(unused_tcp_port):
     client = await peer_calls.start(clock.now)
     done = await _relay(client, f"127.0.0.1:{unused_tcp_port}", _transaction())
