--- a/packages/core/src/peridothatch_core/schedule/writes.py
+++ b/packages/core/src/peridothatch_core/schedule/writes.py
@@ -33,6 +33,8 @@
         Nodes whose agents' leases are declared lapsed.
     stopped_jobs : list of str
         Jobs whose row is written by a later batch, and some of whose stops are in this one.
+    renewal_sent_at : float or None
+        Local time at which the transaction was last sent with a renewal of the leader's lease.
     """
 
     transaction: rows.Transaction
@@ -40,6 +42,7 @@
     deleted_jobs: list[str] = dataclasses.field(default_factory=list)
     lapsed_nodes: list[str] = dataclasses.field(default_factory=list)
     stopped_jobs: list[str] = dataclasses.field(default_factory=list)
+    renewal_sent_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -37,6 +37,7 @@
 
     commits_direct: int = 0
     commits_relayed: int = 0
+    commits_refused: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +45,7 @@
     """Counters of the scheduler task."""
 
     claims: int = 0
+    renewals_carried: int = 0
     runs_ordered: int = 0
     runs_stopped: int = 0
     runs_done: int = 0
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -234,12 +234,21 @@
     "commits_direct": Text("Transactions that the agent sent to the store.", "None."),
     "commits_relayed": Text(
         "Transactions that the agent let an entry commit.",
-        "The store turns this machine away, or the path to it is lost; look at `feed:lost`.",
+        "The store turns this machine away, its partition is busy, or the path to it is lost; "
+        "look at `feed:lost`.",
+    ),
+    "commits_refused": Text(
+        "Transactions that a full partition of the store refused.",
+        "Look at the latency of the store; the agent backs off and commits through an entry.",
     ),
 }
 
 _SCHEDULER = {
     "claims": Text("Times that this entry became the leader.", "Look for stopped entries."),
+    "renewals_carried": Text(
+        "Renewals of the leader's lease in the transaction of a batch of decisions.",
+        "None; each saves a transaction.",
+    ),
     "runs_ordered": Text("Runs that were ordered.", "None; shows the work."),
     "runs_stopped": Text(
         "Runs that were ordered to stop.", "Look at the reason in `scheduler:stopping`."
