Let urgent jobs preempt work that its owners can spare

Urgent gangs that need whole workers waited up to 7.7 s in a full fleet: the work that would have been lost was over the limit of 500 core-seconds and half the job's own work, although the victims' owners had tens of seconds of slack.

By the expected run times, an urgent job may now discard up to its own work if it still meets its objective and the owners of all victims meet theirs after a restart, counted from the end of the urgent job that took their place. Runs that end in time for the urgent job are left to end, and their place is kept. Each gang is also tried as the first victim, because it makes room on several workers at once. Guaranteed jobs search as before. Without finished runs of both queues the previous limits hold.

--- a/packages/core/src/peridothatch_core/schedule/preemption.py
+++ b/packages/core/src/peridothatch_core/schedule/preemption.py
@@ -1,4 +1,8 @@
-"""Preemption: which runs are stopped to make room for more urgent jobs, with minimal loss."""
+"""Preemption: which runs are stopped to make room for more urgent jobs, with minimal loss.
+
+Answers bursts of urgent jobs in a full fleet. Guaranteed jobs may stop any borrowed work. Other
+urgent jobs may discard little work, or more of it if its owners can spare it; see `spare`.
+"""
 
 from __future__ import annotations
 
@@ -6,19 +10,15 @@
 import typing
 
 from peridothatch_core.model import desired, steps
-from peridothatch_core.order import runtimes
-from peridothatch_core.schedule import fit
+from peridothatch_core.schedule import expected, fit, spare, victims
 from peridothatch_core.schedule import state as states
 
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
 URGENT_PRIORITY = 0
 """Priority of urgent jobs; guarantees apply to these jobs only."""
 
-RESTART_COST_SECONDS = 1.0
-"""Minimum work lost by stopping a run.
-
-It accounts for the restart and for the work since the last checkpoint.
-"""
-
 MAX_URGENT_LOSS = 500.0
 """Core-seconds that may be lost for an urgent job beyond its customer's guarantee."""
 
@@ -26,40 +26,36 @@
 """Additional loss allowed for such a job, as a share of its own work.
 
 Larger jobs justify larger losses. Beyond this limit the lost work costs more than a late urgent
-job.
+job, unless the owners of the work still meet their objectives; then the limit is the job's own
+work.
+"""
+
+MAX_GANGS_TRIED = 8
+"""Number of gangs that are tried as first victims in a group of workers.
+
+It bounds the time of a search; there are only few gangs that are cheap enough.
 """
 
-DEFAULT_TASK_SECONDS = 1.0
+DEFAULT_TASK_MS = 1000
 """Assumed duration of tasks that declare none, until a run of their queue has ended.
 
 It is short so that little work is lost for tasks of unknown size.
 """
 
-IsPreemptible = typing.Callable[[steps.Job], bool]
-
 
 @dataclasses.dataclass(slots=True)
-class Victim:
-    """Runs that are stopped together: one task or a whole gang.
+class Plan:
+    """Target workers for tasks, and the runs to stop there.
 
     Attributes
     ----------
-    cost : float
-        Work that is lost by stopping the runs, in core-seconds.
+    owners_on_time : bool
+        The owners of all victims still meet their objectives, and the job meets its own.
     """
 
-    job: steps.Job
-    progress: steps.StepProgress
-    runs: list[steps.Run]
-    cost: float
-
-
-@dataclasses.dataclass(slots=True)
-class Plan:
-    """Target workers for tasks, and the runs to stop there."""
-
-    victims: list[Victim] = dataclasses.field(default_factory=list)
+    victims: list[victims.Victim] = dataclasses.field(default_factory=list)
     targets: list[fit.Candidate] = dataclasses.field(default_factory=list)
+    owners_on_time: bool = False
 
     @property
     def cost(self) -> float:
@@ -67,8 +63,36 @@
         return sum(victim.cost for victim in self.victims)
 
 
-FindVictims = typing.Callable[[str], list[Victim]]
-"""Returns the preemptible runs on a node, cheapest first."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fleet:
+    """Workers on which room is searched for.
+
+    Attributes
+    ----------
+    free_later : dict
+        Resources that will be free by node without stopping any run.
+    """
+
+    group: list[fit.Candidate]
+    free_later: dict[str, list[int]]
+
+
+@dataclasses.dataclass(slots=True)
+class _Draft:
+    """A plan that is being made.
+
+    Attributes
+    ----------
+    free : dict
+        Resources by node that neither the plan's tasks nor remaining runs will use.
+    choices : dict
+        Victims by node that make room for one more task, or ``None`` if there is no room.
+    """
+
+    free: dict[str, list[int]]
+    plan: Plan = dataclasses.field(default_factory=Plan)
+    tasks_on_node: dict[str, int] = dataclasses.field(default_factory=dict)
+    choices: dict[str, list[victims.Victim] | None] = dataclasses.field(default_factory=dict)
 
 
 def protected_jobs(state: states.State) -> set[str]:
@@ -103,7 +127,7 @@
     """Return the cheapest plan that makes room for tasks, or ``None``.
 
     A guaranteed job may preempt any run of a job that is not guaranteed. Other jobs may preempt
-    only runs of lower priority.
+    only runs of lower priority, and leave runs to end that do so in time for the job.
 
     Parameters
     ----------
@@ -121,10 +145,19 @@
     def is_preemptible(other: steps.Job) -> bool:
         return other.id not in protected and (is_guaranteed or other.priority > job.priority)
 
+    is_limited_urgent = job.priority == URGENT_PRIORITY and not is_guaranteed
+    terms = spare.terms(state, job, progress, now_ms) if is_limited_urgent else None
     step = job.steps[progress.step]
-    plans = [_plan_group(state, step, count, group, is_preemptible, now_ms) for group in groups]
-    feasible = [candidate_plan for candidate_plan in plans if candidate_plan is not None]
-    return min(feasible, key=lambda candidate_plan: candidate_plan.cost, default=None)
+    fleets = [Fleet(group, victims.free_later(state, group, terms, now_ms)) for group in groups]
+    find_victims = victims.finder(state, is_preemptible, terms, now_ms)
+    cheapest = _cheapest(_plan_group(step, count, fleet, find_victims) for fleet in fleets)
+    if terms is None or cheapest is None or not cheapest.victims:
+        return cheapest
+    find_affordable = victims.affordable_finder(state, find_victims, terms, now_ms)
+    affordable = _affordable_plan(step, count, fleets, find_affordable)
+    if affordable is None or not is_acceptable(state, job, step, affordable, protected):
+        return cheapest
+    return affordable
 
 
 def is_acceptable(
@@ -133,7 +166,7 @@
     """Return whether the loss of a plan is justified by the job."""
     if job.id in protected:
         return True
-    return chosen.cost <= _max_loss(state, job, step, len(chosen.targets))
+    return chosen.cost <= _max_loss(state, job, step, chosen)
 
 
 def execute(
@@ -145,6 +178,7 @@
     for victim in chosen.victims:
         for run in victim.runs:
             reason = f"preempted by the {kind} job {job.id}"
+            reason += "; its own job still meets its objective" if chosen.owners_on_time else ""
             states.stop_run(state, victim.job, victim.progress, run, reason)
 
 
@@ -165,103 +199,140 @@
     )
 
 
-def _max_loss(state: states.State, job: steps.Job, step: steps.Step, count: int) -> float:
-    """Return the core-seconds that may be lost so that tasks of a job can start now.
+def _max_loss(state: states.State, job: steps.Job, step: steps.Step, chosen: Plan) -> float:
+    """Return the core-seconds that a plan may discard so that tasks of a job can start now.
 
     Only urgent jobs preempt others; less urgent jobs wait on workers reserved for them.
     """
     if job.priority != URGENT_PRIORITY:
         return 0.0
-    hint_seconds = step.estimate_ms / 1000.0 or DEFAULT_TASK_SECONDS
-    seconds = runtimes.estimate(
-        state.runtimes, job.customer, job.queue, hint_seconds, quantile=0.5
-    )
-    own_work = count * _cores(step) * seconds
-    return MAX_URGENT_LOSS + MAX_URGENT_LOSS_SHARE * own_work
+    declared = dataclasses.replace(step, estimate_ms=step.estimate_ms or DEFAULT_TASK_MS)
+    seconds = expected.run_seconds(state, job, declared)
+    own_work = len(chosen.targets) * victims.cores(step) * seconds
+    limit = MAX_URGENT_LOSS + MAX_URGENT_LOSS_SHARE * own_work
+    return max(limit, own_work) if chosen.owners_on_time else limit
+
+
+def _cheapest(plans: Iterable[Plan | None]) -> Plan | None:
+    feasible = [candidate_plan for candidate_plan in plans if candidate_plan is not None]
+    return min(feasible, key=lambda candidate_plan: candidate_plan.cost, default=None)
+
+
+def _affordable_plan(
+    step: steps.Step, count: int, fleets: list[Fleet], find_affordable: victims.FindVictims
+) -> Plan | None:
+    """Return the cheapest plan whose victims' owners still meet their objectives, or ``None``.
+
+    Worker by worker, a gang looks expensive, although it makes room on several workers at once.
+    Therefore each gang is also tried as the first victim.
+    """
+    plans = []
+    for fleet in fleets:
+        gangs = _gangs_on(fleet.free_later, find_affordable)
+        for first in (None, *gangs[:MAX_GANGS_TRIED]):
+            plans.append(_plan_group(step, count, fleet, find_affordable, first))
+    affordable = _cheapest(plans)
+    if affordable is not None:
+        affordable.owners_on_time = True
+    return affordable
+
+
+def _gangs_on(
+    free: dict[str, list[int]], find_victims: victims.FindVictims
+) -> list[victims.Victim]:
+    """Return the victims that make room on several of the nodes, cheapest first."""
+    gangs = {
+        id(victim.runs[0]): victim
+        for node in free
+        for victim in find_victims(node)
+        if len({run.node for run in victim.runs} & free.keys()) > 1
+    }
+    return sorted(gangs.values(), key=lambda victim: victim.cost)
 
 
 def _plan_group(
-    state: states.State,
     step: steps.Step,
     count: int,
-    group: list[fit.Candidate],
-    is_preemptible: IsPreemptible,
-    now_ms: int,
+    fleet: Fleet,
+    find_victims: victims.FindVictims,
+    first: victims.Victim | None = None,
 ) -> Plan | None:
-    """Return the cheapest plan that places ``count`` tasks on a group of workers, or ``None``."""
-    needed = states.reserved_demand(step)
-    free = {candidate.agent.node: list(candidate.free_after_stops) for candidate in group}
-    victims_by_node: dict[str, list[Victim]] = {}
-
-    def find_victims(node: str) -> list[Victim]:
-        if node not in victims_by_node:
-            victims_by_node[node] = _preemptible_on(state, node, is_preemptible, now_ms)
-        return victims_by_node[node]
+    """Return the cheapest plan that places ``count`` tasks on a group of workers, or ``None``.
 
-    plan = Plan()
-    tasks_on_node: dict[str, int] = {}
+    Parameters
+    ----------
+    first : Victim or None
+        Runs that the plan stops in any case.
+    """
+    draft = _Draft({node: list(amounts) for node, amounts in fleet.free_later.items()})
+    if first is not None:
+        _stop_in_draft(draft, first)
     for _ in range(count):
-        candidate = _cheapest_target(step, group, free, plan.victims, tasks_on_node, find_victims)
+        candidate = _cheapest_target(step, fleet, draft, find_victims)
         if candidate is None:
             return None
-        for resource, amount in enumerate(needed):
-            free[candidate.agent.node][resource] -= amount
-        tasks_on_node[candidate.agent.node] = tasks_on_node.get(candidate.agent.node, 0) + 1
-        plan.targets.append(candidate)
-    return plan
+        node = candidate.agent.node
+        for resource, amount in enumerate(states.reserved_demand(step)):
+            draft.free[node][resource] -= amount
+        draft.choices.pop(node, None)
+        draft.tasks_on_node[node] = draft.tasks_on_node.get(node, 0) + 1
+        draft.plan.targets.append(candidate)
+    return draft.plan
 
 
 def _cheapest_target(
-    step: steps.Step,
-    candidates: list[fit.Candidate],
-    free: dict[str, list[int]],
-    stopped: list[Victim],
-    tasks_on_node: dict[str, int],
-    find_victims: FindVictims,
+    step: steps.Step, fleet: Fleet, draft: _Draft, find_victims: victims.FindVictims
 ) -> fit.Candidate | None:
     """Return the worker on which one more task costs least, or ``None``.
 
-    The victims on that worker are appended to ``stopped`` and their resources added to ``free``.
+    The victims on that worker are added to the draft.
     """
     needed = states.reserved_demand(step)
-    best: tuple[float, int, str, fit.Candidate, list[Victim]] | None = None
-    for candidate in candidates:
+    best: tuple[float, int, str, fit.Candidate] | None = None
+    for candidate in fleet.group:
         node = candidate.agent.node
-        if step.spread_limit and tasks_on_node.get(node, 0) >= step.spread_limit:
+        if step.spread_limit and draft.tasks_on_node.get(node, 0) >= step.spread_limit:
             continue
-        victims = _choose_victims(node, free[node], needed, stopped, find_victims)
-        if victims is None:
+        if node not in draft.choices:
+            draft.choices[node] = _choose_victims(
+                node, draft.free[node], needed, draft.plan.victims, find_victims
+            )
+        chosen = draft.choices[node]
+        if chosen is None:
             continue
-        cost = sum(victim.cost for victim in victims)
-        key = (cost, free[node][2], node)
+        key = (sum(victim.cost for victim in chosen), draft.free[node][2], node)
         if best is None or key < best[:3]:
-            best = (*key, candidate, victims)
+            best = (*key, candidate)
     if best is None:
         return None
-    for victim in best[4]:
-        stopped.append(victim)
-        for run in victim.runs:
-            for resource, amount in enumerate(
-                states.reserved_demand(victim.job.steps[victim.progress.step])
-            ):
-                if run.node in free:
-                    free[run.node][resource] += amount
+    for victim in draft.choices[best[2]] or ():
+        _stop_in_draft(draft, victim)
     return best[3]
 
 
+def _stop_in_draft(draft: _Draft, victim: victims.Victim) -> None:
+    draft.plan.victims.append(victim)
+    amounts = states.reserved_demand(victim.job.steps[victim.progress.step])
+    for run in victim.runs:
+        draft.choices.pop(run.node, None)
+        if run.node in draft.free:
+            for resource, amount in enumerate(amounts):
+                draft.free[run.node][resource] += amount
+
+
 def _choose_victims(
     node: str,
     free: list[int],
     needed: tuple[int, int, int],
-    stopped: list[Victim],
-    find_victims: FindVictims,
-) -> list[Victim] | None:
+    stopped: list[victims.Victim],
+    find_victims: victims.FindVictims,
+) -> list[victims.Victim] | None:
     """Return the cheapest victims on a node that make room for one task, or ``None``."""
     remaining = list(free)
     if fit.fits(remaining, needed):
         return []
     stopped_runs = {id(run) for victim in stopped for run in victim.runs}
-    chosen: list[Victim] = []
+    chosen: list[victims.Victim] = []
     for victim in find_victims(node):
         if any(id(run) in stopped_runs for run in victim.runs):
             continue
@@ -279,8 +350,8 @@
 
 
 def _without_unneeded(
-    chosen: list[Victim], node: str, remaining: list[int], needed: tuple[int, int, int]
-) -> list[Victim]:
+    chosen: list[victims.Victim], node: str, remaining: list[int], needed: tuple[int, int, int]
+) -> list[victims.Victim]:
     """Remove victims that are not needed to fit the task, the most expensive first."""
     kept = list(chosen)
     for victim in sorted(chosen, key=lambda item: -item.cost):
@@ -291,34 +362,3 @@
             remaining = without
             kept.remove(victim)
     return kept
-
-
-def _preemptible_on(
-    state: states.State, node: str, is_preemptible: IsPreemptible, now_ms: int
-) -> list[Victim]:
-    """Return the preemptible runs on a node, cheapest first."""
-    victims: list[Victim] = []
-    for job, progress, run in state.runs.get(node, ()):
-        if run.stopping or not is_preemptible(job):
-            continue
-        step = job.steps[progress.step]
-        if step.long_running and step.max_unavailable:
-            continue
-        runs = list(progress.runs) if step.gang else [run]
-        if any(victim.runs[0] is runs[0] for victim in victims):
-            continue
-        victims.append(Victim(job, progress, runs, _cost(step, runs, now_ms)))
-    return sorted(victims, key=lambda victim: victim.cost)
-
-
-def _cost(step: steps.Step, runs: list[steps.Run], now_ms: int) -> float:
-    """Return the work lost by stopping runs, in core-seconds."""
-    worked = [max(0, now_ms - run.ordered_ms) / 1000.0 for run in runs]
-    if step.checkpointing:
-        worked = [min(seconds, RESTART_COST_SECONDS) for seconds in worked]
-    return _cores(step) * sum(seconds + RESTART_COST_SECONDS for seconds in worked)
-
-
-def _cores(step: steps.Step) -> float:
-    """Return the demand of a task in cores; an accelerator counts as 8 cores."""
-    return step.demand.cpu_millis / 1000.0 + 8.0 * step.demand.accelerators
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -50,6 +50,7 @@
     protected = preemption.protected_jobs(state)
     candidates = fit.available_workers(state, now_ms)
     state.nodes_without_claim = pacing.nodes_without_claim(state)
+    state.outlooks.clear()
     state.is_paced = False
     for job in _by_urgency(state, protected):
         starts_left = MAX_STARTS_PER_JOB
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -13,7 +13,7 @@
 if typing.TYPE_CHECKING:
     from peridothatch_core.message import rows
     from peridothatch_core.model import agents, desired
-    from peridothatch_core.schedule import tickets
+    from peridothatch_core.schedule import spare, tickets
 
 START_WINDOW_MS = 2000
 """Time within which an agent must start an ordered run.
@@ -218,6 +218,9 @@
         Store time up to which the agents' rows have been read; ``None`` before the first feed.
     nodes_without_claim : set of str
         Nodes with orders that their agents have not claimed, as of the current cycle.
+    outlooks : dict
+        What is expected of runs in the current cycle, by job, occurrence, step, index and
+        attempt; see `spare`.
     is_paced : bool
         A job has been held back in the current cycle, because too many orders wait for a claim.
     written_alone : set of str
@@ -271,6 +274,9 @@
     write_latency_ms: float = 0.0
     agents_seen_ms: int | None = None
     nodes_without_claim: set[str] = dataclasses.field(default_factory=set)
+    outlooks: dict[tuple[str, int, int, int, int], spare.Outlook] = dataclasses.field(
+        default_factory=dict
+    )
     is_paced: bool = False
     written_alone: set[str] = dataclasses.field(default_factory=set)
     suspended_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
