Let customers take turns where a few of them are much larger

Jobs of one priority start in order of arrival, so a burst of one customer takes all room for as long as it lasts, and jobs that are already late delay others until those are late as well.

If the largest of at least two guarantees is three times the median one, jobs that can still meet their objectives by the expected run times now come first, and customers take turns by the share of their guarantee that they use. A job in turn waits behind no job of a customer whose share was already larger than that of its own customer (property test). Before the turns come at most one job of each customer whose slack is used up and one late job in all that is soon too late, unless the one before still runs. Jobs within their customer's guarantee come first and the order of other deployments is unchanged; both are tested. A job whose run time has not been learned counts as on time.

The arithmetic of objectives moves from spare to objectives, which both decisions use.

--- a/packages/core/src/peridothatch_core/schedule/spare.py
+++ b/packages/core/src/peridothatch_core/schedule/spare.py
@@ -10,13 +10,12 @@
 import math
 import typing
 
-from peridothatch_core.model import steps
-from peridothatch_core.order import runtimes
-from peridothatch_core.schedule import expected
+from peridothatch_core.schedule import expected, objectives
 
 if typing.TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from peridothatch_core.model import steps
     from peridothatch_core.schedule import state as states
 
 CAUTIOUS_QUANTILE = 0.2
@@ -80,13 +79,15 @@
     The result is ``None`` if the job's run times have not been learned, or if the job misses its
     objective even if other work is stopped for it now.
     """
-    if not _is_predictable(state, job):
+    if not objectives.is_predictable(state, job):
         return None
-    seconds = [expected.run_seconds(state, job, step) for step in job.steps]
-    if _slack_seconds(job, seconds, _unfinished(job, progress, seconds), now_ms) < START_SECONDS:
+    seconds = objectives.step_seconds(state, job, quantile=0.5)
+    unfinished = objectives.unfinished(job, seconds)
+    if objectives.slack_seconds(job, seconds, unfinished, now_ms) < START_SECONDS:
         return None
-    cautious = [expected.run_seconds(state, job, step, CAUTIOUS_QUANTILE) for step in job.steps]
-    slack = _slack_seconds(job, cautious, _unfinished(job, progress, cautious), now_ms)
+    cautious = objectives.step_seconds(state, job, CAUTIOUS_QUANTILE)
+    unfinished = objectives.unfinished(job, cautious)
+    slack = objectives.slack_seconds(job, cautious, unfinished, now_ms)
     return Terms(max(0.0, slack - START_SECONDS), START_SECONDS + seconds[progress.step])
 
 
@@ -113,7 +114,7 @@
     now_ms: int,
 ) -> Outlook:
     step = job.steps[progress.step]
-    if step.long_running or not _is_predictable(state, job):
+    if step.long_running or not objectives.is_predictable(state, job):
         return UNKNOWN
     late, cautious = (
         max(
@@ -122,57 +123,10 @@
         for quantile in (LATE_QUANTILE, CAUTIOUS_QUANTILE)
     )
     elapsed = max(0, now_ms - min(run.ordered_ms for run in runs)) / 1000.0
-    seconds = [expected.run_seconds(state, job, other, CAUTIOUS_QUANTILE) for other in job.steps]
+    seconds = objectives.step_seconds(state, job, CAUTIOUS_QUANTILE)
     seconds[progress.step] = elapsed + cautious
-    rest = _unfinished(job, progress, seconds)
+    rest = objectives.unfinished(job, seconds)
     all_started = len(progress.done) + len(progress.runs) >= step.count
     if step.checkpointing and all_started:
         rest[progress.step] = cautious
-    return Outlook(late, _slack_seconds(job, seconds, rest, now_ms) - START_SECONDS)
-
-
-def _is_predictable(state: states.State, job: steps.Job) -> bool:
-    """Return whether a job has an objective, and run times known from finished runs.
-
-    The run time of a step that declares none is the default unless it has been learned. The
-    objective of a recurring job counts from its due time, which is not in store time.
-    """
-    undeclared = steps.Step(1)
-    learned = expected.run_seconds(state, job, undeclared) < runtimes.DEFAULT_ESTIMATE_SECONDS
-    return learned and job.timetable is None
-
-
-def _unfinished(
-    job: steps.Job, current: steps.StepProgress, seconds: Sequence[float]
-) -> list[float]:
-    """Return the expected time that each step still takes once its tasks run."""
-    done = {
-        progress.step
-        for progress in job.progress
-        if progress.occurrence == current.occurrence
-        and len(progress.done) >= job.steps[progress.step].count
-    }
-    return [0.0 if index in done else time for index, time in enumerate(seconds)]
-
-
-def _slack_seconds(
-    job: steps.Job, whole: Sequence[float], rest: Sequence[float], now_ms: int
-) -> float:
-    """Return how much later than now the rest of a job may start.
-
-    Parameters
-    ----------
-    whole, rest : list of float
-        Time that each step takes in total, and from now on.
-    """
-    objective = job.slack_factor * _chain_seconds(job, whole) + job.objective_ms / 1000.0
-    waited = (now_ms - job.submitted_ms) / 1000.0
-    return objective - waited - _chain_seconds(job, rest)
-
-
-def _chain_seconds(job: steps.Job, seconds: Sequence[float]) -> float:
-    """Return the duration of the longest chain of steps, each of which has a duration."""
-    ends: list[float] = []
-    for step, duration in zip(job.steps, seconds, strict=True):
-        ends.append(duration + max((ends[before] for before in step.after), default=0.0))
-    return max(ends, default=0.0)
+    return Outlook(late, objectives.slack_seconds(job, seconds, rest, now_ms) - START_SECONDS)
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -10,9 +10,9 @@
     pacing,
     preemption,
     progress,
-    rejection,
     speeds,
     tickets,
+    turns,
     wait_log,
     write_limits,
 )
@@ -52,7 +52,7 @@
     state.nodes_without_claim = pacing.nodes_without_claim(state)
     state.outlooks.clear()
     state.is_paced = False
-    for job in _by_urgency(state, protected):
+    for job in turns.by_urgency(state, protected, now_ms):
         starts_left = MAX_STARTS_PER_JOB
         for step_progress in progress.ready_steps(job):
             waiting = progress.waiting_tasks(state, job, step_progress, now_ms)
@@ -114,18 +114,6 @@
         state.events.append(states.Event("asking for tickets", job.id, detail=detail))
 
 
-def _by_urgency(state: states.State, protected: set[str]) -> list[steps.Job]:
-    """Return the jobs that are neither final nor suspended, the most urgent first."""
-    waiting = [
-        job
-        for job in state.jobs.values()
-        if job.state not in steps.FINAL_STATES and not rejection.is_suspended(state, job.id)
-    ]
-    return sorted(
-        waiting, key=lambda job: (job.id not in protected, job.priority, job.submitted_ms, job.id)
-    )
-
-
 def _start_gang(
     state: states.State,
     job: steps.Job,
