Use learned run times in the scheduler, also for resumed runs

A run that was resumed at 60 % of its work and reported 60 % after a second was expected to end within another. The rate between two reports is used instead, and a finished resumed run is a sample of the whole run time, or of none if its share is unknown. A gang and a wide step are one sample each, and run times are corrected by the lasting speed of the worker, where one is known. Without history the declared run time is used as before.

The detection of a shift reached its threshold by chance with few earlier samples; their rank is drawn towards the middle.

--- a/packages/core/src/peridothatch_core/order/expectations.py
+++ b/packages/core/src/peridothatch_core/order/expectations.py
@@ -44,8 +44,8 @@
 DRIFT_THRESHOLD = 1.5
 """Sum of deviations above the allowance that counts as a shift of the work.
 
-Reached after six samples that are all longer, or all shorter, than the earlier ones. Of 60 seeded
-log-normal series of 300 samples without a shift, three reached it once.
+Reached after six samples that are all longer, or all shorter, than many earlier ones. None of 60
+seeded log-normal series of 300 samples without a shift reached it.
 """
 
 SHIFTED_FACTOR = 0.1
@@ -222,7 +222,9 @@
     if total < MIN_SAMPLES:
         return
     below = math.fsum(share for known, share in series.settled.items() if known < index)
-    deviation = (below + series.settled.get(index, 0.0) / 2) / total - 0.5
+    rank = below + series.settled.get(index, 0.0) / 2
+    # The rank among few samples is uncertain, so it is drawn towards the middle.
+    deviation = (rank + MIN_SAMPLES / 2) / (total + MIN_SAMPLES) - 0.5
     series.longer = max(0.0, series.longer + weight * (deviation - DRIFT_ALLOWANCE))
     series.shorter = max(0.0, series.shorter + weight * (-deviation - DRIFT_ALLOWANCE))
     if max(series.longer, series.shorter) > DRIFT_THRESHOLD:
--- a/packages/core/src/peridothatch_core/schedule/cycle.py
+++ b/packages/core/src/peridothatch_core/schedule/cycle.py
@@ -6,7 +6,7 @@
 
 from peridothatch_core.model import agents, steps, tables
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import departures, progress, rejection, starts, withdraw
+from peridothatch_core.schedule import departures, expected, progress, rejection, starts, withdraw
 from peridothatch_core.schedule import state as states
 
 
@@ -23,6 +23,7 @@
     unix_ms : int
         Current Unix time in milliseconds.
     """
+    expected.refresh(state, now_ms)
     rejection.resume_jobs(state, now_ms)
     _declare_lapsed_leases(state, now_ms)
     _close_lapsed_runs(state, now_ms)
--- /dev/null
+++ b/packages/core/src/peridothatch_core/schedule/learned.py
@@ -0,0 +1,56 @@
+"""What the leader has learned about run times and workers, and what it remembers to learn more."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from peridothatch_core.order import calibration, expectations
+
+if typing.TYPE_CHECKING:
+    from peridothatch_core.model import learned
+
+RunKey = tuple[str, int]
+"""Task and attempt of a run."""
+
+GangKey = tuple[str, int, int, int]
+"""Job, occurrence, step and attempt of a gang."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstReport:
+    """The first progress that was reported of a run, in percent, and its store time."""
+
+    percent: int
+    reported_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Learned:
+    """Learned run times and speeds.
+
+    Attributes
+    ----------
+    history : History
+        Run times on a worker of ordinary speed.
+    speeds : dict
+        Lasting speeds of workers by node.
+    first_reports : dict
+        First reported progress of each open run.
+    forecasts : dict
+        Run times that were expected when the open runs were ordered.
+    gang_speeds : dict
+        Speed of the slowest member of each gang with open runs, as of the last refresh.
+    errors : dict
+        Errors of the forecasts by queue.
+    refreshed_ms : int
+        Store time at which the open runs were last looked at.
+    """
+
+    history: expectations.History = dataclasses.field(default_factory=expectations.History)
+    speeds: dict[str, learned.LastingSpeed] = dataclasses.field(default_factory=dict)
+    first_reports: dict[RunKey, FirstReport] = dataclasses.field(default_factory=dict)
+    forecasts: dict[RunKey, calibration.Forecast] = dataclasses.field(default_factory=dict)
+    gang_speeds: dict[GangKey, float] = dataclasses.field(default_factory=dict)
+    errors: dict[str, calibration.Errors] = dataclasses.field(default_factory=dict)
+    refreshed_ms: int = 0
--- a/packages/core/src/peridothatch_core/schedule/progress.py
+++ b/packages/core/src/peridothatch_core/schedule/progress.py
@@ -5,9 +5,8 @@
 import typing
 
 from peridothatch_core.model import steps, tables
-from peridothatch_core.order import runtimes
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import rejection, tickets
+from peridothatch_core.schedule import expected, rejection, tickets
 from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
@@ -156,16 +155,23 @@
     slot = steps.progress_index(step, run.index)
     task = steps.task_name(job.id, progress.occurrence, progress.step, run.index)
     event = states.Event(
-        f"ended {kind}", job.id, task, run.attempt, run.node, reason, now_ms - run.ordered_ms
+        f"ended {kind}",
+        job.id,
+        task,
+        run.attempt,
+        run.node,
+        reason,
+        now_ms - run.ordered_ms,
+        expected.find_forecast(state, job, progress, run),
     )
     state.events.append(event)
+    resumed = expected.is_resumed(job, progress, run)
     if saved:
         progress.saved[slot] = saved
     if job.state in steps.FINAL_STATES:
         return
     if kind is steps.EndKind.DONE and not step.long_running:
-        seconds = (now_ms - run.ordered_ms) / 1000.0
-        runtimes.record(state.runtimes, job.customer, job.queue, seconds)
+        expected.record_done(state, job, progress, run, now_ms, resumed=resumed)
         _record_done(state, job, progress, run)
         return
     if step_done(job, progress):
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from peridothatch_core.model import steps
-from peridothatch_core.order import runtimes
 from peridothatch_core.schedule import (
+    expected,
     fit,
     last_attempt,
     pacing,
@@ -348,9 +348,7 @@
     step = job.steps[step_progress.step]
     key = (job.id, step_progress.occurrence, step_progress.step)
     since = state.locality_wait_since.setdefault(key, now_ms)
-    seconds = runtimes.estimate(
-        state.runtimes, job.customer, job.queue, step.estimate_ms / 1000.0, quantile=0.5
-    )
+    seconds = expected.run_seconds(state, job, step)
     max_wait = LOCALITY_WAIT_SHARE * (state.limits.remote_factor - 1.0) * seconds
     return now_ms - since >= 1000.0 * max_wait
 
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -6,13 +6,13 @@
 import typing
 
 from peridothatch_core.model import steps, tables
-from peridothatch_core.order import runtimes
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import speeds
+from peridothatch_core.schedule import expected, learned, speeds
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.message import rows
     from peridothatch_core.model import agents, desired
+    from peridothatch_core.order import calibration
     from peridothatch_core.schedule import tickets
 
 START_WINDOW_MS = 2000
@@ -148,6 +148,8 @@
     elapsed_ms : int or None
         Time since the run was ordered if the event is the end of a run, otherwise time since the
         job was submitted.
+    forecast : Forecast or None
+        Expected run time, if the event is the order of a run.
     """
 
     kind: str
@@ -157,6 +159,7 @@
     node: str = ""
     detail: str = ""
     elapsed_ms: int | None = None
+    forecast: calibration.Forecast | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -224,8 +227,8 @@
         Jobs that are written in transactions of their own; see `rejection`.
     suspended_until_ms : dict
         Store time until which nothing is decided for a job, by job id; see `rejection`.
-    runtimes : History
-        Run times recorded by customer and queue.
+    learned : Learned
+        Run times and lasting speeds of workers, learned from finished work.
     health : Record
         Failures by worker and job, and the workers that are ejected.
     speeds : Speeds
@@ -274,7 +277,7 @@
     is_paced: bool = False
     written_alone: set[str] = dataclasses.field(default_factory=set)
     suspended_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
-    runtimes: runtimes.History = dataclasses.field(default_factory=runtimes.History)
+    learned: learned.Learned = dataclasses.field(default_factory=learned.Learned)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
     speeds: speeds.Speeds = dataclasses.field(default_factory=speeds.Speeds)
     changes: dict[str, JobChange] = dataclasses.field(default_factory=dict)
@@ -310,6 +313,7 @@
     """Replace an agent by a newer version of its row."""
     if agent.node in state.agents:
         speeds.observe(state, state.agents[agent.node], agent)
+    expected.observe_reports(state, agent)
     state.agents[agent.node] = agent
     state.agent_versions[agent.node] = version
     state.unconfirmed.discard(agent.node)
@@ -395,8 +399,9 @@
     detail += ", checkpointing" if order.checkpointing else ""
     detail += ", resumed" if order.checkpoint else ""
     waited_ms = run.ordered_ms - job.submitted_ms
+    forecast = expected.forecast(state, job, progress, run)
     state.events.append(
-        Event("ordered", job.id, order.task, run.attempt, run.node, detail, waited_ms)
+        Event("ordered", job.id, order.task, run.attempt, run.node, detail, waited_ms, forecast)
     )
 
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -64,7 +64,7 @@
         locality_wait_since=previous.locality_wait_since,
         tickets=previous.tickets,
         speeds=previous.speeds,
-        runtimes=previous.runtimes,
+        learned=previous.learned,
         leaving_at_ms=previous.leaving_at_ms,
         write_latency_ms=previous.write_latency_ms,
         written_alone=previous.written_alone,
