--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -64,7 +64,7 @@
         locality_wait_since=previous.locality_wait_since,
         tickets=previous.tickets,
         speeds=previous.speeds,
-        runtimes=previous.runtimes,
+        learned=previous.learned,
         leaving_at_ms=previous.leaving_at_ms,
         # A new leader has not written yet; the lease row tells how slow the store is.
         write_latency_ms=max(previous.write_latency_ms, 1000.0 * state.leadership.latency.seconds),
