Place work by the speed of workers where it exceeds the slack of jobs

Cause: where a quarter of the workers needs 0.55 of the mean time and the others 1.2, urgent gangs include slow workers, and work with slack occupies the fast ones.

Change: schedule.speed_tiers derives a fast and a slow tier of each service from the lasting speeds. The tiers are used only if the spread between them exceeds the smallest slack factor of the service's queues. Jobs with less slack than the spread use fast workers first; others use them last. Gangs are placed on workers of one tier if they fit. The search for slow workers corrects rates for known speeds.

--- a/packages/core/src/peridothatch_core/schedule/fit.py
+++ b/packages/core/src/peridothatch_core/schedule/fit.py
@@ -9,7 +9,7 @@
 from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,6 +117,7 @@
     candidates: Iterable[Candidate],
     tasks_on_node: dict[str, int],
     avoided: Collection[str],
+    ranks: Mapping[str, int],
 ) -> Candidate | None:
     """Return the worker for one task of a step, or ``None``.
 
@@ -126,6 +127,8 @@
         Number of tasks of the step that already run on each node.
     avoided : collection of str
         Nodes that are used only if no other node fits.
+    ranks : mapping
+        Ranks of nodes by speed, the lowest preferred; 0 for nodes that are not listed.
     """
     needed = states.reserved_demand(step)
     fitting = [
@@ -137,18 +140,22 @@
     ]
     return min(
         fitting,
-        key=lambda candidate: _placement_key(step, candidate, needed, avoided),
+        key=lambda candidate: _placement_key(step, candidate, needed, avoided, ranks),
         default=None,
     )
 
 
 def place_gang(
-    step: steps.Step, service: str, groups: Iterable[list[Candidate]], avoided: Collection[str]
+    step: steps.Step,
+    service: str,
+    groups: Iterable[list[Candidate]],
+    avoided: Collection[str],
+    ranks: Mapping[str, int],
 ) -> list[Candidate] | None:
     """Return a worker for each member of a gang, from the first group that can hold all."""
     for group in groups:
         eligible = [candidate for candidate in group if is_eligible(candidate, step, service)]
-        chosen = _pack_gang(step, eligible, avoided)
+        chosen = _pack_gang(step, eligible, avoided, ranks)
         if chosen is not None:
             return chosen
     return None
@@ -178,7 +185,10 @@
 
 
 def _pack_gang(
-    step: steps.Step, candidates: list[Candidate], avoided: Collection[str]
+    step: steps.Step,
+    candidates: list[Candidate],
+    avoided: Collection[str],
+    ranks: Mapping[str, int],
 ) -> list[Candidate] | None:
     """Return a worker for each member of a gang, or ``None``; the candidates are not changed.
 
@@ -190,7 +200,8 @@
     tasks_on_node: dict[str, int] = {}
     chosen: list[Candidate] = []
     for candidate in sorted(
-        candidates, key=lambda candidate: _gang_placement_key(step, candidate, needed, avoided)
+        candidates,
+        key=lambda candidate: _gang_placement_key(step, candidate, needed, avoided, ranks),
     ):
         remaining = free[candidate.agent.node]
         while len(chosen) < step.count and fits(remaining, needed):
@@ -204,19 +215,24 @@
 
 
 def _placement_key(
-    step: steps.Step, candidate: Candidate, needed: tuple[int, int, int], avoided: Collection[str]
+    step: steps.Step,
+    candidate: Candidate,
+    needed: tuple[int, int, int],
+    avoided: Collection[str],
+    ranks: Mapping[str, int],
 ) -> tuple[typing.Any, ...]:
     """Return the sort key of a worker for one task; the lowest is preferred.
 
     Workers without filling tasks come first if the step has a latency target, then workers that
-    are not avoided, then workers near the step's data, then the best fit. Best fit limits
-    fragmentation: large blocks of free resources remain for large tasks.
+    are not avoided, then workers near the step's data, then those of the preferred speed, then the
+    best fit. Best fit limits fragmentation: large blocks of free resources remain for large tasks.
     """
     remaining = candidate.free[2] - needed[2]
     return (
         step.target_ms > 0 and candidate.has_filling_tasks,
         candidate.agent.node in avoided,
         bool(step.affinity) and candidate.worker.rack != step.affinity,
+        ranks.get(candidate.agent.node, 0),
         remaining,
         candidate.free[0] - needed[0],
         candidate.agent.node,
@@ -224,13 +240,20 @@
 
 
 def _gang_placement_key(
-    step: steps.Step, candidate: Candidate, needed: tuple[int, int, int], avoided: Collection[str]
+    step: steps.Step,
+    candidate: Candidate,
+    needed: tuple[int, int, int],
+    avoided: Collection[str],
+    ranks: Mapping[str, int],
 ) -> tuple[typing.Any, ...]:
-    disturbed, is_avoided, away, *rest = _placement_key(step, candidate, needed, avoided)
+    disturbed, is_avoided, away, rank, *rest = _placement_key(
+        step, candidate, needed, avoided, ranks
+    )
     return (
         disturbed,
         is_avoided,
         away,
+        rank,
         -min(step.count, _tasks_that_fit(candidate.free, needed)),
         *rest,
     )
--- /dev/null
+++ b/packages/core/src/peridothatch_core/schedule/speed_tiers.py
@@ -0,0 +1,236 @@
+"""Placement tiers of workers of unequal speed.
+
+The load pattern is a fleet in which a minority of the workers is faster (or slower) than the
+others by a factor that exceeds the slack of urgent jobs, while other jobs have slack to spare.
+Jobs with little slack prefer fast workers, and jobs with slack leave these free for them. Workers
+of equal or unknown speed are placed on as if there were no tiers.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import math
+import typing
+
+from peridothatch_core.schedule import speeds
+
+if typing.TYPE_CHECKING:
+    from collections.abc import Collection, Iterable, Mapping
+
+    from peridothatch_core.model import steps
+    from peridothatch_core.schedule import fit, speed_fit
+    from peridothatch_core.schedule import state as states
+
+MIN_KNOWN_WEIGHT = 1.5
+"""Number of tasks from which the speed of a worker is known.
+
+One task may differ from its siblings by as much as a fast worker from a slow one.
+"""
+
+MIN_KNOWN_WORKERS = 8
+"""Number of known workers from which two tiers can be told from noise."""
+
+MIN_TIER_WORKERS = 2
+"""Minimum number of workers of a tier, as a single one may stand out by chance."""
+
+MIN_SEPARATION = 3.0
+"""Minimum distance between the means of the tiers, in standard errors of a worker's speed.
+
+Splitting equal workers, whose estimates are normally distributed, gives a distance of 1.6.
+"""
+
+
+class Tier(enum.StrEnum):
+    """Speed of a worker relative to the others of its service."""
+
+    FAST = "fast"
+    UNKNOWN = "unknown"
+    SLOW = "slow"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tiers:
+    """Speed tiers of the workers of a service.
+
+    Attributes
+    ----------
+    spread : float
+        Speed of the fast workers divided by that of the slow ones; 1 if no two tiers are known.
+    by_node : dict
+        Tiers of the workers whose speed is known; empty if no two tiers are known.
+    """
+
+    spread: float = 1.0
+    by_node: dict[str, Tier] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Fleet:
+    """Speed tiers of the services whose workers differ by more than the slack of their jobs.
+
+    Attributes
+    ----------
+    by_service : dict
+        Tiers by service; services without tiers are not listed.
+    spreads : dict
+        Spread by service, also of services without tiers.
+    basis : tuple of int
+        Time of the fit and version of the desired state from which the tiers were derived.
+    """
+
+    by_service: dict[str, Tiers] = dataclasses.field(default_factory=dict)
+    spreads: dict[str, float] = dataclasses.field(default_factory=dict)
+    basis: tuple[int, int] = (0, 0)
+
+
+EQUAL: typing.Final = Tiers()
+"""Tiers of a service whose workers have the same speed, as far as is known."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Preference:
+    """Order in which a job uses the workers.
+
+    Attributes
+    ----------
+    ranks : dict
+        Rank of each known worker; the lowest is preferred, and unknown workers have rank 0.
+    choices : tuple of frozenset of int
+        Sets of ranks within which a gang is placed if it fits, the preferred set first.
+    """
+
+    ranks: dict[str, int] = dataclasses.field(default_factory=dict)
+    choices: tuple[frozenset[int], ...] = ()
+
+
+NO_PREFERENCE: typing.Final = Preference()
+
+_TIGHT_RANKS = {Tier.FAST: -1, Tier.UNKNOWN: 0, Tier.SLOW: 1}
+_TIGHT_CHOICES = (frozenset({-1}), frozenset({0}), frozenset({-1, 0}), frozenset({1}))
+"""Fast workers are not mixed with others unless nothing else fits, because a gang with one member
+on a slow worker is slow."""
+
+_SLACK_RANKS = {Tier.SLOW: -1, Tier.UNKNOWN: 0, Tier.FAST: 1}
+_SLACK_CHOICES = (frozenset({-1}), frozenset({-1, 0}))
+
+
+def update(state: states.State, now_ms: int) -> None:
+    """Update the lasting speeds, and the tiers if the speeds or the desired state are new."""
+    speeds.refit(state.speeds, now_ms)
+    if state.desired is None or not state.speeds.lasting:
+        return
+    basis = (state.speeds.fitted_ms, state.desired.version)
+    if basis == state.speed_tiers.basis:
+        return
+    nodes: dict[str, list[str]] = {}
+    for agent in state.agents.values():
+        if agent.worker is not None and agent.node in state.speeds.lasting:
+            nodes.setdefault(agent.worker.service, []).append(agent.node)
+    slack: dict[str, float] = {}
+    for queue in state.desired.queues:
+        slack[queue.service] = min(queue.slack_factor, slack.get(queue.service, math.inf))
+    found = {
+        service: classify(state.speeds.lasting, nodes[service], state.speeds.task_deviation)
+        for service in sorted(nodes.keys() & slack.keys())
+    }
+    state.speed_tiers = Fleet(
+        {service: tiers for service, tiers in found.items() if tiers.spread > slack[service]},
+        {service: tiers.spread for service, tiers in found.items()},
+        basis,
+    )
+
+
+def classify(
+    speeds: Mapping[str, speed_fit.NodeSpeed], nodes: Iterable[str], task_deviation: float
+) -> Tiers:
+    """Divide workers into a fast and a slow tier at the split that explains most variance.
+
+    The tiers are `EQUAL` unless the split is clear. A worker whose speed is not clearly on one
+    side is unknown, that is, it has no tier.
+
+    Parameters
+    ----------
+    task_deviation : float
+        Standard deviation of the logarithm of the rates of similar tasks on one worker.
+    """
+    known = {node: speeds[node] for node in nodes if speeds[node].weight >= MIN_KNOWN_WEIGHT}
+    if len(known) < MIN_KNOWN_WORKERS:
+        return EQUAL
+    slow, fast = _split(sorted(known.values(), key=lambda speed: speed.log_ratio))
+    low, high = _mean(slow), _mean(fast)
+    error = task_deviation * max(_error_factor(slow), _error_factor(fast))
+    if high - low < MIN_SEPARATION * error:
+        return EQUAL
+    middle = (low + high) / 2.0
+    by_node = {}
+    for node, speed in known.items():
+        distance = speed.log_ratio - middle
+        if abs(distance) > task_deviation / math.sqrt(speed.weight):
+            by_node[node] = Tier.FAST if distance > 0 else Tier.SLOW
+    return Tiers(math.exp(high - low), by_node)
+
+
+def preference(tiers: Mapping[str, Tiers], job: steps.Job) -> Preference:
+    """Return the order in which a job uses the workers of its service."""
+    found = tiers.get(job.service)
+    if found is None:
+        return NO_PREFERENCE
+    is_tight = job.slack_factor <= found.spread
+    ranks = _TIGHT_RANKS if is_tight else _SLACK_RANKS
+    return Preference(
+        {node: ranks[tier] for node, tier in found.by_node.items()},
+        _TIGHT_CHOICES if is_tight else _SLACK_CHOICES,
+    )
+
+
+def gang_groups(
+    groups: Iterable[list[fit.Candidate]], preferred: Preference, avoided: Collection[str]
+) -> list[list[fit.Candidate]]:
+    """Return the groups in which a gang may be placed, those within preferred tiers first.
+
+    Parameters
+    ----------
+    avoided : collection of str
+        Nodes that are used only if no other node fits, whatever their speed.
+    """
+    groups = list(groups)
+    narrowed = []
+    for ranks in preferred.choices:
+        for group in groups:
+            chosen = [
+                candidate
+                for candidate in group
+                if candidate.agent.node not in avoided
+                and preferred.ranks.get(candidate.agent.node, 0) in ranks
+            ]
+            if chosen:
+                narrowed.append(chosen)
+    return [*narrowed, *groups]
+
+
+def _split(
+    ordered: list[speed_fit.NodeSpeed],
+) -> tuple[list[speed_fit.NodeSpeed], list[speed_fit.NodeSpeed]]:
+    """Split workers, in ascending order of speed, where it explains most variance."""
+
+    def variance_between(size: int) -> float:
+        slow, fast = ordered[:size], ordered[size:]
+        return _weight(slow) * _weight(fast) * (_mean(fast) - _mean(slow)) ** 2
+
+    sizes = range(MIN_TIER_WORKERS, len(ordered) - MIN_TIER_WORKERS + 1)
+    size = max(sizes, key=variance_between)
+    return ordered[:size], ordered[size:]
+
+
+def _error_factor(found: list[speed_fit.NodeSpeed]) -> float:
+    """Return the typical standard error of a worker in units of the deviation of a task."""
+    return math.sqrt(sum(1.0 / speed.weight for speed in found) / len(found))
+
+
+def _weight(found: list[speed_fit.NodeSpeed]) -> float:
+    return sum(speed.weight for speed in found)
+
+
+def _mean(found: list[speed_fit.NodeSpeed]) -> float:
+    return sum(speed.weight * speed.log_ratio for speed in found) / _weight(found)
--- a/packages/core/src/peridothatch_core/schedule/speeds.py
+++ b/packages/core/src/peridothatch_core/schedule/speeds.py
@@ -287,10 +287,11 @@
 ) -> float:
     """Return the median rate of the step's runs on other workers, or the run's own previous rate.
 
-    The result is 0 if neither is known.
+    The rates are corrected for the speeds of the workers. The result is 0 if neither is known.
     """
+    own_speed = _known_speed(state, job, progress, run)
     rates = [
-        state.speeds.rates[key]
+        state.speeds.rates[key] * own_speed / _known_speed(state, job, progress, sibling)
         for sibling in progress.runs
         if sibling.node != run.node
         and (key := _run_key(job, progress, sibling)) in state.speeds.rates
@@ -368,6 +369,19 @@
     return speed_fit.NodeSpeed(started_ms, speed.log_ratio, weight)
 
 
+def _known_speed(
+    state: states.State, job: steps.Job, progress: steps.StepProgress, run: steps.Run
+) -> float:
+    """Return the speed of a run's worker relative to others; 1 unless speeds are placed by.
+
+    The members of a gang have the same pace on any worker.
+    """
+    has_tiers = job.service in state.speed_tiers.by_service
+    if not has_tiers or job.steps[progress.step].gang or run.node not in state.speeds.lasting:
+        return 1.0
+    return speed_fit.ratio(state.speeds.lasting[run.node])
+
+
 def _reset_after_restart(state: states.State, old: agents.Agent, new: agents.Agent) -> None:
     """Reset the speed of a worker that has restarted, as it may now be of another kind.
 
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -11,6 +11,7 @@
     preemption,
     progress,
     rejection,
+    speed_tiers,
     speeds,
     tickets,
     wait_log,
@@ -51,6 +52,7 @@
     candidates = fit.available_workers(state, now_ms)
     state.nodes_without_claim = pacing.nodes_without_claim(state)
     state.is_paced = False
+    speed_tiers.update(state, now_ms)
     for job in _by_urgency(state, protected):
         starts_left = MAX_STARTS_PER_JOB
         for step_progress in progress.ready_steps(job):
@@ -146,12 +148,12 @@
     )
     for tier in preferred:
         groups = fit.full_speed_groups(step, job.service, tier) or fit.fallback_groups(tier)
-        chosen = fit.place_gang(step, job.service, groups, avoided)
+        chosen = _place_gang(state, job, step, groups, avoided)
         if chosen is not None:
             _order_gang(state, job, step_progress, waiting, chosen, now_ms)
             return
     full_speed = fit.full_speed_groups(step, job.service, candidates)
-    chosen = fit.place_gang(step, job.service, full_speed, avoided)
+    chosen = _place_gang(state, job, step, full_speed, avoided)
     plan = None
     if chosen is None:
         plan = _preemption_plan(
@@ -162,7 +164,7 @@
     if chosen is None and _locality_wait_is_over(
         state, job, step_progress, full_speed, protected, now_ms
     ):
-        chosen = fit.place_gang(step, job.service, fit.fallback_groups(candidates), avoided)
+        chosen = _place_gang(state, job, step, fit.fallback_groups(candidates), avoided)
         if chosen is None:
             eligible = [
                 candidate
@@ -183,6 +185,19 @@
     _order_gang(state, job, step_progress, waiting, chosen, now_ms)
 
 
+def _place_gang(
+    state: states.State,
+    job: steps.Job,
+    step: steps.Step,
+    groups: list[list[fit.Candidate]],
+    avoided: set[str],
+) -> list[fit.Candidate] | None:
+    """Return a worker for each member of a gang, on workers of one speed if possible."""
+    preferred = speed_tiers.preference(state.speed_tiers.by_service, job)
+    narrowed = speed_tiers.gang_groups(groups, preferred, avoided)
+    return fit.place_gang(step, job.service, narrowed, avoided, preferred.ranks)
+
+
 def _order_gang(
     state: states.State,
     job: steps.Job,
@@ -216,6 +231,7 @@
     for run_ in step_progress.runs:
         tasks_on_node[run_.node] = tasks_on_node.get(run_.node, 0) + 1
     avoided = _avoided_nodes(state, job, step_progress, now_ms)
+    ranks = speed_tiers.preference(state.speed_tiers.by_service, job).ranks
     full_speed = fit.full_speed_groups(step, job.service, candidates)
     usable = candidates
     if not _locality_wait_is_over(state, job, step_progress, full_speed, protected, now_ms):
@@ -230,7 +246,9 @@
         tiers = last_attempt.candidate_tiers(
             state, job, step_progress, index, usable, avoided, now_ms
         )
-        placed = (fit.place_one(step, job.service, tier, tasks_on_node, avoided) for tier in tiers)
+        placed = (
+            fit.place_one(step, job.service, tier, tasks_on_node, avoided, ranks) for tier in tiers
+        )
         candidate = next((candidate for candidate in placed if candidate is not None), None)
         if candidate is None:
             unplaced = len(waiting) - position
@@ -362,11 +380,12 @@
 
     These are nodes on which a task of the step has failed, nodes on which any job has failed and
     none has succeeded since, and nodes with slow workers. Urgent jobs, whose objectives are tight,
-    also avoid workers of a slower kind.
+    also avoid workers of a slower kind, unless the speed tiers order the workers.
     """
     failed = state.failed_nodes.get((job.id, step_progress.occurrence, step_progress.step), set())
     urgent = job.priority == preemption.URGENT_PRIORITY
-    slow = speeds.avoided_nodes(state, now_ms, include_slower_kinds=urgent)
+    has_tiers = job.service in state.speed_tiers.by_service
+    slow = speeds.avoided_nodes(state, now_ms, include_slower_kinds=urgent and not has_tiers)
     return failed | state.health.by_worker.keys() | slow
 
 
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -8,7 +8,7 @@
 from peridothatch_core.model import steps, tables
 from peridothatch_core.order import runtimes
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import speeds
+from peridothatch_core.schedule import speed_tiers, speeds
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.message import rows
@@ -277,6 +277,7 @@
     runtimes: runtimes.History = dataclasses.field(default_factory=runtimes.History)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
     speeds: speeds.Speeds = dataclasses.field(default_factory=speeds.Speeds)
+    speed_tiers: speed_tiers.Fleet = dataclasses.field(default_factory=speed_tiers.Fleet)
     changes: dict[str, JobChange] = dataclasses.field(default_factory=dict)
     lapsing: dict[str, agents.Agent] = dataclasses.field(default_factory=dict)
     events: list[Event] = dataclasses.field(default_factory=list)
