--- a/packages/core/src/peridothatch_core/schedule/speed_tiers.py
+++ b/packages/core/src/peridothatch_core/schedule/speed_tiers.py
@@ -115,14 +115,17 @@
 _SLACK_CHOICES = (frozenset({-1}), frozenset({-1, 0}))
 
 
-def update(state: states.State, now_ms: int) -> None:
-    """Update the lasting speeds, and the tiers if the speeds or the desired state are new."""
+def update(state: states.State, now_ms: int) -> list[str]:
+    """Update the lasting speeds, and the tiers if the speeds or the desired state are new.
+
+    Returns a text for each service in which a worker has changed its tier.
+    """
     speeds.refit(state.speeds, now_ms)
     if state.desired is None or not state.speeds.lasting:
-        return
+        return []
     basis = (state.speeds.fitted_ms, state.desired.version)
     if basis == state.speed_tiers.basis:
-        return
+        return []
     nodes: dict[str, list[str]] = {}
     for agent in state.agents.values():
         if agent.worker is not None and agent.node in state.speeds.lasting:
@@ -134,11 +137,16 @@
         service: classify(state.speeds.lasting, nodes[service], state.speeds.task_deviation)
         for service in sorted(nodes.keys() & slack.keys())
     }
-    state.speed_tiers = Fleet(
-        {service: tiers for service, tiers in found.items() if tiers.spread > slack[service]},
-        {service: tiers.spread for service, tiers in found.items()},
-        basis,
-    )
+    used = {service: tiers for service, tiers in found.items() if tiers.spread > slack[service]}
+    before = state.speed_tiers.by_service
+    spreads = {service: tiers.spread for service, tiers in found.items()}
+    state.speed_tiers = Fleet(used, spreads, basis)
+    return _describe_changes(before, used)
+
+
+def nodes_of(tiers: Tiers, tier: Tier) -> list[str]:
+    """Return the nodes of the workers of one tier in alphabetical order."""
+    return sorted(node for node, found in tiers.by_node.items() if found is tier)
 
 
 def classify(
@@ -209,18 +217,37 @@
     return [*narrowed, *groups]
 
 
+def _describe_changes(before: Mapping[str, Tiers], used: Mapping[str, Tiers]) -> list[str]:
+    changes = []
+    for service in sorted(used.keys() | before.keys()):
+        tiers = used.get(service, EQUAL)
+        if tiers.by_node == before.get(service, EQUAL).by_node:
+            continue
+        fast, slow = (len(nodes_of(tiers, tier)) for tier in (Tier.FAST, Tier.SLOW))
+        changes.append(
+            f"service {service}: {fast} fast and {slow} slow workers, spread {tiers.spread:.2f}"
+            if tiers.by_node
+            else f"service {service}: workers are no longer ordered by speed"
+        )
+    return changes
+
+
 def _split(
     ordered: list[speed_fit.NodeSpeed],
 ) -> tuple[list[speed_fit.NodeSpeed], list[speed_fit.NodeSpeed]]:
     """Split workers, in ascending order of speed, where it explains most variance."""
-
-    def variance_between(size: int) -> float:
-        slow, fast = ordered[:size], ordered[size:]
-        return _weight(slow) * _weight(fast) * (_mean(fast) - _mean(slow)) ** 2
-
-    sizes = range(MIN_TIER_WORKERS, len(ordered) - MIN_TIER_WORKERS + 1)
-    size = max(sizes, key=variance_between)
-    return ordered[:size], ordered[size:]
+    weight, total = _weight(ordered), _weight(ordered) * _mean(ordered)
+    best_size, most = MIN_TIER_WORKERS, -1.0
+    slow_weight, slow_total = 0.0, 0.0
+    for size, speed in enumerate(ordered[: len(ordered) - MIN_TIER_WORKERS], 1):
+        slow_weight += speed.weight
+        slow_total += speed.weight * speed.log_ratio
+        fast_weight, fast_total = weight - slow_weight, total - slow_total
+        distance = fast_total / fast_weight - slow_total / slow_weight
+        variance_between = slow_weight * fast_weight * distance**2
+        if size >= MIN_TIER_WORKERS and variance_between > most:
+            best_size, most = size, variance_between
+    return ordered[:best_size], ordered[best_size:]
 
 
 def _error_factor(found: list[speed_fit.NodeSpeed]) -> float:
--- a/packages/core/src/peridothatch_core/schedule/speeds.py
+++ b/packages/core/src/peridothatch_core/schedule/speeds.py
@@ -253,6 +253,12 @@
     speeds.is_outdated = True
 
 
+def relative_speed(speeds: Speeds, node: str) -> float:
+    """Return the lasting speed of a worker relative to the others; 1 if nothing is known."""
+    found = speeds.lasting.get(node)
+    return speed_fit.ratio(found) if found else 1.0
+
+
 def avoided_nodes(state: states.State, now_ms: int, *, include_slower_kinds: bool) -> set[str]:
     """Return the nodes of workers that are currently slow or unstable.
 
@@ -377,9 +383,9 @@
     The members of a gang have the same pace on any worker.
     """
     has_tiers = job.service in state.speed_tiers.by_service
-    if not has_tiers or job.steps[progress.step].gang or run.node not in state.speeds.lasting:
+    if not has_tiers or job.steps[progress.step].gang:
         return 1.0
-    return speed_fit.ratio(state.speeds.lasting[run.node])
+    return relative_speed(state.speeds, run.node)
 
 
 def _reset_after_restart(state: states.State, old: agents.Agent, new: agents.Agent) -> None:
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -52,7 +52,8 @@
     candidates = fit.available_workers(state, now_ms)
     state.nodes_without_claim = pacing.nodes_without_claim(state)
     state.is_paced = False
-    speed_tiers.update(state, now_ms)
+    for detail in speed_tiers.update(state, now_ms):
+        state.events.append(states.Event("speed tiers", "", detail=detail))
     for job in _by_urgency(state, protected):
         starts_left = MAX_STARTS_PER_JOB
         for step_progress in progress.ready_steps(job):
--- a/packages/core/tests/schedule/test_speed_tiers.py
+++ b/packages/core/tests/schedule/test_speed_tiers.py
@@ -74,6 +74,7 @@
 
 def _ignore(*_):
     """Replace `speed_tiers.update`, so that the placement is the one without tiers."""
+    return ()
 
 
 def _share_on_fast(placements, prefix):
@@ -138,6 +139,19 @@
     assert bool(tiers.by_service) == (slack < tiers.spreads["render"])
 
 
+def test_a_change_of_the_tiers_is_told_once():
+    # A line at each fit would fill the log.
+    fleet = _fleet(TWO_SPEEDS, 1)
+    fleet.scheduler.speeds.lasting = {
+        node: speed_fit.NodeSpeed(1, 0.7 if node in FAST else 0.0, 6.0) for node in NODES
+    }
+    fleet.scheduler.speeds.fitted_ms = 1
+    expected = ["service render: 6 fast and 18 slow workers, spread 2.01"]
+    assert speed_tiers.update(fleet.scheduler, harness.NOW_MS) == expected
+    fleet.scheduler.speeds.fitted_ms = 2
+    assert speed_tiers.update(fleet.scheduler, harness.NOW_MS) == []
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_noise_alone_makes_no_tiers(seed):
     rng = random.Random(seed)
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -8,7 +8,15 @@
 from peridothatch_core.message import rows
 from peridothatch_core.message import tickets as ticket_messages
 from peridothatch_core.model import steps, storeclock
-from peridothatch_core.schedule import cycle, leadership, rejection, tickets, writes
+from peridothatch_core.schedule import (
+    cycle,
+    leadership,
+    rejection,
+    speed_fit,
+    speed_tiers,
+    tickets,
+    writes,
+)
 from peridothatch_core.schedule import state as core_state
 from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.decide import loop
@@ -302,6 +310,7 @@
         "store_age_seconds": round(storeclock.age_seconds(state.clock, clock.now()), 3),
         "evacuated": None if state.evacuated is None else sorted(state.evacuated),
         "ejected": sorted(schedule.health.ejected_until),
+        "speeds": _dump_speeds(schedule),
         "counters": dataclasses.asdict(state.counters),
         "gauges": {
             "leading": int(state.leadership.leading),
@@ -309,5 +318,31 @@
                 job.state not in steps.FINAL_STATES for job in schedule.jobs.values()
             ),
             "runs_open": sum(len(entries) for entries in schedule.runs.values()),
+            "workers_fast": _count_workers(schedule, speed_tiers.Tier.FAST),
+            "workers_slow": _count_workers(schedule, speed_tiers.Tier.SLOW),
         },
     }
+
+
+def _dump_speeds(schedule: core_state.State) -> dict[str, typing.Any]:
+    """Return the lasting speeds by node, with their weights, and the tiers that are in use."""
+    return {
+        "spreads": {
+            service: round(spread, 2) for service, spread in schedule.speed_tiers.spreads.items()
+        },
+        "tiers": {
+            service: {tier: speed_tiers.nodes_of(tiers, tier) for tier in speed_tiers.Tier}
+            for service, tiers in schedule.speed_tiers.by_service.items()
+        },
+        "workers": {
+            node: [round(speed_fit.ratio(speed), 2), round(speed.weight, 1)]
+            for node, speed in sorted(schedule.speeds.lasting.items())
+        },
+    }
+
+
+def _count_workers(schedule: core_state.State, tier: speed_tiers.Tier) -> int:
+    return sum(
+        len(speed_tiers.nodes_of(tiers, tier))
+        for tiers in schedule.speed_tiers.by_service.values()
+    )
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -277,6 +277,15 @@
     "leading": Text("1 while this entry leads.", "Exactly one entry leads for most of the time."),
     "jobs_open": Text("Jobs that have not ended, on the leading entry.", "None."),
     "runs_open": Text("Runs that have not ended, on the leading entry.", "None."),
+    "workers_fast": Text(
+        "Workers that jobs with little slack use first, on the leading entry; 0 while the speeds "
+        "of the workers do not differ by more than the slack of the queues.",
+        "None. `speeds` in the state dump has the estimates.",
+    ),
+    "workers_slow": Text(
+        "Workers that jobs with little slack use last, on the leading entry.",
+        "If they should be as fast as the others, look at these machines.",
+    ),
 }
 
 _SUPERVISOR = {
