--- a/packages/core/src/peridothatch_core/schedule/speed_tiers.py
+++ b/packages/core/src/peridothatch_core/schedule/speed_tiers.py
@@ -13,13 +13,14 @@
 import math
 import typing
 
-from peridothatch_core.schedule import speeds
+from peridothatch_core.model import learned
+from peridothatch_core.schedule import speed_fit, speeds
 
 if typing.TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
     from peridothatch_core.model import steps
-    from peridothatch_core.schedule import fit, speed_fit
+    from peridothatch_core.schedule import fit
     from peridothatch_core.schedule import state as states
 
 MIN_KNOWN_WEIGHT = 1.5
@@ -77,11 +78,14 @@
         Spread by service, also of services without tiers.
     basis : tuple of int
         Time of the fit and version of the desired state from which the tiers were derived.
+    was_unequal : bool
+        Tiers were found at some time, whether or not they were used.
     """
 
     by_service: dict[str, Tiers] = dataclasses.field(default_factory=dict)
     spreads: dict[str, float] = dataclasses.field(default_factory=dict)
     basis: tuple[int, int] = (0, 0)
+    was_unequal: bool = False
 
 
 EQUAL: typing.Final = Tiers()
@@ -118,8 +122,11 @@
 def update(state: states.State, now_ms: int) -> list[str]:
     """Update the lasting speeds, and the tiers if the speeds or the desired state are new.
 
-    Returns a text for each service in which a worker has changed its tier.
+    Speeds that an earlier leader has learned are the start of the estimate. Returns a text for
+    each service in which a worker has changed its tier.
     """
+    if not state.speeds.lasting and state.learned.speeds:
+        speeds.restore(state.speeds, _restored(state))
     speeds.refit(state.speeds, now_ms)
     if state.desired is None or not state.speeds.lasting:
         return []
@@ -139,8 +146,10 @@
     }
     used = {service: tiers for service, tiers in found.items() if tiers.spread > slack[service]}
     before = state.speed_tiers.by_service
+    state.learned.speeds = _learned(state, found)
     spreads = {service: tiers.spread for service, tiers in found.items()}
-    state.speed_tiers = Fleet(used, spreads, basis)
+    was_unequal = state.speed_tiers.was_unequal or any(spread > 1.0 for spread in spreads.values())
+    state.speed_tiers = Fleet(used, spreads, basis, was_unequal)
     return _describe_changes(before, used)
 
 
@@ -217,6 +226,36 @@
     return [*narrowed, *groups]
 
 
+def _learned(state: states.State, found: Mapping[str, Tiers]) -> dict[str, learned.LastingSpeed]:
+    """Return the speeds of the workers that are known to be fast or slow.
+
+    The others differ by noise only, by which run times must not be corrected. Until this leader
+    has found tiers, the speeds that an earlier one has learned remain in use for the workers that
+    have not been replaced.
+    """
+    if all(tiers == EQUAL for tiers in found.values()) and not state.speed_tiers.was_unequal:
+        present = state.speeds.incarnations
+        return {
+            node: speed
+            for node, speed in state.learned.speeds.items()
+            if present.get(node, speed.started_ms) == speed.started_ms
+        }
+    known = {}
+    for tiers in found.values():
+        for node in tiers.by_node:
+            speed = state.speeds.lasting[node]
+            log_ratio = speed_fit.shrunk_log_ratio(speed)
+            known[node] = learned.LastingSpeed(node, speed.started_ms, log_ratio, speed.weight)
+    return known
+
+
+def _restored(state: states.State) -> dict[str, speed_fit.NodeSpeed]:
+    return {
+        node: speed_fit.from_shrunk(speed.started_ms, speed.log_ratio, speed.weight)
+        for node, speed in state.learned.speeds.items()
+    }
+
+
 def _describe_changes(before: Mapping[str, Tiers], used: Mapping[str, Tiers]) -> list[str]:
     changes = []
     for service in sorted(used.keys() | before.keys()):
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 from peridothatch_core.model import steps
-from peridothatch_core.order import runtimes
 from peridothatch_core.schedule import (
+    expected,
     fit,
     last_attempt,
     pacing,
     preemption,
     progress,
-    rejection,
     speed_tiers,
     speeds,
     tickets,
+    turns,
     wait_log,
     write_limits,
 )
@@ -51,10 +51,11 @@
     protected = preemption.protected_jobs(state)
     candidates = fit.available_workers(state, now_ms)
     state.nodes_without_claim = pacing.nodes_without_claim(state)
+    state.outlooks.clear()
     state.is_paced = False
     for detail in speed_tiers.update(state, now_ms):
         state.events.append(states.Event("speed tiers", "", detail=detail))
-    for job in _by_urgency(state, protected):
+    for job in turns.by_urgency(state, protected, now_ms):
         starts_left = MAX_STARTS_PER_JOB
         for step_progress in progress.ready_steps(job):
             waiting = progress.waiting_tasks(state, job, step_progress, now_ms)
@@ -116,18 +117,6 @@
         state.events.append(states.Event("asking for tickets", job.id, detail=detail))
 
 
-def _by_urgency(state: states.State, protected: set[str]) -> list[steps.Job]:
-    """Return the jobs that are neither final nor suspended, the most urgent first."""
-    waiting = [
-        job
-        for job in state.jobs.values()
-        if job.state not in steps.FINAL_STATES and not rejection.is_suspended(state, job.id)
-    ]
-    return sorted(
-        waiting, key=lambda job: (job.id not in protected, job.priority, job.submitted_ms, job.id)
-    )
-
-
 def _start_gang(
     state: states.State,
     job: steps.Job,
@@ -367,9 +356,7 @@
     step = job.steps[step_progress.step]
     key = (job.id, step_progress.occurrence, step_progress.step)
     since = state.locality_wait_since.setdefault(key, now_ms)
-    seconds = runtimes.estimate(
-        state.runtimes, job.customer, job.queue, step.estimate_ms / 1000.0, quantile=0.5
-    )
+    seconds = expected.run_seconds(state, job, step)
     max_wait = LOCALITY_WAIT_SHARE * (state.limits.remote_factor - 1.0) * seconds
     return now_ms - since >= 1000.0 * max_wait
 
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -6,14 +6,14 @@
 import typing
 
 from peridothatch_core.model import steps, tables
-from peridothatch_core.order import runtimes
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import speed_tiers, speeds
+from peridothatch_core.schedule import expected, learned, speed_tiers, speeds
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.message import rows
     from peridothatch_core.model import agents, desired
-    from peridothatch_core.schedule import tickets
+    from peridothatch_core.order import calibration
+    from peridothatch_core.schedule import spare, tickets
 
 START_WINDOW_MS = 2000
 """Time within which an agent must start an ordered run.
@@ -148,6 +148,8 @@
     elapsed_ms : int or None
         Time since the run was ordered if the event is the end of a run, otherwise time since the
         job was submitted.
+    forecast : Forecast or None
+        Expected run time, if the event is the order of a run.
     """
 
     kind: str
@@ -157,6 +159,7 @@
     node: str = ""
     detail: str = ""
     elapsed_ms: int | None = None
+    forecast: calibration.Forecast | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -218,14 +221,17 @@
         Store time up to which the agents' rows have been read; ``None`` before the first feed.
     nodes_without_claim : set of str
         Nodes with orders that their agents have not claimed, as of the current cycle.
+    outlooks : dict
+        What is expected of runs in the current cycle, by job, occurrence, step, index and
+        attempt; see `spare`.
     is_paced : bool
         A job has been held back in the current cycle, because too many orders wait for a claim.
     written_alone : set of str
         Jobs that are written in transactions of their own; see `rejection`.
     suspended_until_ms : dict
         Store time until which nothing is decided for a job, by job id; see `rejection`.
-    runtimes : History
-        Run times recorded by customer and queue.
+    learned : Learned
+        Run times and lasting speeds of workers, learned from finished work.
     health : Record
         Failures by worker and job, and the workers that are ejected.
     speeds : Speeds
@@ -271,10 +277,13 @@
     write_latency_ms: float = 0.0
     agents_seen_ms: int | None = None
     nodes_without_claim: set[str] = dataclasses.field(default_factory=set)
+    outlooks: dict[tuple[str, int, int, int, int], spare.Outlook] = dataclasses.field(
+        default_factory=dict
+    )
     is_paced: bool = False
     written_alone: set[str] = dataclasses.field(default_factory=set)
     suspended_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
-    runtimes: runtimes.History = dataclasses.field(default_factory=runtimes.History)
+    learned: learned.Learned = dataclasses.field(default_factory=learned.Learned)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
     speeds: speeds.Speeds = dataclasses.field(default_factory=speeds.Speeds)
     speed_tiers: speed_tiers.Fleet = dataclasses.field(default_factory=speed_tiers.Fleet)
@@ -311,6 +320,7 @@
     """Replace an agent by a newer version of its row."""
     if agent.node in state.agents:
         speeds.observe(state, state.agents[agent.node], agent)
+    expected.observe_reports(state, agent)
     state.agents[agent.node] = agent
     state.agent_versions[agent.node] = version
     state.unconfirmed.discard(agent.node)
@@ -396,8 +406,9 @@
     detail += ", checkpointing" if order.checkpointing else ""
     detail += ", resumed" if order.checkpoint else ""
     waited_ms = run.ordered_ms - job.submitted_ms
+    forecast = expected.forecast(state, job, progress, run)
     state.events.append(
-        Event("ordered", job.id, order.task, run.attempt, run.node, detail, waited_ms)
+        Event("ordered", job.id, order.task, run.attempt, run.node, detail, waited_ms, forecast)
     )
 
 
--- a/packages/core/tests/schedule/test_speed_tiers.py
+++ b/packages/core/tests/schedule/test_speed_tiers.py
@@ -139,6 +139,27 @@
     assert bool(tiers.by_service) == (slack < tiers.spreads["render"])
 
 
+def test_a_new_leader_places_by_the_speeds_that_were_learned():
+    # Otherwise each takeover puts urgent gangs on slow workers until some steps have run.
+    fleet = _fleet(TWO_SPEEDS, 1)
+    _play(fleet, seconds=12)
+    successor = _fleet(TWO_SPEEDS, 1)
+    successor.scheduler.learned.speeds = dict(fleet.scheduler.learned.speeds)
+    speed_tiers.update(successor.scheduler, harness.NOW_MS)
+    before = fleet.scheduler.speed_tiers.by_service["render"]
+    after = successor.scheduler.speed_tiers.by_service["render"]
+    assert before.by_node == after.by_node
+    assert before.spread == pytest.approx(after.spread)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_run_times_are_not_corrected_on_equal_workers(seed):
+    # Noise of the estimates must not change which runs are expected to end in time.
+    fleet = _fleet(EQUAL_SPEEDS, seed)
+    _play(fleet)
+    assert fleet.scheduler.learned.speeds == {}
+
+
 def test_a_change_of_the_tiers_is_told_once():
     # A line at each fit would fill the log.
     fleet = _fleet(TWO_SPEEDS, 1)
