--- a/packages/core/src/peridothatch_core/schedule/speed_fit.py
+++ b/packages/core/src/peridothatch_core/schedule/speed_fit.py
@@ -80,6 +80,13 @@
     return speed.log_ratio * speed.weight / (speed.weight + NO_DIFFERENCE_WEIGHT)
 
 
+def from_shrunk(started_ms: int, shrunk: float, weight: float) -> NodeSpeed:
+    """Return the speed of which `shrunk_log_ratio` is given."""
+    if weight <= 0.0:
+        return NodeSpeed(started_ms, 0.0, 0.0)
+    return NodeSpeed(started_ms, shrunk * (weight + NO_DIFFERENCE_WEIGHT) / weight, weight)
+
+
 def ratio(speed: NodeSpeed) -> float:
     """Return a worker's speed relative to an ordinary one, shrunk towards 1."""
     return math.exp(shrunk_log_ratio(speed))
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -7,7 +7,7 @@
 
 from peridothatch_core.model import steps, tables
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import expected, learned, speeds
+from peridothatch_core.schedule import expected, learned, speed_tiers, speeds
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.message import rows
@@ -286,6 +286,7 @@
     learned: learned.Learned = dataclasses.field(default_factory=learned.Learned)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
     speeds: speeds.Speeds = dataclasses.field(default_factory=speeds.Speeds)
+    speed_tiers: speed_tiers.Fleet = dataclasses.field(default_factory=speed_tiers.Fleet)
     changes: dict[str, JobChange] = dataclasses.field(default_factory=dict)
     lapsing: dict[str, agents.Agent] = dataclasses.field(default_factory=dict)
     events: list[Event] = dataclasses.field(default_factory=list)
