Keep learned run times and worker speeds across takeovers

Learned run times were in the leader's memory only, so that each takeover began with the declared ones. They are rows of a table of their own now, read once after a takeover and written about every 10 s in one small transaction that is conditional on the epoch, and only while no other write of the leader waits and the store is quick. Rows that cannot be used are skipped, logged and deleted. The speeds of workers have a row each; their estimate is not part of this change.

--- a/packages/core/src/peridothatch_core/model/tables.py
+++ b/packages/core/src/peridothatch_core/model/tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import zlib
 
 from peridothatch_core.message import rows
@@ -15,6 +16,9 @@
 SPECS_TABLE = "specs"
 """Job specifications, which are read only by agents, one row at a time."""
 
+LEARNED_TABLE = "learned"
+"""What the leader has learned from finished work; read only by a new leader."""
+
 ORDER_TABLE_COUNT = 16
 """Number of tables over which orders are distributed. A change feed covers a whole table, so an
 agent receives the orders of all nodes that share its table. The store allows 100 tables."""
@@ -24,6 +28,8 @@
 END_PREFIX = "e/"
 AGENT_PREFIX = "agent/"
 ENTRY_PREFIX = "entry/"
+RUN_TIMES_PREFIX = "run/"
+SPEED_PREFIX = "speed/"
 STOP_SUFFIX = "/stop"
 RENEW_SUFFIX = "/renew"
 
@@ -61,6 +67,17 @@
     return rows.Key(MEMBERS_TABLE, ENTRY_PREFIX + node)
 
 
+def run_times_key(customer: str, queue: str) -> rows.Key:
+    """Return the key of the run times of a customer in a queue, whose names may be long."""
+    digest = hashlib.blake2b(f"{queue}\0{customer}".encode(), digest_size=12).hexdigest()
+    return rows.Key(LEARNED_TABLE, RUN_TIMES_PREFIX + digest)
+
+
+def speed_key(node: str) -> rows.Key:
+    """Return the key of the lasting speed of the worker on a node."""
+    return rows.Key(LEARNED_TABLE, SPEED_PREFIX + node)
+
+
 def orders_table(node: str) -> str:
     """Return the name of the table that contains the orders of a node."""
     return f"orders-{zlib.crc32(node.encode()) % ORDER_TABLE_COUNT:02d}"
--- a/packages/core/src/peridothatch_core/order/expectations.py
+++ b/packages/core/src/peridothatch_core/order/expectations.py
@@ -210,6 +210,20 @@
     return max(0.0, survival.quantile(curve, share) - elapsed_seconds)
 
 
+def describe(history: History) -> dict[str, dict[str, float]]:
+    """Return the number of samples and the expected run times of each queue over all customers."""
+    described = {}
+    for queue in sorted({queue for _, queue in history.series}):
+        curve = _pool(history, queue)
+        if curve.weight > 0:
+            described[queue] = {
+                "samples": round(curve.weight, 1),
+                "seconds_0.5": round(survival.quantile(curve, 0.5), 3),
+                "seconds_0.95": round(survival.quantile(curve, 0.95), 3),
+            }
+    return described
+
+
 def _without_history(declared_seconds: float) -> Expectation:
     if declared_seconds > 0:
         return Expectation(declared_seconds, 0.0, Level.DECLARED)
--- a/packages/core/src/peridothatch_core/schedule/expected.py
+++ b/packages/core/src/peridothatch_core/schedule/expected.py
@@ -133,6 +133,7 @@
     plausible = expectations.record(
         state.learned.history, job.customer, job.queue, seconds * speed, weight
     )
+    state.learned.unsaved_runs += plausible
     if plausible and made is not None:
         calibration.record(state.learned.errors, job.queue, made, seconds)
 
--- a/packages/core/src/peridothatch_core/schedule/learned.py
+++ b/packages/core/src/peridothatch_core/schedule/learned.py
@@ -8,6 +8,7 @@
 from peridothatch_core.order import calibration, expectations
 
 if typing.TYPE_CHECKING:
+    from peridothatch_core.message import rows
     from peridothatch_core.model import learned
 
 RunKey = tuple[str, int]
@@ -45,6 +46,16 @@
         Errors of the forecasts by queue.
     refreshed_ms : int
         Store time at which the open runs were last looked at.
+    is_read : bool
+        The rows of the previous leader have been read; none is written before.
+    saved_speeds : dict
+        Lasting speeds as they are in the store, by node.
+    odd_keys : dict of Key
+        Rows to delete, because they are not usable or too many; the values are not used.
+    unsaved_runs : int
+        Number of runs that have ended since the last write.
+    written_ms : int
+        Store time of the last write.
     """
 
     history: expectations.History = dataclasses.field(default_factory=expectations.History)
@@ -54,3 +65,8 @@
     gang_speeds: dict[GangKey, float] = dataclasses.field(default_factory=dict)
     errors: dict[str, calibration.Errors] = dataclasses.field(default_factory=dict)
     refreshed_ms: int = 0
+    is_read: bool = False
+    saved_speeds: dict[str, learned.LastingSpeed] = dataclasses.field(default_factory=dict)
+    odd_keys: dict[rows.Key, None] = dataclasses.field(default_factory=dict)
+    unsaved_runs: int = 0
+    written_ms: int = 0
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -55,6 +55,7 @@
     writes_rejected: int = 0
     ends_unmatched: int = 0
     job_rows_outdated: int = 0
+    learned_not_written: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/daemon/src/peridothatch_daemon/hosted/records.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/records.py
@@ -17,7 +17,8 @@
 import msgspec
 import orjson
 
-from peridothatch_core.model import addresses, agents, entries, steps, tables
+from peridothatch_core.model import addresses, agents, entries, learned, steps, tables
+from peridothatch_core.order import expectations, survival
 from peridothatch_core.schedule import leadership
 
 if typing.TYPE_CHECKING:
@@ -29,10 +30,24 @@
 AGENT = msgspec.json.Decoder(agents.Agent)
 ENTRY = msgspec.json.Decoder(entries.Entry)
 LEASE = msgspec.json.Decoder(leadership.Lease)
+RUN_TIMES = msgspec.json.Decoder(learned.RunTimes)
+LASTING_SPEED = msgspec.json.Decoder(learned.LastingSpeed)
 
 MAX_INTEGER = 2**53 - 1
 """Largest integer that all readers of JSON keep exact."""
 
+MAX_LEARNED_BYTES = 16_384
+"""Maximum size of a row of the table ``learned``; the leader writes smaller ones."""
+
+MAX_BIN_WEIGHT = 2 * expectations.MAX_SAMPLES
+"""Maximum weight of a bin of run times; the leader writes smaller ones."""
+
+MAX_LOG_SPEED = 4.0
+"""Maximum absolute logarithm of a worker's speed, a factor of 55."""
+
+MAX_SPEED_WEIGHT = 1e6
+"""Maximum number of comparisons behind a worker's speed."""
+
 MAX_ATTEMPT_DIGITS = 9
 """Maximum number of digits of an attempt in the key of an order."""
 
@@ -67,15 +82,17 @@
             addresses.parse(found.callers)
             if found.internal:
                 addresses.parse(found.internal)
+        case learned.RunTimes() | learned.LastingSpeed():
+            _check_learned(found, len(value))
     return found
 
 
 def decode_row(row: rows.Row) -> typing.Any:
-    """Decode a row of the tables ``work`` and ``members``, which must match its key.
+    """Decode a row of the tables ``work``, ``members`` and ``learned``, which must match its key.
 
     Returns
     -------
-    Job, End, Agent, Entry or Lease, or None
+    Job, End, Agent, Entry, Lease, RunTimes or LastingSpeed, or None
         ``None`` for a deleted row and for a key that has no record.
 
     Raises
@@ -125,6 +142,23 @@
     return (parts[0], int(parts[1])), is_stop
 
 
+def _check_learned(found: learned.RunTimes | learned.LastingSpeed, size: int) -> None:
+    """Raise ``ValueError`` if learned values are out of bounds; comparisons reject NaN."""
+    if size > MAX_LEARNED_BYTES:
+        raise ValueError(f"the value has {size} bytes; expected at most {MAX_LEARNED_BYTES}")
+    if isinstance(found, learned.RunTimes):
+        for index, weight in found.bins:
+            if not (0 <= index <= survival.MAX_BIN and 0 < weight <= MAX_BIN_WEIGHT):
+                raise ValueError(f"the bin {index} has the weight {weight}")
+        return
+    if not (
+        found.started_ms >= 0
+        and abs(found.log_ratio) <= MAX_LOG_SPEED
+        and 0 <= found.weight <= MAX_SPEED_WEIGHT
+    ):
+        raise ValueError(f"the speed is {found.log_ratio} with the weight {found.weight}")
+
+
 def _check_integers(value: typing.Any) -> None:
     """Raise ``ValueError`` if a number in a value, which may be nested, is out of bounds."""
     if isinstance(value, int):
@@ -145,6 +179,12 @@
     (tables.END_PREFIX, END, lambda end: tables.end_key(end.task, end.attempt).key),
     (tables.AGENT_PREFIX, AGENT, lambda agent: tables.agent_key(agent.node).key),
     (tables.ENTRY_PREFIX, ENTRY, lambda entry: tables.entry_key(entry.node).key),
+    (
+        tables.RUN_TIMES_PREFIX,
+        RUN_TIMES,
+        lambda found: tables.run_times_key(found.customer, found.queue).key,
+    ),
+    (tables.SPEED_PREFIX, LASTING_SPEED, lambda found: tables.speed_key(found.node).key),
     (tables.EPOCH_KEY.key, LEASE, lambda _: ""),
     (tables.LEASE_KEY.key, LEASE, lambda _: ""),
 )
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
@@ -52,6 +52,10 @@
         Transactions that are not committed yet, in order; only the first one is in flight.
     sending : bool
         Whether the first batch has been sent and has no response yet.
+    learned_epoch : int
+        Epoch in which the learned rows were last requested.
+    writing_learned : bool
+        Whether a write of learned rows has been sent and has no response yet.
     resign_reply : Reply or None
         Reply to the request to release the leadership, once there was one.
     """
@@ -78,6 +82,8 @@
     loaded_version: int = 0
     batches: list[writes.Batch] = dataclasses.field(default_factory=list)
     sending: bool = False
+    learned_epoch: int = 0
+    writing_learned: bool = False
     resign_reply: mailbox.Reply | None = None
     counters: counters.Scheduler = dataclasses.field(default_factory=counters.Scheduler)
 
@@ -95,12 +101,16 @@
         answer(rows.Committed(token, rows.Outcome.NOT_DONE, reason="the queue is full"))
 
 
-def fetch(state: State, table: str) -> None:
-    """Read a table; its rows are posted to the mailbox of the task with the table as the token."""
+def fetch(state: State, table: str, token: typing.Any = None) -> None:
+    """Read a table; its rows are posted to the mailbox of the task.
+
+    The token of the message is the table if none is given.
+    """
+    token = table if token is None else token
 
     def answer(fetched: rows.Fetched) -> None:
         mailbox.post(state.inbox, fetched)
 
-    message = rows.Fetch(table, table, "", READ_TIMEOUT_SECONDS, answer)
+    message = rows.Fetch(token, table, "", READ_TIMEOUT_SECONDS, answer)
     if not mailbox.post(state.store, message):
-        answer(rows.Fetched(table, None, reason="the queue is full"))
+        answer(rows.Fetched(token, None, reason="the queue is full"))
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -8,7 +8,15 @@
 from peridothatch_core.message import rows
 from peridothatch_core.message import tickets as ticket_messages
 from peridothatch_core.model import steps, storeclock
-from peridothatch_core.schedule import cycle, leadership, rejection, tickets, writes
+from peridothatch_core.order import calibration, expectations
+from peridothatch_core.schedule import (
+    cycle,
+    leadership,
+    learned_rows,
+    rejection,
+    tickets,
+    writes,
+)
 from peridothatch_core.schedule import state as core_state
 from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.decide import loop
@@ -18,6 +26,7 @@
     log,
     messages,
     records,
+    schedule_learned,
     schedule_lease,
     schedule_load,
     schedule_state,
@@ -105,11 +114,16 @@
             storeclock.observe(state.clock, message.now_ms, message.asked_at, message.answered_at)
             if isinstance(message.token, writes.Batch):
                 _handle_batch_outcome(state, message.token, message)
+            elif isinstance(message.token, learned_rows.Write):
+                schedule_learned.handle_write_outcome(state, message.token, message)
             elif schedule_lease.handle_write_outcome(state, message):
                 schedule_load.start_load(state)
         case rows.Fetched():
             storeclock.observe(state.clock, message.now_ms, message.asked_at, message.answered_at)
-            schedule_load.handle_fetched(state, message)
+            if isinstance(message.token, schedule_learned.Read):
+                schedule_learned.handle_fetched(state, message.token, message)
+            else:
+                schedule_load.handle_fetched(state, message)
         case ticket_messages.Answered():
             _handle_tickets(state, message)
         case messages.DesiredChanged(desired_state, asked_at):
@@ -131,6 +145,8 @@
         case schedule_load.Reload():
             if state.loading:
                 schedule_load.start_load(state)
+        case schedule_learned.Read():
+            schedule_learned.read(state, message)
         case daemon_messages.Tick():
             pass
 
@@ -147,6 +163,8 @@
         schedule_load.start_load(state)
     else:
         _run_cycle(state, now_ms)
+        schedule_learned.read_once(state)
+        schedule_learned.write_if_idle(state, now_ms)
 
 
 def _run_cycle(state: schedule_state.State, now_ms: int) -> None:
@@ -302,6 +320,10 @@
         "store_age_seconds": round(storeclock.age_seconds(state.clock, clock.now()), 3),
         "evacuated": None if state.evacuated is None else sorted(state.evacuated),
         "ejected": sorted(schedule.health.ejected_until),
+        "run_times": expectations.describe(schedule.learned.history),
+        "run_time_errors": calibration.describe(schedule.learned.errors),
+        "learned_read": schedule.learned.is_read,
+        "worker_speeds": len(schedule.learned.speeds),
         "counters": dataclasses.asdict(state.counters),
         "gauges": {
             "leading": int(state.leadership.leading),
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -274,6 +274,11 @@
         "None while rare: such a write had no answer and was applied late. Otherwise another "
         "process writes job rows.",
     ),
+    "learned_not_written": Text(
+        "Writes of learned run times and speeds that failed; each is retried after 10 s.",
+        "None while rare: a takeover then loses more of what was learned. "
+        "`scheduler:learned_not_written` has the reason.",
+    ),
     "leading": Text("1 while this entry leads.", "Exactly one entry leads for most of the time."),
     "jobs_open": Text("Jobs that have not ended, on the leading entry.", "None."),
     "runs_open": Text("Runs that have not ended, on the leading entry.", "None."),
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -58,10 +58,13 @@
         async with asyncio.timeout(5):
             while True:
                 message = await mailbox.take(self.inbox)
-                if isinstance(message, kind) and wanted(message):
+                is_learned = getattr(message, "table", "") == tables.LEARNED_TABLE
+                if isinstance(message, kind) and wanted(message) and not is_learned:
                     return message
                 if isinstance(message, rows.Commit):
                     self.commit(message, 90)
+                elif message.table == tables.LEARNED_TABLE:
+                    self.fetched(message)
 
     def commit(self, message, version, outcome=rows.Outcome.COMMITTED):
         now = clock.now()
@@ -266,6 +269,10 @@
         await asyncio.sleep(0.02)
         while store.inbox.depth:
             message = await mailbox.take(store.inbox)
+            if isinstance(message, rows.Fetch):
+                assert message.table == tables.LEARNED_TABLE
+                store.fetched(message)
+                continue
             found = found or _writes(message, ORDER)
             store.commit(message, 90)
     return found
--- a/tests/platform/decoder_registry.py
+++ b/tests/platform/decoder_registry.py
@@ -5,7 +5,7 @@
 import typing
 
 from peridothatch_core.message import link, rows
-from peridothatch_core.model import entries, steps
+from peridothatch_core.model import entries, learned, steps
 from peridothatch_core.schedule import leadership
 from peridothatch_daemon import messages
 from peridothatch_daemon.decide import claim_row
@@ -117,6 +117,12 @@
             _of(entries.Entry("front-1", "10.0.0.1:80", "10.0.0.1:81"))),
     Decoder("hosted.records", "lease", lambda data: records.decode(records.LEASE, data),
             _of(leadership.Lease("a/1", 1, 2))),
+    Decoder("hosted.records", "run times",
+            lambda data: records.decode(records.RUN_TIMES, data),
+            _of(learned.RunTimes("ministry", "q", ((120, 1.5), (130, 0.25))))),
+    Decoder("hosted.records", "lasting speed",
+            lambda data: records.decode(records.LASTING_SPEED, data),
+            _of(learned.LastingSpeed("side-1", 1, -0.2, 9.0))),
     Decoder("platform.relay_calls", "transaction", relay_calls.decode_transaction,
             relay_calls.encode_transaction(rows.Transaction(
                 (rows.Condition(rows.Key("members", "agent/a"), 1),),
