--- a/packages/core/src/peridothatch_core/order/expectations.py
+++ b/packages/core/src/peridothatch_core/order/expectations.py
@@ -4,6 +4,9 @@
 queue, and work that changes. The customer's own runs in a queue are used first, then the runs of
 all customers in the queue, then the declared run time.
 
+A declared run time is wrong by a large factor, yet longer work is declared to be longer. Samples
+are therefore kept relative to a small power of the declared run time.
+
 A sample is a step, not a task: the tasks of a step are alike, so that one wide step says little
 about the next one. All functions take run times on a worker of ordinary speed.
 """
@@ -23,8 +26,30 @@
 DEFAULT_SECONDS = runtimes.DEFAULT_ESTIMATE_SECONDS
 """Expected run time if nothing is known and nothing is declared."""
 
-MIN_SAMPLES = 3.0
-"""Least number of samples before those of a customer or a queue are used."""
+DECLARED_EXPONENT = 0.3
+"""Power of the declared run time that a run time is expected to grow with.
+
+It is the share of the variance of the run times in the sum with that of the declaration's error,
+both of the logarithm: about 0.4^2 and 0.6^2 in the recorded days.
+"""
+
+REFERENCE_SECONDS = 10.0
+"""Declared run time that samples are converted to, and that is assumed where none is declared."""
+
+MIN_OWN_SAMPLES = 5.0
+"""Least number of a customer's samples before they are used instead of those of the queue.
+
+The customers of a queue differ less than the samples of one of them.
+"""
+
+MIN_POOL_SAMPLES = 1.0
+"""Least number of samples of a queue before they are used instead of the declared run time."""
+
+MIN_POOL_LIMIT = 3.0
+"""Number of samples of one customer that always count among those of the queue."""
+
+WEIGHT_TOLERANCE = 1e-6
+"""Allowance for the rounding of the weights of many tasks of a step."""
 
 MAX_SAMPLES = 40.0
 """Number of samples above which all are scaled down, so that older ones count less."""
@@ -48,6 +73,12 @@
 seeded log-normal series of 300 samples without a shift reached it.
 """
 
+MIN_REFERENCE_SAMPLES = 3.0
+"""Least number of earlier samples with which new ones are compared.
+
+The rank among few samples is uncertain, so as many are assumed to lie evenly around the new one.
+"""
+
 SHIFTED_FACTOR = 0.1
 """Factor for the weight of earlier samples after a shift."""
 
@@ -76,6 +107,17 @@
     level: Level
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenRun:
+    """A run that has not ended, with the time so far; see `record`."""
+
+    customer: str
+    queue: str
+    seconds: float
+    weight: float = 1.0
+    declared_seconds: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class Series:
     """Finished runs of one customer in one queue.
@@ -121,12 +163,19 @@
 
 
 def record(
-    history: History, customer: str, queue: str, seconds: float, weight: float = 1.0
+    history: History,
+    customer: str,
+    queue: str,
+    seconds: float,
+    weight: float = 1.0,
+    declared_seconds: float = 0.0,
 ) -> bool:
     """Record the run time of a run that is done; return whether it is plausible.
 
     Parameters
     ----------
+    declared_seconds : float
+        Declared run time; 0 if there is none.
     weight : float
         Share of the run in its step: 1 for a gang, and less for one of several tasks.
     """
@@ -135,7 +184,7 @@
     key = (customer, queue)
     series = history.series.pop(key, None) or Series()
     history.series[key] = series
-    index = survival.find_bin(seconds)
+    index = survival.find_bin(seconds / _declared_factor(declared_seconds))
     _observe_shift(series, index, weight)
     survival.add(series.recent, {index: weight})
     _settle(series)
@@ -149,13 +198,13 @@
     return True
 
 
-def observe_running(history: History, runs: Iterable[tuple[str, str, float, float]]) -> None:
-    """Replace the open runs, given as customer, queue, seconds so far and weight."""
+def observe_running(history: History, runs: Iterable[OpenRun]) -> None:
+    """Replace the open runs."""
     history.running = {}
-    for customer, queue, seconds, weight in runs:
-        bins = history.running.setdefault((customer, queue), {})
-        index = survival.find_bin(seconds)
-        bins[index] = bins.get(index, 0.0) + weight
+    for run in runs:
+        bins = history.running.setdefault((run.customer, run.queue), {})
+        index = survival.find_bin(run.seconds / _declared_factor(run.declared_seconds))
+        bins[index] = bins.get(index, 0.0) + run.weight
     history.curves.clear()
 
 
@@ -184,7 +233,8 @@
     curve, level = _find_curve(history, customer, queue)
     if curve is None:
         return _without_history(declared_seconds)
-    return Expectation(survival.quantile(curve, quantile), curve.weight, level)
+    seconds = survival.quantile(curve, quantile) * _declared_factor(declared_seconds)
+    return Expectation(seconds, curve.weight, level)
 
 
 def remaining(
@@ -203,15 +253,19 @@
     if curve is None:
         rest = _without_history(declared_seconds).seconds - elapsed_seconds
         return rest if rest > 0 else elapsed_seconds
-    ended = survival.share_ended(curve, elapsed_seconds)
+    factor = _declared_factor(declared_seconds)
+    ended = survival.share_ended(curve, elapsed_seconds / factor)
     if ended >= 1.0:
         return elapsed_seconds
     share = 1.0 - (1.0 - quantile) * (1.0 - ended)
-    return max(0.0, survival.quantile(curve, share) - elapsed_seconds)
+    return max(0.0, survival.quantile(curve, share) * factor - elapsed_seconds)
 
 
 def describe(history: History) -> dict[str, dict[str, float]]:
-    """Return the number of samples and the expected run times of each queue over all customers."""
+    """Return the samples of each queue over all customers, and what is expected of its work.
+
+    The expected run times are those of work that is declared to take `REFERENCE_SECONDS`.
+    """
     described = {}
     for queue in sorted({queue for _, queue in history.series}):
         curve = _pool(history, queue)
@@ -224,6 +278,13 @@
     return described
 
 
+def _declared_factor(declared_seconds: float) -> float:
+    """Return the factor of a run time to that of work that is declared as the reference."""
+    if declared_seconds <= 0:
+        return 1.0
+    return (declared_seconds / REFERENCE_SECONDS) ** DECLARED_EXPONENT
+
+
 def _without_history(declared_seconds: float) -> Expectation:
     if declared_seconds > 0:
         return Expectation(declared_seconds, 0.0, Level.DECLARED)
@@ -233,12 +294,11 @@
 def _observe_shift(series: Series, index: int, weight: float) -> None:
     """Update the cumulative sums by a sample; scale earlier samples down after a shift."""
     total = math.fsum(series.settled.values())
-    if total < MIN_SAMPLES:
+    if total < MIN_REFERENCE_SAMPLES:
         return
     below = math.fsum(share for known, share in series.settled.items() if known < index)
     rank = below + series.settled.get(index, 0.0) / 2
-    # The rank among few samples is uncertain, so it is drawn towards the middle.
-    deviation = (rank + MIN_SAMPLES / 2) / (total + MIN_SAMPLES) - 0.5
+    deviation = (rank + MIN_REFERENCE_SAMPLES / 2) / (total + MIN_REFERENCE_SAMPLES) - 0.5
     series.longer = max(0.0, series.longer + weight * (deviation - DRIFT_ALLOWANCE))
     series.shorter = max(0.0, series.shorter + weight * (-deviation - DRIFT_ALLOWANCE))
     if max(series.longer, series.shorter) > DRIFT_THRESHOLD:
@@ -272,12 +332,15 @@
     history: History, customer: str, queue: str
 ) -> tuple[survival.Curve | None, Level]:
     """Return the distribution of a customer's runs, or else that of all runs in the queue."""
-    for owner, level in ((customer, Level.CUSTOMER), (None, Level.QUEUE)):
+    for owner, level, least in (
+        (customer, Level.CUSTOMER, MIN_OWN_SAMPLES),
+        (None, Level.QUEUE, MIN_POOL_SAMPLES),
+    ):
         curve = history.curves.get((owner, queue))
         if curve is None:
             curve = _pool(history, queue) if owner is None else _own(history, customer, queue)
             history.curves[owner, queue] = curve
-        if curve.weight >= MIN_SAMPLES - 1e-9:
+        if curve.weight >= least - WEIGHT_TOLERANCE:
             return curve, level
     return None, Level.DECLARED
 
@@ -320,9 +383,9 @@
         if limited * share < 1.0:
             limit = share * rest / (1.0 - limited * share)
             if weight <= limit:
-                return max(limit, MIN_SAMPLES)
+                return max(limit, MIN_POOL_LIMIT)
         rest -= weight
-    return max(descending[-1] if descending else 0.0, MIN_SAMPLES)
+    return max(descending[-1] if descending else 0.0, MIN_POOL_LIMIT)
 
 
 def _forget_curves(history: History, customer: str, queue: str) -> None:
--- a/packages/core/src/peridothatch_core/schedule/expected.py
+++ b/packages/core/src/peridothatch_core/schedule/expected.py
@@ -41,11 +41,22 @@
 
 
 def run_expectation(
-    state: states.State, job: steps.Job, step: steps.Step, quantile: float = 0.5
+    state: states.State,
+    job: steps.Job,
+    step: steps.Step,
+    quantile: float = 0.5,
+    default_seconds: float = 0.0,
 ) -> expectations.Expectation:
-    """Return the expected run time of one task of a step, and what it is based on."""
+    """Return the expected run time of one task of a step, and what it is based on.
+
+    Parameters
+    ----------
+    default_seconds : float
+        Taken as the declared run time if there is none.
+    """
+    declared_seconds = step.estimate_ms / 1000.0 or default_seconds
     return expectations.estimate(
-        state.learned.history, job.customer, job.queue, step.estimate_ms / 1000.0, quantile
+        state.learned.history, job.customer, job.queue, declared_seconds, quantile
     )
 
 
@@ -131,11 +142,17 @@
     weight = 1.0 if step.gang else 1.0 / step.count
     speed = _run_speed(state, job, step_progress, run)
     plausible = expectations.record(
-        state.learned.history, job.customer, job.queue, seconds * speed, weight
+        state.learned.history,
+        job.customer,
+        job.queue,
+        seconds * speed,
+        weight,
+        step.estimate_ms / 1000.0,
     )
     state.learned.unsaved_runs += plausible
     if plausible and made is not None:
-        calibration.record(state.learned.errors, job.queue, made, seconds)
+        error = calibration.record(state.learned.errors, job.queue, made, seconds)
+        state.learned.new_errors.append((job.queue, error))
 
 
 def find_forecast(
@@ -188,8 +205,8 @@
     state: states.State,
     open_runs: list[tuple[steps.Job, steps.StepProgress, steps.Run]],
     now_ms: int,
-) -> typing.Iterator[tuple[str, str, float, float]]:
-    """Yield customer, queue, time so far at ordinary speed and weight; a gang counts once."""
+) -> typing.Iterator[expectations.OpenRun]:
+    """Yield the open runs with their times so far at ordinary speed; a gang counts once."""
     for job, progress, run in open_runs:
         step = job.steps[progress.step]
         if run.stopping or step.long_running or (step.gang and run.index > 0):
@@ -197,7 +214,13 @@
         elapsed_seconds = (now_ms - run.ordered_ms) / 1000.0
         speed = _run_speed(state, job, progress, run)
         weight = 1.0 if step.gang else 1.0 / step.count
-        yield job.customer, job.queue, elapsed_seconds * speed, weight
+        yield expectations.OpenRun(
+            job.customer,
+            job.queue,
+            elapsed_seconds * speed,
+            weight,
+            step.estimate_ms / 1000.0,
+        )
 
 
 def _remaining_by_progress(
--- a/packages/core/src/peridothatch_core/schedule/learned.py
+++ b/packages/core/src/peridothatch_core/schedule/learned.py
@@ -44,6 +44,8 @@
         Speed of the slowest member of each gang with open runs, as of the last refresh.
     errors : dict
         Errors of the forecasts by queue.
+    new_errors : list of (str, float)
+        Queue and absolute logarithmic error of runs that have ended, to be exported.
     refreshed_ms : int
         Store time at which the open runs were last looked at.
     is_read : bool
@@ -64,6 +66,7 @@
     forecasts: dict[RunKey, calibration.Forecast] = dataclasses.field(default_factory=dict)
     gang_speeds: dict[GangKey, float] = dataclasses.field(default_factory=dict)
     errors: dict[str, calibration.Errors] = dataclasses.field(default_factory=dict)
+    new_errors: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     refreshed_ms: int = 0
     is_read: bool = False
     saved_speeds: dict[str, learned.LastingSpeed] = dataclasses.field(default_factory=dict)
--- a/packages/core/src/peridothatch_core/schedule/preemption.py
+++ b/packages/core/src/peridothatch_core/schedule/preemption.py
@@ -6,8 +6,7 @@
 import typing
 
 from peridothatch_core.model import desired, steps
-from peridothatch_core.order import expectations
-from peridothatch_core.schedule import fit
+from peridothatch_core.schedule import expected, fit
 from peridothatch_core.schedule import state as states
 
 URGENT_PRIORITY = 0
@@ -172,11 +171,8 @@
     """
     if job.priority != URGENT_PRIORITY:
         return 0.0
-    hint_seconds = step.estimate_ms / 1000.0 or DEFAULT_TASK_SECONDS
-    expected = expectations.estimate(
-        state.learned.history, job.customer, job.queue, hint_seconds, quantile=0.5
-    )
-    own_work = count * _cores(step) * expected.seconds
+    expectation = expected.run_expectation(state, job, step, default_seconds=DEFAULT_TASK_SECONDS)
+    own_work = count * _cores(step) * expectation.seconds
     return MAX_URGENT_LOSS + MAX_URGENT_LOSS_SHARE * own_work
 
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -213,6 +213,11 @@
         metrics.create_latency_recorder(
             exported, "scheduler_wait_seconds", "Time from submission to an order"
         ),
+        metrics.create_error_recorder(
+            exported,
+            "scheduler_run_time_error",
+            "Absolute logarithm of a run time divided by the expected one",
+        ),
     )
 
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
@@ -68,6 +68,7 @@
     limits: core_state.Limits
     record_latency: metrics.LatencyRecorder
     record_wait: metrics.LatencyRecorder
+    record_error: metrics.ErrorRecorder
     clock: storeclock.StoreClock = dataclasses.field(default_factory=storeclock.StoreClock)
     schedule: core_state.State = dataclasses.field(default_factory=core_state.State)
     desired: desired.DesiredState | None = None
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -56,6 +56,10 @@
     ticking: task.Task
 
 
+def _ignore_error(queue: str, error: float) -> None:
+    """Record no error."""
+
+
 def start(
     node: str,
     incarnation: str,
@@ -64,6 +68,7 @@
     ticket_service: mailbox.Mailbox | None,
     record_latency: metrics.LatencyRecorder,
     record_wait: metrics.LatencyRecorder,
+    record_error: metrics.ErrorRecorder = _ignore_error,
 ) -> Scheduler:
     """Start the task.
 
@@ -79,11 +84,21 @@
         Takes the duration in seconds of a transaction that writes decisions.
     record_wait : callable
         Takes the time in seconds from a job's submission to the order of one of its runs.
+    record_error : callable
+        Takes the queue and the error of the expected run time of a run that is done.
     """
     inbox = mailbox.create("scheduler")
     own_leadership = leadership.Leadership(f"{node}/{incarnation}")
     state = schedule_state.State(
-        node, store, ticket_service, inbox, own_leadership, limits, record_latency, record_wait
+        node,
+        store,
+        ticket_service,
+        inbox,
+        own_leadership,
+        limits,
+        record_latency,
+        record_wait,
+        record_error,
     )
 
     def handle(message: typing.Any) -> None:
@@ -181,6 +196,7 @@
             worker_node=event.node,
             detail=event.detail,
             after_ms=event.elapsed_ms,
+            **_forecast_fields(event.forecast),
             epoch=state.leadership.epoch,
             store_ms=now_ms,
         )
@@ -188,6 +204,9 @@
         if event.kind == "ordered" and event.elapsed_ms is not None:
             state.record_wait(event.elapsed_ms / 1000.0)
     schedule.events.clear()
+    for queue, error in schedule.learned.new_errors:
+        state.record_error(queue, error)
+    schedule.learned.new_errors.clear()
     for request in schedule.ticket_requests:
         _request_tickets(state, request)
     schedule.ticket_requests.clear()
@@ -195,6 +214,19 @@
     _send_batch(state)
 
 
+def _forecast_fields(forecast: calibration.Forecast | None) -> dict[str, typing.Any]:
+    """Return the fields of a log line that tell the expected run time, and what it is based on."""
+    if forecast is None:
+        return {}
+    median, *_, upper = (round(1000 * seconds) for seconds in forecast.seconds)
+    return {
+        "expected_ms": median,
+        "expected_within_ms": upper,
+        "expected_by": str(forecast.level),
+        "samples": round(forecast.samples, 1),
+    }
+
+
 def _recent_evacuations(state: schedule_state.State) -> frozenset[str] | None:
     """Return the data centres out of service, or ``None`` if they must be read first."""
     age_ms = 1000 * (clock.now() - state.operator_rows_at)
--- a/packages/daemon/src/peridothatch_daemon/observe/metrics.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metrics.py
@@ -35,6 +35,12 @@
 
 LatencyRecorder = typing.Callable[[float], None]
 
+LOG_ERROR_BOUNDARIES = (0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 1.5, 2.0, 3.0)
+"""Bucket boundaries of a logarithmic error, from 5 % to a factor of 20."""
+
+ErrorRecorder = typing.Callable[[str, float], None]
+"""Takes the name of a queue and an absolute logarithmic error."""
+
 
 class Metrics:
     """Instruments of a process, and the state dump from which they read."""
@@ -118,6 +124,20 @@
     return histogram.record
 
 
+def create_error_recorder(metrics: Metrics, name: str, description: str) -> ErrorRecorder:
+    """Create a histogram and return a function that records logarithmic errors by queue in it."""
+    histogram = metrics._meter.create_histogram(
+        f"peridothatch_{name}",
+        description=description,
+        explicit_bucket_boundaries_advisory=LOG_ERROR_BOUNDARIES,
+    )
+
+    def record(queue: str, error: float) -> None:
+        histogram.record(error, {"queue": queue})
+
+    return record
+
+
 def _register_instrument(
     metrics: Metrics, task_name: str, name: str, group: str, known: set[str]
 ) -> None:
