--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -221,6 +221,11 @@
             exported, "scheduler_wait_seconds", "Time from submission to an order"
         ),
         lambda: mailbox.post(grouping_inbox, messages.LeaderWriteRefused()),
+        metrics.create_error_recorder(
+            exported,
+            "scheduler_run_time_error",
+            "Absolute logarithm of a run time divided by the expected one",
+        ),
     )
 
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -8,9 +8,11 @@
 from peridothatch_core.message import rows
 from peridothatch_core.message import tickets as ticket_messages
 from peridothatch_core.model import steps, storeclock
+from peridothatch_core.order import calibration, expectations
 from peridothatch_core.schedule import (
     cycle,
     leadership,
+    learned_rows,
     rejection,
     speed_fit,
     speed_tiers,
@@ -26,6 +28,7 @@
     log,
     messages,
     records,
+    schedule_learned,
     schedule_lease,
     schedule_load,
     schedule_state,
@@ -57,6 +60,10 @@
     """Take a report that nobody needs."""
 
 
+def _ignore_error(queue: str, error: float) -> None:
+    """Record no error."""
+
+
 def start(
     node: str,
     incarnation: str,
@@ -66,6 +73,7 @@
     record_latency: metrics.LatencyRecorder,
     record_wait: metrics.LatencyRecorder,
     report_refused: typing.Callable[[], None] = _ignore,
+    record_error: metrics.ErrorRecorder = _ignore_error,
 ) -> Scheduler:
     """Start the task.
 
@@ -83,6 +91,8 @@
         Takes the time in seconds from a job's submission to the order of one of its runs.
     report_refused : callable
         Called when a full partition has refused a write of this process as the leader.
+    record_error : callable
+        Takes the queue and the error of the expected run time of a run that is done.
     """
     inbox = mailbox.create("scheduler")
     own_leadership = leadership.Leadership(f"{node}/{incarnation}")
@@ -96,6 +106,7 @@
         record_latency,
         record_wait,
         report_refused,
+        record_error,
     )
 
     def handle(message: typing.Any) -> None:
@@ -126,11 +137,16 @@
             storeclock.observe(state.clock, message.now_ms, message.asked_at, message.answered_at)
             if isinstance(message.token, writes.Batch):
                 _handle_batch_outcome(state, message.token, message)
+            elif isinstance(message.token, learned_rows.Write):
+                schedule_learned.handle_write_outcome(state, message.token, message)
             elif schedule_lease.handle_write_outcome(state, message):
                 schedule_load.start_load(state)
         case rows.Fetched():
             storeclock.observe(state.clock, message.now_ms, message.asked_at, message.answered_at)
-            schedule_load.handle_fetched(state, message)
+            if isinstance(message.token, schedule_learned.Read):
+                schedule_learned.handle_fetched(state, message.token, message)
+            else:
+                schedule_load.handle_fetched(state, message)
         case ticket_messages.Answered():
             _handle_tickets(state, message)
         case messages.DesiredChanged(desired_state, asked_at):
@@ -154,6 +170,8 @@
         case schedule_load.Reload():
             if state.loading:
                 schedule_load.start_load(state)
+        case schedule_learned.Read():
+            schedule_learned.read(state, message)
         case daemon_messages.Tick():
             pass
 
@@ -170,6 +188,8 @@
         schedule_load.start_load(state)
     else:
         _run_cycle(state, now_ms)
+        schedule_learned.read_once(state)
+        schedule_learned.write_if_idle(state, now_ms)
 
 
 def _run_cycle(state: schedule_state.State, now_ms: int) -> None:
@@ -186,6 +206,7 @@
             worker_node=event.node,
             detail=event.detail,
             after_ms=event.elapsed_ms,
+            **_forecast_fields(event.forecast),
             epoch=state.leadership.epoch,
             store_ms=now_ms,
         )
@@ -193,6 +214,9 @@
         if event.kind == "ordered" and event.elapsed_ms is not None:
             state.record_wait(event.elapsed_ms / 1000.0)
     schedule.events.clear()
+    for queue, error in schedule.learned.new_errors:
+        state.record_error(queue, error)
+    schedule.learned.new_errors.clear()
     for request in schedule.ticket_requests:
         _request_tickets(state, request)
     schedule.ticket_requests.clear()
@@ -200,6 +224,19 @@
     _send_batch(state)
 
 
+def _forecast_fields(forecast: calibration.Forecast | None) -> dict[str, typing.Any]:
+    """Return the fields of a log line that tell the expected run time, and what it is based on."""
+    if forecast is None:
+        return {}
+    median, *_, upper = (round(1000 * seconds) for seconds in forecast.seconds)
+    return {
+        "expected_ms": median,
+        "expected_within_ms": upper,
+        "expected_by": str(forecast.level),
+        "samples": round(forecast.samples, 1),
+    }
+
+
 def _recent_evacuations(state: schedule_state.State) -> frozenset[str] | None:
     """Return the data centres out of service, or ``None`` if they must be read first."""
     age_ms = 1000 * (clock.now() - state.operator_rows_at)
@@ -327,6 +364,10 @@
         "evacuated": None if state.evacuated is None else sorted(state.evacuated),
         "ejected": sorted(schedule.health.ejected_until),
         "speeds": _dump_speeds(schedule),
+        "run_times": expectations.describe(schedule.learned.history),
+        "run_time_errors": calibration.describe(schedule.learned.errors),
+        "learned_read": schedule.learned.is_read,
+        "worker_speeds": len(schedule.learned.speeds),
         "counters": dataclasses.asdict(state.counters),
         "gauges": {
             "leading": int(state.leadership.leading),
