Take learned run times as they are where a task declares none

The limit on preempted work set a declared run time of 1 s for tasks that declare none. Since learned run times depend on the declared one, it halved them, and urgent gangs were late again (7 tests of schedule.spare). The default now applies only where nothing is known, and a job is predictable if its queue has finished runs.

--- a/packages/core/src/peridothatch_core/schedule/expected.py
+++ b/packages/core/src/peridothatch_core/schedule/expected.py
@@ -45,18 +45,10 @@
     job: steps.Job,
     step: steps.Step,
     quantile: float = 0.5,
-    default_seconds: float = 0.0,
 ) -> expectations.Expectation:
-    """Return the expected run time of one task of a step, and what it is based on.
-
-    Parameters
-    ----------
-    default_seconds : float
-        Taken as the declared run time if there is none.
-    """
-    declared_seconds = step.estimate_ms / 1000.0 or default_seconds
+    """Return the expected run time of one task of a step, and what it is based on."""
     return expectations.estimate(
-        state.learned.history, job.customer, job.queue, declared_seconds, quantile
+        state.learned.history, job.customer, job.queue, step.estimate_ms / 1000.0, quantile
     )
 
 
--- a/packages/core/src/peridothatch_core/schedule/objectives.py
+++ b/packages/core/src/peridothatch_core/schedule/objectives.py
@@ -9,7 +9,7 @@
 import typing
 
 from peridothatch_core.model import steps
-from peridothatch_core.order import runtimes
+from peridothatch_core.order import expectations
 from peridothatch_core.schedule import expected
 
 if typing.TYPE_CHECKING:
@@ -21,11 +21,10 @@
 def is_predictable(state: states.State, job: steps.Job) -> bool:
     """Return whether a job has an objective, and run times known from finished runs.
 
-    The run time of a step that declares none is the default unless it has been learned. The
-    objective of a recurring job counts from its due time, which is not in store time.
+    The objective of a recurring job counts from its due time, which is not in store time.
     """
-    undeclared = steps.Step(1)
-    learned = expected.run_seconds(state, job, undeclared) < runtimes.DEFAULT_ESTIMATE_SECONDS
+    expectation = expected.run_expectation(state, job, steps.Step(1))
+    learned = expectation.level is not expectations.Level.DEFAULT
     return learned and job.timetable is None and not any(step.long_running for step in job.steps)
 
 
--- a/packages/core/src/peridothatch_core/schedule/preemption.py
+++ b/packages/core/src/peridothatch_core/schedule/preemption.py
@@ -10,6 +10,7 @@
 import typing
 
 from peridothatch_core.model import desired, steps
+from peridothatch_core.order import expectations
 from peridothatch_core.schedule import expected, fit, spare, victims
 from peridothatch_core.schedule import state as states
 
@@ -36,7 +37,7 @@
 It bounds the time of a search; there are only few gangs that are cheap enough.
 """
 
-DEFAULT_TASK_MS = 1000
+DEFAULT_TASK_SECONDS = 1.0
 """Assumed duration of tasks that declare none, until a run of their queue has ended.
 
 It is short so that little work is lost for tasks of unknown size.
@@ -206,8 +207,9 @@
     """
     if job.priority != URGENT_PRIORITY:
         return 0.0
-    declared = dataclasses.replace(step, estimate_ms=step.estimate_ms or DEFAULT_TASK_MS)
-    seconds = expected.run_seconds(state, job, declared)
+    expectation = expected.run_expectation(state, job, step)
+    unknown = expectation.level is expectations.Level.DEFAULT
+    seconds = DEFAULT_TASK_SECONDS if unknown else expectation.seconds
     own_work = len(chosen.targets) * victims.cores(step) * seconds
     limit = MAX_URGENT_LOSS + MAX_URGENT_LOSS_SHARE * own_work
     return max(limit, own_work) if chosen.owners_on_time else limit
--- a/packages/daemon/tests/hosted/row_store.py
+++ b/packages/daemon/tests/hosted/row_store.py
@@ -97,7 +97,7 @@
     """Run a scheduler on a store until the block ends."""
     running = scheduler.start(
         "front-1", "1", state.Limits(), store.inbox, None, lambda _: None, lambda _: None,
-        record_error,
+        record_error=record_error,
     )  # fmt: skip
     store.deliver = lambda changes: mailbox.post(running.inbox, changes)
     serving = task.start("store", store.serve())
