--- a/packages/core/src/peridothatch_core/schedule/preemption.py
+++ b/packages/core/src/peridothatch_core/schedule/preemption.py
@@ -175,6 +175,11 @@
     """Stop the victims of a plan and reserve its targets."""
     reserve(step, chosen)
     kind = "guaranteed" if job.id in protected else f"priority {job.priority}"
+    if chosen.victims:
+        runs = sum(len(victim.runs) for victim in chosen.victims)
+        detail = f"{runs} runs stop and about {chosen.cost:.0f} core-seconds are lost"
+        event_kind = "preempting on slack" if chosen.owners_on_time else "preempting"
+        state.events.append(states.Event(event_kind, job.id, detail=detail))
     for victim in chosen.victims:
         for run in victim.runs:
             reason = f"preempted by the {kind} job {job.id}"
--- a/packages/core/src/peridothatch_core/schedule/turns.py
+++ b/packages/core/src/peridothatch_core/schedule/turns.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from peridothatch_core.model import steps
@@ -52,25 +53,38 @@
     return ordered
 
 
-def usage(state: states.State, priority: int) -> fair_share.Usage:
-    """Return what customers use for jobs of a priority.
-
-    Work of lower priority does not count, because it yields to these jobs.
-    """
+def accelerators_in_use(state: states.State, lowest_priority: float = math.inf) -> dict[str, int]:
+    """Return the accelerators in use by customer, for jobs down to a priority."""
     accelerators: dict[str, int] = {}
-    running: dict[str, steps.Job] = {}
     for entries in state.runs.values():
         for job, step_progress, _ in entries:
-            if job.priority <= priority:
+            if job.priority <= lowest_priority:
                 demand = job.steps[step_progress.step].demand.accelerators
                 accelerators[job.customer] = accelerators.get(job.customer, 0) + demand
-            if job.priority == priority:
-                running[job.id] = job
+    return accelerators
+
+
+def guaranteed_accelerators(state: states.State) -> dict[str, int]:
+    """Return the guaranteed accelerators by customer."""
     tenancies = state.desired.tenancies if state.desired else ()
+    return {tenancy.customer: tenancy.guaranteed_accelerators for tenancy in tenancies}
+
+
+def usage(state: states.State, priority: int) -> fair_share.Usage:
+    """Return what customers use for jobs of a priority.
+
+    Work of lower priority does not count, because it yields to these jobs.
+    """
+    running = {
+        job.id: job
+        for entries in state.runs.values()
+        for job, _, _ in entries
+        if job.priority == priority
+    }
     began_late = [job for job in running.values() if _began_after_slack(state, job, 0.5)]
     return fair_share.Usage(
-        accelerators,
-        {tenancy.customer: tenancy.guaranteed_accelerators for tenancy in tenancies},
+        accelerators_in_use(state, priority),
+        guaranteed_accelerators(state),
         {job.customer for job in began_late},
         any(_began_after_slack(state, job, OPTIMISTIC_QUANTILE) for job in began_late),
     )
--- a/packages/core/tests/schedule/test_spare.py
+++ b/packages/core/tests/schedule/test_spare.py
@@ -6,7 +6,7 @@
 import schedule_harness as harness
 
 from peridothatch_core.model import steps
-from peridothatch_core.schedule import state
+from peridothatch_core.schedule import cycle, state
 
 URGENT_SECONDS = 5.0
 MIDDLE_SECONDS = 13.6
@@ -180,6 +180,16 @@
     assert all(_is_stopping(job) for job in jobs)
 
 
+def test_the_log_tells_that_work_stops_on_account_of_its_slack():
+    scheduler, now_ms = _learned_scheduler(1)
+    _start_all(scheduler, [_middle("middle", now_ms)], now_ms)
+    _add(scheduler, _urgent("urgent", now_ms, count=1))
+    scheduler.events.clear()
+    cycle.run(scheduler, now_ms, harness.UNIX_MS)
+    kinds = [event.kind for event in scheduler.events if event.job in ("urgent", "middle")]
+    assert kinds == ["preempting on slack", "stopping"]
+
+
 def test_no_more_work_than_before_is_lost_if_an_owner_would_miss_its_objective():
     scheduler, now_ms = _learned_scheduler(5)
     jobs = _five_workers_of_work(scheduler, now_ms, waited_ms=25_000)
--- a/packages/core/tests/schedule/test_turns.py
+++ b/packages/core/tests/schedule/test_turns.py
@@ -176,6 +176,7 @@
     )
     harness.run(scheduler)
     assert turns.usage(scheduler, 1).accelerators == {"small": 4}
+    assert turns.accelerators_in_use(scheduler) == {"small": 12, "large": 2}
     usage = turns.usage(scheduler, 2)
     assert usage.accelerators == {"small": 12, "large": 2}
     assert usage.guaranteed == UNEQUAL
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -46,6 +46,8 @@
     claims: int = 0
     runs_ordered: int = 0
     runs_stopped: int = 0
+    preemptions: int = 0
+    preemptions_on_slack: int = 0
     runs_done: int = 0
     runs_failed: int = 0
     runs_lost: int = 0
@@ -75,6 +77,10 @@
             scheduler.runs_ordered += 1
         case "stopping":
             scheduler.runs_stopped += 1
+        case "preempting":
+            scheduler.preemptions += 1
+        case "preempting on slack":
+            scheduler.preemptions_on_slack += 1
         case "ended done":
             scheduler.runs_done += 1
         case "ended failed":
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -8,7 +8,8 @@
 from peridothatch_core.message import rows
 from peridothatch_core.message import tickets as ticket_messages
 from peridothatch_core.model import steps, storeclock
-from peridothatch_core.schedule import cycle, leadership, rejection, tickets, writes
+from peridothatch_core.order import fair_share
+from peridothatch_core.schedule import cycle, leadership, rejection, tickets, turns, writes
 from peridothatch_core.schedule import state as core_state
 from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.decide import loop
@@ -302,6 +303,7 @@
         "store_age_seconds": round(storeclock.age_seconds(state.clock, clock.now()), 3),
         "evacuated": None if state.evacuated is None else sorted(state.evacuated),
         "ejected": sorted(schedule.health.ejected_until),
+        "shares": _shares(schedule),
         "counters": dataclasses.asdict(state.counters),
         "gauges": {
             "leading": int(state.leadership.leading),
@@ -309,5 +311,16 @@
                 job.state not in steps.FINAL_STATES for job in schedule.jobs.values()
             ),
             "runs_open": sum(len(entries) for entries in schedule.runs.values()),
+            "customers_take_turns": int(fair_share.is_enabled(schedule.desired)),
         },
     }
+
+
+def _shares(schedule: core_state.State) -> dict[str, dict[str, int]]:
+    """Return the accelerators that each customer uses, and those guaranteed to it."""
+    used = turns.accelerators_in_use(schedule)
+    guaranteed = turns.guaranteed_accelerators(schedule)
+    return {
+        customer: {"used": used.get(customer, 0), "guaranteed": guaranteed.get(customer, 0)}
+        for customer in sorted(used.keys() | guaranteed.keys())
+    }
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -244,6 +244,16 @@
     "runs_stopped": Text(
         "Runs that were ordered to stop.", "Look at the reason in `scheduler:stopping`."
     ),
+    "preemptions": Text(
+        "Times that work was stopped for an urgent job, within its customer's guarantee or the "
+        "limit on lost work.",
+        "A steady rise shows a shortage of workers. `scheduler:preempting` names the urgent jobs.",
+    ),
+    "preemptions_on_slack": Text(
+        "Times that work was stopped for an urgent job because its owners still meet their "
+        "objectives by the expected run times.",
+        "If stopped jobs end late, look at `scheduler:preempting on slack` and their runs.",
+    ),
     "runs_done": Text("Runs that ended done.", "None."),
     "runs_failed": Text("Runs that ended failed.", "Look for failing workers and jobs."),
     "orders_withdrawn": Text(
@@ -277,6 +287,10 @@
     "leading": Text("1 while this entry leads.", "Exactly one entry leads for most of the time."),
     "jobs_open": Text("Jobs that have not ended, on the leading entry.", "None."),
     "runs_open": Text("Runs that have not ended, on the leading entry.", "None."),
+    "customers_take_turns": Text(
+        "1 while the guarantees in force are so unequal that customers take turns.",
+        "Compare `shares` in the state dump of the leading entry when a customer's jobs wait.",
+    ),
 }
 
 _SUPERVISOR = {
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -2,7 +2,7 @@
 import dataclasses
 
 from peridothatch_core.message import rows
-from peridothatch_core.model import agents, steps, tables
+from peridothatch_core.model import agents, desired, steps, tables
 from peridothatch_core.schedule import leadership, state
 from peridothatch_daemon import messages as daemon_messages
 from peridothatch_daemon.hosted import clock, messages, records, scheduler
@@ -126,6 +126,33 @@
     await scheduler.close(running)
 
 
+async def test_the_state_shows_which_share_of_its_guarantee_a_customer_uses():
+    # Without it nobody can tell whether a waiting job's customer is over its share.
+    job = dataclasses.replace(
+        _job(), customer="hotels", steps=(steps.Step(1, steps.Demand(0, 0, 8)),)
+    )
+    work = [_row(tables.job_key(job.id), job, 10)]
+    agent = _agent(claimed=((TASK, 1),))
+    running, _ = await _leading(work, [_row(tables.agent_key(NODE), agent, 40)])
+    tenancies = tuple(
+        desired.Tenancy(name, frozenset(), amount)
+        for name, amount in {"hotels": 16, "ministry": 4, "port": 4}.items()
+    )
+    version = desired.DesiredState(1, tenancies=tenancies)
+    mailbox.post(running.inbox, messages.DesiredChanged(version, clock.now() + AHEAD_SECONDS))
+    await asyncio.sleep(SETTLE_SECONDS)
+    reply = mailbox.Reply()
+    mailbox.post(running.inbox, daemon_messages.DumpState(reply))
+    dump = await mailbox.wait(reply, 5)
+    assert dump["shares"] == {
+        "hotels": {"used": 8, "guaranteed": 16},
+        "ministry": {"used": 0, "guaranteed": 4},
+        "port": {"used": 0, "guaranteed": 4},
+    }
+    assert dump["gauges"]["customers_take_turns"] == 1
+    await scheduler.close(running)
+
+
 async def test_a_change_delivered_during_the_read_is_applied():
     # Changes were discarded while the rows were being read, so a job accepted at that time was
     # never started.
