Do not await a run that hangs after it reported to be complete

No time remains for such a run by its report, and an urgent job without time to wait still waited for it. Work that ends in no time is awaited only while the job has time to wait.

--- a/packages/core/src/peridothatch_core/schedule/victims.py
+++ b/packages/core/src/peridothatch_core/schedule/victims.py
@@ -114,11 +114,15 @@
 
 
 def _ends_in_time(state: states.State, victim: Victim, terms: spare.Terms, now_ms: int) -> bool:
-    """Return whether a job waits for runs to end, because stopping them would cost more."""
+    """Return whether a job waits for runs to end, because stopping them would cost more.
+
+    A run that has reported to be complete has no time left, however long it hangs. It is not
+    awaited once the job has no time to wait either.
+    """
     outlook = spare.outlook(state, victim.job, victim.progress, victim.runs, now_ms)
     step = victim.job.steps[victim.progress.step]
     rest = len(victim.runs) * cores(step) * outlook.remaining_seconds
-    return outlook.remaining_seconds <= terms.wait_seconds and rest <= victim.cost
+    return outlook.remaining_seconds < terms.wait_seconds and rest <= victim.cost
 
 
 def _victims_on(
--- a/packages/core/tests/schedule/schedule_harness.py
+++ b/packages/core/tests/schedule/schedule_harness.py
@@ -107,3 +107,26 @@
             claimed,
         )  # fmt: skip
         state.update_agent(scheduler, renewed, scheduler.agent_versions.get(node, 0) + 1)
+
+
+def run_renewed(scheduler, now_ms):
+    """Run a cycle while all agents renew their leases and claim their orders."""
+    renew(scheduler, now_ms)
+    run(scheduler, now_ms)
+    renew(scheduler, now_ms)
+
+
+def learn(scheduler, like, seconds, now_ms):
+    """Let runs of a job's customer and queue end after given times, one by one; return the end."""
+    for number, duration in enumerate(seconds):
+        finished = job(
+            f"learned-{like.queue}-{like.customer}-{number}", step(1, 1, cpu=1_000),
+            priority=like.priority, queue=like.queue, customer=like.customer, submitted_ms=now_ms,
+        )  # fmt: skip
+        state.add_job(scheduler, finished, 1)
+        run_renewed(scheduler, now_ms)
+        now_ms += round(1000 * duration)
+        renew(scheduler, now_ms)
+        end(scheduler, finished, open_runs(finished)[0], steps.EndKind.DONE, now_ms=now_ms)
+        assert finished.state is steps.JobState.COMPLETED
+    return now_ms
--- a/packages/core/tests/schedule/test_spare.py
+++ b/packages/core/tests/schedule/test_spare.py
@@ -1,11 +1,12 @@
 """A full fleet of work with slack in which urgent gangs arrive that need whole workers."""
 
+import dataclasses
 import random
 
 import pytest
 import schedule_harness as harness
 
-from peridothatch_core.model import steps
+from peridothatch_core.model import agents, steps
 from peridothatch_core.schedule import cycle, state
 
 URGENT_SECONDS = 5.0
@@ -39,28 +40,6 @@
     )
 
 
-def _run(scheduler, now_ms):
-    harness.renew(scheduler, now_ms)
-    harness.run(scheduler, now_ms)
-    harness.renew(scheduler, now_ms)
-
-
-def _learn(scheduler, like, seconds, now_ms):
-    """Let runs like those of a job end after given times, one after the other."""
-    for number, duration in enumerate(seconds):
-        job = harness.job(
-            f"learned-{like.queue}-{number}", harness.step(1, 1, cpu=1_000),
-            priority=like.priority, queue=like.queue, customer=like.customer, submitted_ms=now_ms,
-        )  # fmt: skip
-        state.add_job(scheduler, job, 1)
-        _run(scheduler, now_ms)
-        now_ms += round(1000 * duration)
-        harness.renew(scheduler, now_ms)
-        harness.end(scheduler, job, harness.open_runs(job)[0], steps.EndKind.DONE, now_ms=now_ms)
-        assert job.state is steps.JobState.COMPLETED
-    return now_ms
-
-
 def _scheduler(workers, guaranteed=None):
     nodes = [harness.agent(f"n{number}") for number in range(workers)]
     return harness.make_scheduler([], nodes, guaranteed or {"ministry": 0, "hotels": 0})
@@ -73,7 +52,7 @@
         (_wide("", 0, False), WIDE_SECONDS),
     ):
         spread = [rng.uniform(0.9, 1.1) if rng else 1.0 for _ in range(8)]
-        now_ms = _learn(scheduler, like, [seconds * factor for factor in spread], now_ms)
+        now_ms = harness.learn(scheduler, like, [seconds * factor for factor in spread], now_ms)
     return now_ms
 
 
@@ -101,7 +80,7 @@
     for job in jobs:
         job.submitted_ms = now_ms
         _add(scheduler, job)
-        _run(scheduler, now_ms)
+        harness.run_renewed(scheduler, now_ms)
         assert harness.open_runs(job)
         now_ms += rng.randrange(400, 800)
     return jobs, now_ms
@@ -113,7 +92,7 @@
     due_ms, saved_ms = {}, {}
     while now_ms < end_ms:
         now_ms += TICK_MS
-        _run(scheduler, now_ms)
+        harness.run_renewed(scheduler, now_ms)
         for entries in list(scheduler.runs.values()):
             for job, _, run in list(entries):
                 key = (job.id, run.index)
@@ -153,15 +132,15 @@
     assert [job.id for job in jobs if not _is_on_time(job)] == []
 
 
-def _learned_scheduler(workers, guaranteed=None):
+def _learned_scheduler(workers, guaranteed=None, rng=None):
     scheduler = _scheduler(workers, guaranteed)
-    return scheduler, _learn_all(scheduler)
+    return scheduler, _learn_all(scheduler, rng)
 
 
 def _start_all(scheduler, jobs, now_ms):
     for job in jobs:
         _add(scheduler, job)
-    _run(scheduler, now_ms)
+    harness.run_renewed(scheduler, now_ms)
     assert all(harness.open_runs(job) for job in jobs)
 
 
@@ -170,7 +149,7 @@
     jobs = [_middle(f"middle-{number}", now_ms - waited_ms) for number in range(5)]
     _start_all(scheduler, jobs, now_ms)
     _add(scheduler, _urgent("urgent", now_ms + 2_200))
-    _run(scheduler, now_ms + 2_200)
+    harness.run_renewed(scheduler, now_ms + 2_200)
     return jobs
 
 
@@ -207,7 +186,7 @@
     jobs = [_middle(f"middle-{number}", now_ms) for number in range(5)]
     _start_all(scheduler, jobs, now_ms)
     _add(scheduler, _urgent("urgent", now_ms - 1_000))
-    _run(scheduler, now_ms + 1_800)
+    harness.run_renewed(scheduler, now_ms + 1_800)
     assert not any(_is_stopping(job) for job in jobs)
 
 
@@ -217,20 +196,20 @@
     gang = _middle("gang", now_ms, count=5)
     _start_all(scheduler, [gang], now_ms)
     _add(scheduler, _urgent("urgent", now_ms + 1_000, count=1))
-    _run(scheduler, now_ms + 1_000)
+    harness.run_renewed(scheduler, now_ms + 1_000)
     assert not _is_stopping(gang)
 
 
-def _with_work_about_to_end(guaranteed=None):
+def _with_work_about_to_end(guaranteed=None, rng=None):
     """Return a scheduler with an urgent job, and work that ends in 1 s and in 13 s."""
-    scheduler, now_ms = _learned_scheduler(2, guaranteed)
+    scheduler, now_ms = _learned_scheduler(2, guaranteed, rng)
     ending, begun = _middle("ending", now_ms), _middle("begun", now_ms + 11_600)
     _start_all(scheduler, [ending], now_ms)
     now_ms += 11_600
     _start_all(scheduler, [begun], now_ms)
     now_ms += 1_000
     urgent = _add(scheduler, _urgent("urgent", now_ms, count=1))
-    _run(scheduler, now_ms)
+    harness.run_renewed(scheduler, now_ms)
     return scheduler, now_ms, ending, begun, urgent
 
 
@@ -246,11 +225,23 @@
 
 def test_other_work_is_stopped_once_an_urgent_job_can_wait_no_longer():
     scheduler, now_ms, ending, begun, _ = _with_work_about_to_end()
-    _run(scheduler, now_ms + 2_200)
+    harness.run_renewed(scheduler, now_ms + 2_200)
     assert not _is_stopping(ending)
     assert _is_stopping(begun)
 
 
+def test_work_that_reports_to_be_complete_is_not_awaited_for_ever():
+    # No time remains by its report, however long it hangs.
+    scheduler, now_ms, ending, begun, _ = _with_work_about_to_end(rng=random.Random(1))
+    run = harness.open_runs(ending)[0]
+    reports = (agents.RunReport("ending.0.0.0", run.attempt, "", 100),)
+    scheduler.agents[run.node] = dataclasses.replace(scheduler.agents[run.node], runs=reports)
+    harness.run_renewed(scheduler, now_ms + 1_000)
+    assert not _is_stopping(begun)
+    harness.run_renewed(scheduler, now_ms + 1_950)
+    assert _is_stopping(begun)
+
+
 def test_a_guaranteed_job_does_not_wait_for_work_that_is_about_to_end():
     # All tasks of a job within its guarantee must begin within 2.7 s, whatever runs.
     _, _, ending, begun, _ = _with_work_about_to_end({"hotels": 8})
@@ -264,6 +255,6 @@
     wide = [_wide(f"wide-{number}", now_ms, checkpointing=False) for number in range(5)]
     _start_all(scheduler, [gang, *wide], now_ms)
     _add(scheduler, _urgent("urgent", now_ms + 3_000))
-    _run(scheduler, now_ms + 3_000)
+    harness.run_renewed(scheduler, now_ms + 3_000)
     assert _is_stopping(gang)
     assert not any(_is_stopping(job) for job in wide)
--- a/packages/core/tests/schedule/test_turns.py
+++ b/packages/core/tests/schedule/test_turns.py
@@ -27,34 +27,15 @@
 
 
 def _scheduler(workers=0, guaranteed=UNEQUAL, learned=True):
+    """Return a scheduler that has learned that tasks of each customer take ten seconds."""
+    scheduler = harness.make_scheduler([], [harness.agent("teacher")], guaranteed)
+    for customer in (*UNEQUAL, "without") if learned else ():
+        like = harness.job("", customer=customer)
+        harness.learn(scheduler, like, 3 * [SECONDS], harness.NOW_MS - 30_000)
     nodes = [harness.agent(f"n{number}") for number in range(workers)]
-    scheduler = harness.make_scheduler([], nodes, guaranteed)
-    if learned:
-        _learn(scheduler)
-    return scheduler
-
-
-def _learn(scheduler):
-    """Let tasks of each customer end after ten seconds."""
-    teachers = [
-        harness.agent(f"teacher{number}", hold_until_ms=harness.NOW_MS - 1_500)
-        for number in range(3)
-    ]
-    nodes, scheduler.agents = scheduler.agents, {row.node: row for row in teachers}
-    for customer in (*UNEQUAL, "without"):
-        job = harness.job(
-            f"learned-{customer}", harness.step(8, 1), customer=customer, submitted_ms=0
-        )
-        _add(scheduler, job)
-        begun_ms = harness.NOW_MS - round(1_000 * SECONDS)
-        harness.renew(scheduler, begun_ms)
-        harness.run(scheduler, begun_ms)
-        harness.renew(scheduler, harness.NOW_MS)
-        for run in harness.open_runs(job):
-            harness.end(scheduler, job, run, steps.EndKind.DONE)
-        assert job.state is steps.JobState.COMPLETED
     scheduler.jobs.clear()
-    scheduler.agents = nodes
+    scheduler.agents = {row.node: row for row in nodes}
+    return scheduler
 
 
 def _names(scheduler, protected=()):
@@ -88,8 +69,7 @@
     burst = _add(
         scheduler, *(_wide(f"l{number}", "large", harness.NOW_MS) for number in range(30))
     )
-    harness.renew(scheduler, harness.NOW_MS)
-    harness.run(scheduler)
+    harness.run_renewed(scheduler, harness.NOW_MS)
     now_ms = harness.NOW_MS + 2_000
     (small,) = _add(scheduler, _wide("small", "small", now_ms))
     running = [job for job in burst if harness.open_runs(job)]
