--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -265,6 +265,16 @@
     "runs_stopped": Text(
         "Runs that were ordered to stop.", "Look at the reason in `scheduler:stopping`."
     ),
+    "preemptions": Text(
+        "Times that work was stopped for an urgent job, within its customer's guarantee or the "
+        "limit on lost work.",
+        "A steady rise shows a shortage of workers. `scheduler:preempting` names the urgent jobs.",
+    ),
+    "preemptions_on_slack": Text(
+        "Times that work was stopped for an urgent job because its owners still meet their "
+        "objectives by the expected run times.",
+        "If stopped jobs end late, look at `scheduler:preempting on slack` and their runs.",
+    ),
     "runs_done": Text("Runs that ended done.", "None."),
     "runs_failed": Text("Runs that ended failed.", "Look for failing workers and jobs."),
     "orders_withdrawn": Text(
@@ -312,6 +322,10 @@
         "Workers that jobs with little slack use last, on the leading entry.",
         "If they should be as fast as the others, look at these machines.",
     ),
+    "customers_take_turns": Text(
+        "1 while the guarantees in force are so unequal that customers take turns.",
+        "Compare `shares` in the state dump of the leading entry when a customer's jobs wait.",
+    ),
 }
 
 _SUPERVISOR = {
