Let steps with slack learn the speeds of unknown workers

Change: two tasks of a step with slack, whose progress shows speeds, go to each of up to 16 unknown workers before the known slow ones. Without a bound on the workers, too few idle ones were left for gangs that need whole workers.

The tests of schedule pass.

--- a/packages/core/src/peridothatch_core/schedule/fit.py
+++ b/packages/core/src/peridothatch_core/schedule/fit.py
@@ -9,7 +9,7 @@
 from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,7 +117,7 @@
     candidates: Iterable[Candidate],
     tasks_on_node: dict[str, int],
     avoided: Collection[str],
-    ranks: Mapping[str, int],
+    rank: Callable[[str], int],
 ) -> Candidate | None:
     """Return the worker for one task of a step, or ``None``.
 
@@ -127,8 +127,8 @@
         Number of tasks of the step that already run on each node.
     avoided : collection of str
         Nodes that are used only if no other node fits.
-    ranks : mapping
-        Ranks of nodes by speed, the lowest preferred; 0 for nodes that are not listed.
+    rank : callable
+        Returns the rank of a node by the speed of its worker; the lowest is preferred.
     """
     needed = states.reserved_demand(step)
     fitting = [
@@ -140,7 +140,7 @@
     ]
     return min(
         fitting,
-        key=lambda candidate: _placement_key(step, candidate, needed, avoided, ranks),
+        key=lambda candidate: _placement_key(step, candidate, needed, avoided, rank),
         default=None,
     )
 
@@ -150,12 +150,12 @@
     service: str,
     groups: Iterable[list[Candidate]],
     avoided: Collection[str],
-    ranks: Mapping[str, int],
+    rank: Callable[[str], int],
 ) -> list[Candidate] | None:
     """Return a worker for each member of a gang, from the first group that can hold all."""
     for group in groups:
         eligible = [candidate for candidate in group if is_eligible(candidate, step, service)]
-        chosen = _pack_gang(step, eligible, avoided, ranks)
+        chosen = _pack_gang(step, eligible, avoided, rank)
         if chosen is not None:
             return chosen
     return None
@@ -188,7 +188,7 @@
     step: steps.Step,
     candidates: list[Candidate],
     avoided: Collection[str],
-    ranks: Mapping[str, int],
+    rank: Callable[[str], int],
 ) -> list[Candidate] | None:
     """Return a worker for each member of a gang, or ``None``; the candidates are not changed.
 
@@ -201,7 +201,7 @@
     chosen: list[Candidate] = []
     for candidate in sorted(
         candidates,
-        key=lambda candidate: _gang_placement_key(step, candidate, needed, avoided, ranks),
+        key=lambda candidate: _gang_placement_key(step, candidate, needed, avoided, rank),
     ):
         remaining = free[candidate.agent.node]
         while len(chosen) < step.count and fits(remaining, needed):
@@ -219,7 +219,7 @@
     candidate: Candidate,
     needed: tuple[int, int, int],
     avoided: Collection[str],
-    ranks: Mapping[str, int],
+    rank: Callable[[str], int],
 ) -> tuple[typing.Any, ...]:
     """Return the sort key of a worker for one task; the lowest is preferred.
 
@@ -232,7 +232,7 @@
         step.target_ms > 0 and candidate.has_filling_tasks,
         candidate.agent.node in avoided,
         bool(step.affinity) and candidate.worker.rack != step.affinity,
-        ranks.get(candidate.agent.node, 0),
+        rank(candidate.agent.node),
         remaining,
         candidate.free[0] - needed[0],
         candidate.agent.node,
@@ -244,16 +244,16 @@
     candidate: Candidate,
     needed: tuple[int, int, int],
     avoided: Collection[str],
-    ranks: Mapping[str, int],
+    rank: Callable[[str], int],
 ) -> tuple[typing.Any, ...]:
-    disturbed, is_avoided, away, rank, *rest = _placement_key(
-        step, candidate, needed, avoided, ranks
+    disturbed, is_avoided, away, speed_rank, *rest = _placement_key(
+        step, candidate, needed, avoided, rank
     )
     return (
         disturbed,
         is_avoided,
         away,
-        rank,
+        speed_rank,
         -min(step.count, _tasks_that_fit(candidate.free, needed)),
         *rest,
     )
--- a/packages/core/src/peridothatch_core/schedule/speed_tiers.py
+++ b/packages/core/src/peridothatch_core/schedule/speed_tiers.py
@@ -17,7 +17,7 @@
 from peridothatch_core.schedule import speed_fit, speeds
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Callable, Collection, Iterable, Mapping
 
     from peridothatch_core.model import steps
     from peridothatch_core.schedule import fit
@@ -42,6 +42,20 @@
 """
 
 
+EXPLORING_TASKS = 2
+"""Number of tasks of a step that an unknown worker receives before known slow ones.
+
+They suffice to know its speed if the step runs on many workers.
+"""
+
+
+MAX_EXPLORED_WORKERS = 16
+"""Number of unknown workers to which a step goes for that reason.
+
+More would leave too few idle workers for gangs that need whole ones.
+"""
+
+
 class Tier(enum.StrEnum):
     """Speed of a worker relative to the others of its service."""
 
@@ -102,10 +116,13 @@
         Rank of each known worker; the lowest is preferred, and unknown workers have rank 0.
     choices : tuple of frozenset of int
         Sets of ranks within which a gang is placed if it fits, the preferred set first.
+    explores : bool
+        Tasks without gang go to unknown workers first, so that their speeds are learned.
     """
 
     ranks: dict[str, int] = dataclasses.field(default_factory=dict)
     choices: tuple[frozenset[int], ...] = ()
+    explores: bool = False
 
 
 NO_PREFERENCE: typing.Final = Preference()
@@ -117,6 +134,7 @@
 
 _SLACK_RANKS = {Tier.SLOW: -1, Tier.UNKNOWN: 0, Tier.FAST: 1}
 _SLACK_CHOICES = (frozenset({-1}), frozenset({-1, 0}))
+_EXPLORED_RANK = -2
 
 
 def update(state: states.State, now_ms: int) -> list[str]:
@@ -198,9 +216,38 @@
     return Preference(
         {node: ranks[tier] for node, tier in found.by_node.items()},
         _TIGHT_CHOICES if is_tight else _SLACK_CHOICES,
+        explores=not is_tight,
     )
 
 
+def task_rank(
+    preferred: Preference, step: steps.Step, tasks_on_node: Mapping[str, int]
+) -> Callable[[str], int]:
+    """Return a function that ranks workers for the tasks of a step without gang.
+
+    Parameters
+    ----------
+    tasks_on_node : mapping
+        Number of tasks of the step on each node; it may change between calls of the function.
+    """
+    explores = preferred.explores and speeds.shows_speed(step)
+
+    def rank(node: str) -> int:
+        if not explores or node in preferred.ranks:
+            return preferred.ranks.get(node, 0)
+        explored = sum(other not in preferred.ranks for other in tasks_on_node)
+        tasks = tasks_on_node.get(node, 0)
+        may_explore = tasks < EXPLORING_TASKS and (tasks or explored < MAX_EXPLORED_WORKERS)
+        return _EXPLORED_RANK if may_explore else 0
+
+    return rank
+
+
+def gang_rank(preferred: Preference) -> Callable[[str], int]:
+    """Return a function that ranks workers for the members of a gang."""
+    return lambda node: preferred.ranks.get(node, 0)
+
+
 def gang_groups(
     groups: Iterable[list[fit.Candidate]], preferred: Preference, avoided: Collection[str]
 ) -> list[list[fit.Candidate]]:
--- a/packages/core/src/peridothatch_core/schedule/speeds.py
+++ b/packages/core/src/peridothatch_core/schedule/speeds.py
@@ -192,7 +192,7 @@
         rate = 1000.0 * (after[key] - before[key]) / interval_ms
         reference = _reference_rate(state, job, progress, run)
         state.speeds.rates[key] = rate
-        if not job.steps[progress.step].gang:
+        if shows_speed(job.steps[progress.step]):
             percent = after[key] - before[key]
             _record_progress(state, new, job, progress, key, percent, interval_ms, reference)
         if reference:
@@ -253,6 +253,15 @@
     speeds.is_outdated = True
 
 
+def shows_speed(step: steps.Step) -> bool:
+    """Return whether the progress of the tasks of a step shows the speeds of their workers.
+
+    The members of a gang have the pace of the slowest, long-running tasks report a rate, and the
+    progress of filling tasks depends on the tasks beside them. A single task cannot be compared.
+    """
+    return not (step.gang or step.long_running or step.fills) and step.count > 1
+
+
 def relative_speed(speeds: Speeds, node: str) -> float:
     """Return the lasting speed of a worker relative to the others; 1 if nothing is known."""
     found = speeds.lasting.get(node)
@@ -319,13 +328,10 @@
     interval_ms: int,
     reference: float,
 ) -> None:
-    """Record the progress of a task without gang, unless the task was held up.
-
-    Filling tasks are not recorded, because their progress depends on the tasks beside them.
-    """
-    step = job.steps[progress.step]
-    if step.fills or step.count < 2 or agent.worker is None:
+    """Record the progress of a task, unless the task was held up."""
+    if agent.worker is None:
         return
+    step = job.steps[progress.step]
     expected_percent = reference * interval_ms / 1000.0
     if expected_percent >= MIN_STALL_PERCENT and percent < STALL_RATIO * expected_percent:
         return
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -185,7 +185,7 @@
     """Return a worker for each member of a gang, on workers of one speed if possible."""
     preferred = speed_tiers.preference(state.speed_tiers.by_service, job)
     narrowed = speed_tiers.gang_groups(groups, preferred, avoided)
-    return fit.place_gang(step, job.service, narrowed, avoided, preferred.ranks)
+    return fit.place_gang(step, job.service, narrowed, avoided, speed_tiers.gang_rank(preferred))
 
 
 def _order_gang(
@@ -221,7 +221,8 @@
     for run_ in step_progress.runs:
         tasks_on_node[run_.node] = tasks_on_node.get(run_.node, 0) + 1
     avoided = _avoided_nodes(state, job, step_progress, now_ms)
-    ranks = speed_tiers.preference(state.speed_tiers.by_service, job).ranks
+    preferred = speed_tiers.preference(state.speed_tiers.by_service, job)
+    rank = speed_tiers.task_rank(preferred, step, tasks_on_node)
     full_speed = fit.full_speed_groups(step, job.service, candidates)
     usable = candidates
     if not _locality_wait_is_over(state, job, step_progress, full_speed, protected, now_ms):
@@ -237,7 +238,7 @@
             state, job, step_progress, index, usable, avoided, now_ms
         )
         placed = (
-            fit.place_one(step, job.service, tier, tasks_on_node, avoided, ranks) for tier in tiers
+            fit.place_one(step, job.service, tier, tasks_on_node, avoided, rank) for tier in tiers
         )
         candidate = next((candidate for candidate in placed if candidate is not None), None)
         if candidate is None:
--- a/packages/core/tests/schedule/test_speed_tiers.py
+++ b/packages/core/tests/schedule/test_speed_tiers.py
@@ -193,6 +193,37 @@
     assert "n01" not in tiers.by_node
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_tasks_with_slack_are_spread_over_unknown_workers(seed):
+    # If they all ran on known slow workers, the other fast workers would never be found.
+    fleet = _fleet(TWO_SPEEDS, seed)
+    _play(fleet, seconds=12)
+    tiers = fleet.scheduler.speed_tiers.by_service["render"]
+    for node in NODES[12:]:
+        tiers.by_node.pop(node, None)
+    _wide(fleet, "-late", tasks=24)
+    unequal_fleet.advance(fleet, unequal_fleet.TICK_MS)
+    nodes = [run.node for run in harness.open_runs(fleet.scheduler.jobs["wide-late"])]
+    assert all(nodes.count(node) == speed_tiers.EXPLORING_TASKS for node in NODES[12:])
+
+
+def test_gangs_with_slack_do_not_explore():
+    # Members of a gang do not show the speeds of their workers.
+    preferred = speed_tiers.Preference({"n01": -1}, explores=True)
+    gang = harness.step(4, 1, gang=True)
+    assert speed_tiers.task_rank(preferred, gang, {})("n00") == 0
+    assert speed_tiers.task_rank(preferred, harness.step(4, 1), {})("n00") < -1
+
+
+def test_a_step_explores_a_bounded_number_of_workers():
+    # Otherwise few idle workers are left for gangs whose members need whole ones.
+    preferred = speed_tiers.Preference({}, explores=True)
+    tasks_on_node = {f"n{number}": 1 for number in range(speed_tiers.MAX_EXPLORED_WORKERS)}
+    rank = speed_tiers.task_rank(preferred, harness.step(40, 1), tasks_on_node)
+    assert rank("n0") < -1
+    assert rank("another") == 0
+
+
 def _candidates(nodes):
     scheduler = harness.make_scheduler([], [harness.agent(node) for node in nodes])
     return fit.available_workers(scheduler, harness.NOW_MS)
@@ -206,7 +237,7 @@
     preferred = speed_tiers.preference({"render": speed_tiers.Tiers(2.2, tiers)}, job)
     candidates = _candidates(("n00", "n01", "n02", "n03", "n04", "n05"))
     groups = speed_tiers.gang_groups([candidates], preferred, avoided)
-    chosen = fit.place_gang(step, "render", groups, avoided, preferred.ranks)
+    chosen = fit.place_gang(step, "render", groups, avoided, speed_tiers.gang_rank(preferred))
     return [candidate.agent.node for candidate in chosen]
 
 
