Use equal run times in the test of a run that hangs

With the learned run times of the merged estimator, the random spread of this test let the urgent job stop work before the part that is tested. The test fails with the comparison of victims._ends_in_time changed to the previous one, and passes without.

--- a/packages/core/tests/schedule/test_spare.py
+++ b/packages/core/tests/schedule/test_spare.py
@@ -232,13 +232,13 @@
 
 def test_work_that_reports_to_be_complete_is_not_awaited_for_ever():
     # No time remains by its report, however long it hangs.
-    scheduler, now_ms, ending, begun, _ = _with_work_about_to_end(rng=random.Random(1))
+    scheduler, now_ms, ending, begun, _ = _with_work_about_to_end()
     run = harness.open_runs(ending)[0]
     reports = (agents.RunReport("ending.0.0.0", run.attempt, "", 100),)
     scheduler.agents[run.node] = dataclasses.replace(scheduler.agents[run.node], runs=reports)
     harness.run_renewed(scheduler, now_ms + 1_000)
     assert not _is_stopping(begun)
-    harness.run_renewed(scheduler, now_ms + 1_950)
+    harness.run_renewed(scheduler, now_ms + 1_990)
     assert _is_stopping(begun)
 
 
