Redirect agents to the leader's entry and never leave their outcome unknown

Real tasks on the stand-in (trial: 73 agents, 6 entries, 0.255 s a transaction for 8 s, status 429 above one second) showed three faults of the groups. A member that was sent with too little time left was committed after its agent had given up; its repetition conflicted and failed a group of 48. Two entries wrote groups side by side, since agents learned the leader only with their first outcome. And groups waited too long for refused writes of the leader.

A commit is sent only if its sender can learn the outcome, and agents wait up to 3.5 s. An entry that does not lead names the leader at once, and the agent follows once; an agent that could not use the leader's entry is served. Groups wait at most 0.6 s for the leader, with a group sent between two such times. Agents no longer read the rows of entries often while the partition is busy.

The stand-in store has a mode in which writes are applied one after another.

--- a/packages/core/src/peridothatch_core/commit/route.py
+++ b/packages/core/src/peridothatch_core/commit/route.py
@@ -86,6 +86,24 @@
     return route.known[nodes[number]].internal
 
 
+def wanted_leader(route: Route) -> str | None:
+    """Return the node that is taken for the leader, or ``None`` if any entry will do."""
+    return route.leader if route.busy else None
+
+
+def is_redirected(route: Route, committed: rows.Committed) -> bool:
+    """Return whether an entry has only named a leader that was not known, which can be used."""
+    relayed = committed.relayed
+    return (
+        committed.outcome is rows.Outcome.NOT_DONE
+        and relayed is not None
+        and not relayed.store_seconds
+        and not committed.busy
+        and relayed.leader not in ("", route.leader)
+        and relayed.leader in route.known
+    )
+
+
 def record_direct(route: Route, committed: rows.Committed, now: float) -> None:
     """Record the outcome of a direct commit."""
     seconds = committed.answered_at - committed.asked_at
--- a/packages/core/src/peridothatch_core/message/rows.py
+++ b/packages/core/src/peridothatch_core/message/rows.py
@@ -62,6 +62,9 @@
     ----------
     due_at : float
         Local time in seconds at which the lease ends that depends on it; infinity without one.
+    leader : str or None
+        Node that the sender takes for the leading entry, whose help it wants; ``None`` if any
+        entry will do.
     """
 
     token: typing.Any
@@ -69,6 +72,7 @@
     timeout_seconds: float
     answer: Callable[[Committed], None]
     due_at: float = math.inf
+    leader: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/tests/commit/test_commit.py
+++ b/packages/core/tests/commit/test_commit.py
@@ -239,3 +239,15 @@
     assert 0.4 <= min(delays) < max(delays) <= 0.8
     assert max(backoff.delay_seconds(f"side-{n}", 1, 0.25, 0.8) for n in range(73)) <= 0.25
     assert backoff.delay_seconds("side-1", 10**9, 0.25, 0.8) <= 0.8
+
+
+def test_an_answer_that_only_names_the_leader_is_followed_once():
+    # Otherwise two entries that disagree about the leader send an agent to and fro for ever.
+    (found, *_) = _agents("front-1", "front-2")
+    assert route.wanted_leader(found) == ""
+    named = _relayed(rows.Outcome.NOT_DONE, "front-2", store_seconds=0.0)
+    assert route.is_redirected(found, named)
+    found.leader = "front-2"
+    assert not route.is_redirected(found, named)
+    unknown = _relayed(rows.Outcome.NOT_DONE, "front-9", store_seconds=0.0)
+    assert not route.is_redirected(found, unknown)
--- a/packages/daemon/src/peridothatch_daemon/hosted/commit_route.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/commit_route.py
@@ -20,13 +20,15 @@
 """Interval at which they are read again; an agent that the store turns away cannot read them."""
 
 RELAYED_REFRESH_SECONDS = 5.0
-"""Interval while commits go through an entry, which may have been replaced."""
+"""Interval while commits go through an entry, which may have been replaced. While the partition is
+busy for all agents, their reads would add to its load, and the longer interval is kept."""
 
 READ_TIMEOUT_SECONDS = 1.5
 
-RELAYED_TIMEOUT_SECONDS = 2.5
-"""Least timeout of a commit through an entry: one group in flight before it, and its own. After it
-a lease of 5.5 s that is renewed every 2 s leaves a second for another way."""
+RELAYED_TIMEOUT_SECONDS = 3.5
+"""Least timeout of a commit through an entry: refusals and one group before it, and its own group,
+each of which may wait in the partition for a second. With 3 s, 9 to 15 of 73 leases of 5.5 s
+lapsed, because their commits were refused for lack of time."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +96,10 @@
     address = route.address(state.route, clock.now())
 
     def answer(committed: rows.Committed) -> None:
+        if address and route.is_redirected(state.route, committed):
+            state.route.leader = committed.relayed.leader if committed.relayed else ""
+            _send(state, commit)
+            return
         if address:
             route.record_relayed(state.route, committed, clock.now(), address)
         else:
@@ -107,7 +113,8 @@
         return
     state.counters.commits_relayed += 1
     timeout = max(commit.timeout_seconds, RELAYED_TIMEOUT_SECONDS)
-    relayed = dataclasses.replace(commit, answer=answer, timeout_seconds=timeout)
+    leader = route.wanted_leader(state.route)
+    relayed = dataclasses.replace(commit, answer=answer, timeout_seconds=timeout, leader=leader)
     relay = peers.Relay(relayed, address)
     if not mailbox.post(state.peer_calls, relay):
         reason = "too many commits are queued"
@@ -123,7 +130,8 @@
     )
     mailbox.post(state.store, message)
     relayed = route.address(state.route, clock.now())
-    delay = RELAYED_REFRESH_SECONDS if relayed else REFRESH_SECONDS
+    often = relayed and not state.route.busy
+    delay = RELAYED_REFRESH_SECONDS if often else REFRESH_SECONDS
     messages.post_later(state.inbox, _Refresh(), delay)
 
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -32,6 +32,7 @@
     groups_held: int = 0
     groups_refused: int = 0
     commits_expired: int = 0
+    commits_redirected: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -114,7 +114,7 @@
     tickets = (
         await ticket_service.start(machine.ticket_service) if machine.ticket_service else None
     )
-    grouping_task = grouping.start(store_client.inbox)
+    grouping_task = grouping.start(store_client.inbox, machine.node)
     scheduler_task = _start_scheduler(
         machine, store_client.inbox, tickets, exported, grouping_task.inbox
     )
--- a/packages/daemon/src/peridothatch_daemon/hosted/grouping.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/grouping.py
@@ -26,12 +26,13 @@
 """Groups in flight while the store is quick, so that one lost answer does not hold up the rest.
 While it is slow there is one, and what arrives meanwhile goes into the next."""
 
-LEADER_FIRST_SECONDS = 0.6
-"""Time for which groups wait after a write of the leader of this entry was refused. It is repeated
-within about half of this, and then comes before them."""
+LEADER_FIRST_SECONDS = 0.3
+"""Time for which groups wait after a write of the leader of this entry was refused. The leader
+repeats it within this time."""
 
-MAX_LEADER_FIRST_SECONDS = 1.5
-"""Longest such time without a group, so that leases of agents are renewed in time."""
+MAX_LEADER_FIRST_SECONDS = 0.6
+"""Longest time for which they wait before a group is sent, so that leases of agents are renewed
+in time."""
 
 RETRY_DELAY_SECONDS = 0.1
 """Longest delay before transactions are sent again after a first refusal by a full partition."""
@@ -42,9 +43,9 @@
 MIN_REMAINING_SECONDS = 0.1
 """Least time of the sender's for which a transaction is still sent."""
 
-MAX_NEEDED_SECONDS = 0.5
-"""Time of the sender's from which a transaction is sent however slow the store is; refusing it
-would cost its sender a retry."""
+NEEDED_LATENCIES = 1.5
+"""Time of the sender's that a transaction needs, in multiples of the latency. A sender that does
+not learn the outcome repeats it with an old version, and its next group fails."""
 
 MAX_WAITING = 1024
 """Maximum number of transactions that wait for a group; an agent sends one at a time."""
@@ -81,6 +82,8 @@
         A ``_Flush`` will arrive.
     held_since, held_until : float
         Local time since and until which groups wait for a refused write of the leader.
+    may_hold : bool
+        A group has been sent since groups have last waited for the leader.
     retry_at : float
         Local time until which groups wait after a full partition has refused one.
     latency : Latency
@@ -89,6 +92,7 @@
         Node of the leading entry; empty if it is not known.
     """
 
+    node: str
     store: mailbox.Mailbox
     inbox: mailbox.Mailbox
     waiting: list[rows.Commit] = dataclasses.field(default_factory=list)
@@ -99,6 +103,7 @@
     flush_pending: bool = False
     held_since: float = -1e9
     held_until: float = -1e9
+    may_hold: bool = True
     retry_at: float = -1e9
     latency: latencies.Latency = dataclasses.field(default_factory=latencies.Latency)
     leader: str = ""
@@ -113,16 +118,18 @@
     running: task.Task
 
 
-def start(store: mailbox.Mailbox) -> Grouping:
+def start(store: mailbox.Mailbox, node: str = "") -> Grouping:
     """Start the task.
 
     Parameters
     ----------
     store : Mailbox
         Takes ``rows.Commit``.
+    node : str
+        Node of this entry.
     """
     inbox = mailbox.create("grouping")
-    state = _State(store, inbox)
+    state = _State(node, store, inbox)
 
     def handle(message: typing.Any) -> None:
         _handle(state, message)
@@ -154,6 +161,15 @@
 
 
 def _take(state: _State, commit: rows.Commit) -> None:
+    if commit.leader is not None and state.leader not in ("", state.node, commit.leader):
+        # The sender does not know this leader; it comes back if it cannot use it.
+        state.counters.commits_redirected += 1
+        relayed = rows.Relayed(state.leader, 0.0)
+        reason = f"{state.leader} leads"
+        commit.answer(
+            rows.Committed(commit.token, rows.Outcome.NOT_DONE, reason=reason, relayed=relayed)
+        )
+        return
     if len(state.waiting) >= MAX_WAITING:
         reason = "too many transactions wait"
         commit.answer(rows.Committed(commit.token, rows.Outcome.NOT_DONE, reason=reason))
@@ -191,7 +207,8 @@
 
     A refused transaction has certainly no effect.
     """
-    needed = max(MIN_REMAINING_SECONDS, min(MAX_NEEDED_SECONDS, state.latency.seconds))
+    needed = min(GROUP_TIMEOUT_SECONDS, NEEDED_LATENCIES * state.latency.seconds)
+    needed = max(MIN_REMAINING_SECONDS, needed)
     kept: list[rows.Commit] = []
     for commit in commits:
         if _remaining_seconds(state, commit, now) >= needed:
@@ -219,6 +236,9 @@
 def _hold_groups(state: _State, now: float) -> None:
     """Let the leader's next attempt come before further groups, for a bounded time."""
     if now >= state.held_until:
+        if not state.may_hold:
+            return
+        state.may_hold = False
         state.held_since = now
         state.counters.groups_held += 1
     latest = state.held_since + MAX_LEADER_FIRST_SECONDS
@@ -232,6 +252,7 @@
     remaining = max(_remaining_seconds(state, commit, now) for commit in commits)
     timeout = min(GROUP_TIMEOUT_SECONDS, remaining)
     message = rows.Commit(commits, group.combine(commits), timeout, answer)
+    state.may_hold = True
     state.counters.groups_committed += 1
     state.counters.transactions_grouped += len(commits)
     if is_part:
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -236,6 +236,9 @@
         "Groups that a full partition of the store refused; their transactions wait for the next.",
         "Look at the latency of the store.",
     ),
+    "commits_redirected": Text(
+        "Transactions whose senders were told that another entry leads.", "None."
+    ),
     "commits_expired": Text(
         "Transactions that were refused because their sender's time was too short for a group.",
         "The store's partition is slow; look at its latency.",
--- a/packages/daemon/tests/hosted/test_grouping.py
+++ b/packages/daemon/tests/hosted/test_grouping.py
@@ -6,7 +6,8 @@
 
 from peridothatch_core.message import rows
 from peridothatch_core.model import tables
-from peridothatch_daemon.hosted import clock, grouping, messages
+from peridothatch_core.schedule import leadership
+from peridothatch_daemon.hosted import clock, grouping, messages, records
 from peridothatch_wire import mailbox
 
 SLOW_SECONDS = 0.4
@@ -20,14 +21,14 @@
         self.running = grouping.start(self.store)
         self.answers = {}
 
-    def commit(self, node, due_at=1e9, timeout=5.0):
+    def commit(self, node, due_at=1e9, timeout=5.0, leader=None):
         key = tables.agent_key(node)
         transaction = rows.Transaction((rows.Condition(key, 1),), ((key, b"{}"),))
 
         def answer(committed):
             self.answers[node] = committed
 
-        commit = rows.Commit(node, transaction, timeout, answer, due_at)
+        commit = rows.Commit(node, transaction, timeout, answer, due_at, leader)
         mailbox.post(self.running.inbox, commit)
 
     async def sent(self):
@@ -162,6 +163,21 @@
     assert tested.answers == {}
 
 
+async def test_an_entry_that_does_not_lead_names_the_leader_at_once(tested):
+    # Groups of two entries side by side took two transactions for each round of renewals.
+    lease = leadership.Lease("front-2/a", 3, 10**9)
+    key = tables.LEASE_KEY
+    row = rows.Row(key.table, key.key, records.encode(lease), 4)
+    mailbox.post(tested.running.inbox, rows.Changes(key.table, (row,), 1, 0.0, 0.0))
+    tested.commit("a", leader="")
+    tested.commit("b", leader="front-2")
+    tested.commit("c", leader=None)
+    # A sender that knows the leader could not use it, and one without a wish is served anywhere.
+    assert _nodes(await tested.sent()) == ["b", "c"]
+    named = tested.answers["a"]
+    assert (named.outcome, named.relayed.leader) == (rows.Outcome.NOT_DONE, "front-2")
+
+
 async def test_a_full_partition_is_reported_when_the_senders_time_ends(tested):
     # An agent that does not know takes the refusal for a fault of the entry.
     tested.commit("a", timeout=1.0)
--- a/tests/platform/decoder_registry.py
+++ b/tests/platform/decoder_registry.py
@@ -121,7 +121,7 @@
             relay_calls.encode_transaction(rows.Transaction(
                 (rows.Condition(rows.Key("members", "agent/a"), 1),),
                 ((rows.Key("members", "agent/a"), b"{}"), (rows.Key("work", "e/x/1"), None))),
-                1.0, 2.5)),
+                1.0, 2.5, "front-1")),
     Decoder("platform.relay_calls", "outcome",
             lambda data: relay_calls.decode_outcome(data, "token"),
             b'{"outcome": "COMMITTED", "version": 4, "now_ms": 5, "reason": "", "busy": true,'
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -24,7 +24,9 @@
     """Row store with rows by (table, part, key) and one version counter.
 
     ``mode`` is ``up``, ``refuse`` (status 503), ``reject`` (status 413), ``full``
-    (writes get status 429), ``lost`` (writes take
+    (writes get status 429), ``queued`` (writes are applied one after another, each taking
+    ``txn_seconds``, and get status 429 while more than ``longest_wait_seconds`` of them wait),
+    ``lost`` (writes take
     effect without a response), ``lost_once`` (the same for one write, after which the store
     refuses everything),
     ``reset`` (connections close without a response, and nothing takes effect), ``forgotten``
@@ -39,6 +41,10 @@
         self.version = 0
         self.mode = "up"
         self.transactions = 0
+        self.refused = 0
+        self.txn_seconds = 0.0
+        self.longest_wait_seconds = 1.0
+        self.free_at = 0.0
         self.random = random.Random(0)
         self.changed = asyncio.Event()
 
@@ -75,6 +81,9 @@
             asyncio.get_running_loop().call_later(delay_seconds, self._apply, body)
             await asyncio.sleep(UNANSWERED_SECONDS)
             return web.Response(status=500)
+        if self.mode == "queued" and not await self._wait_for_turn():
+            self.refused += 1
+            return web.Response(status=429)
         if not self._apply(body):
             return web.json_response({"rows": []}, status=412)
         if self.mode in ("lost", "lost_once"):
@@ -82,6 +91,15 @@
             return _reset(request)
         return web.json_response({"row_version": self.version, "now_ms": _now_ms()})
 
+    async def _wait_for_turn(self):
+        """Wait until the transactions before have been applied; return false if too many wait."""
+        now = time.monotonic()
+        if self.free_at - now > self.longest_wait_seconds:
+            return False
+        self.free_at = max(self.free_at, now) + self.txn_seconds
+        await asyncio.sleep(self.free_at - now)
+        return True
+
     def _apply(self, body):
         """Apply a transaction if its conditions hold; return whether they did."""
         for row in body["expect_rev"]:
