Limit the connections of all HTTP listeners, alone and together

Cause: uvicorn limits neither the size and time of heads and trailers nor the pipelined requests of a connection, and closes no connection that sends no request or reads no answer.

Change: the protocol layer of the product's interface now serves every listener. It parses bytes in small parts and counts what a connection uses (core.connect.usage). Reading pauses while eight requests are unanswered or answers are unread. All connections of a process share a budget from memory_mb and max_fds (core.connect.limits, core.connect.pool); at the budget idle connections close for new ones, those outside the limits first. A caller whose request is unanswered no longer gets the refusal of a later malformed one as its answer. A client that disconnects no longer writes a traceback.

--- a/packages/daemon/src/peridothatch_daemon/hosted/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/agent.py
@@ -5,13 +5,33 @@
 import dataclasses
 import typing
 
+from peridothatch_core.connect import limits
 from peridothatch_core.hold import state
 from peridothatch_core.model import tables
-from peridothatch_daemon.hosted import clock, commit_route, log, observe, serving, supervisor
+from peridothatch_daemon.hosted import (
+    clock,
+    commit_route,
+    connections,
+    log,
+    observe,
+    serving,
+    supervisor,
+)
 from peridothatch_daemon.observe import metrics
-from peridothatch_platform import heartbeats, listeners, peer_calls, settings, store, worker
+from peridothatch_platform import (
+    heartbeats,
+    ingress,
+    listeners,
+    peer_calls,
+    settings,
+    store,
+    worker,
+)
 from peridothatch_wire import mailbox, task
 
+LISTENERS = 2
+"""Number of listeners: heartbeats and metrics."""
+
 
 @dataclasses.dataclass(slots=True)
 class Agent:
@@ -25,6 +45,7 @@
     supervisor: supervisor.Supervisor
     servers: list[serving.Server]
     exported: metrics.Metrics
+    connections: connections.Connections
 
 
 async def start(
@@ -72,10 +93,21 @@
         ),
     )
     feed = await _follow_orders(machine, deliver)
-    named_tasks = {"supervisor": inbox, "commit_route": route_task.inbox}
-    servers = await _start_servers(
-        machine, machine.heartbeats, deliver, named_tasks, exported, opened or {}
+    connected = connections.start(
+        machine.connection_limits,
+        limits.derive_budget(machine.memory_bytes, machine.descriptors, LISTENERS),
     )
+    named_tasks = {
+        "supervisor": inbox,
+        "commit_route": route_task.inbox,
+        "connections": connected.inbox,
+    }
+    identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "agent"}
+    applications = [
+        ("heartbeats", machine.heartbeats, heartbeats.application(deliver, _rejected)),
+        ("metrics", machine.metrics, observe.application(identity, named_tasks, exported)),
+    ]
+    servers = await _start_servers(applications, connected, opened or {})
     log.event("agent:started", data_centre=machine.data_centre, region=machine.region)
     return Agent(
         store_client,
@@ -86,6 +118,7 @@
         supervisor_task,
         servers,
         exported,
+        connected,
     )
 
 
@@ -99,6 +132,7 @@
         agent.feed.running,
         agent.supervisor.running,
         agent.supervisor.ticking,
+        agent.connections.running,
         *(server.serving for server in agent.servers),
     )
 
@@ -108,6 +142,7 @@
     log.event("agent:stopping")
     for server in agent.servers:
         await serving.close(server)
+    await connections.close(agent.connections)
     await store.unfollow(agent.feed)
     await supervisor.close(agent.supervisor)
     await worker.close(agent.calls)
@@ -133,22 +168,19 @@
 
 
 async def _start_servers(
-    machine: settings.Machine,
-    heartbeats_at: settings.Address,
-    deliver: typing.Callable[[typing.Any], None],
-    named_tasks: dict[str, mailbox.Mailbox],
-    exported: metrics.Metrics,
+    applications: list[tuple[str, settings.Address, typing.Any]],
+    connected: connections.Connections,
     opened: listeners.Listeners,
 ) -> list[serving.Server]:
-    """Serve the worker's heartbeats, and the metrics and the state of the tasks."""
-    identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "agent"}
-    observed = observe.application(identity, named_tasks, exported)
-    applications = [
-        ("heartbeats", heartbeats_at, heartbeats.application(deliver, _rejected)),
-        ("metrics", machine.metrics, observed),
-    ]
+    """Serve each application on its address."""
     return [
-        await serving.start(name, listeners.take(opened, address.host, address.port), application)
+        await serving.start(
+            name,
+            listeners.take(opened, address.host, address.port),
+            application,
+            connected,
+            ingress.encode_refusal,
+        )
         for name, address, application in applications
     ]
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -39,6 +39,25 @@
     commits_relayed: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Connections:
+    """Counters of refused and closed connections; ``limits.Reason`` has the same names."""
+
+    head_bytes: int = 0
+    head_lines: int = 0
+    head_time: int = 0
+    framing_bytes: int = 0
+    body_time: int = 0
+    body_after_answer: int = 0
+    unread_time: int = 0
+    idle_time: int = 0
+    malformed: int = 0
+    error: int = 0
+    budget_connections: int = 0
+    budget_address: int = 0
+    budget_memory: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Scheduler:
     """Counters of the scheduler task."""
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -7,12 +7,14 @@
 import secrets
 import typing
 
+from peridothatch_core.connect import limits
 from peridothatch_core.hold import state as hold_state
 from peridothatch_core.message import rows
 from peridothatch_core.model import entries, tables, verdict
 from peridothatch_core.schedule import state
 from peridothatch_daemon.hosted import (
     clock,
+    connections,
     desired_feed,
     grouping,
     log,
@@ -60,6 +62,9 @@
 LOOK_UP_TIMEOUT_SECONDS = 0.7
 """Timeout for reading a row for another entry, which waits slightly longer."""
 
+LISTENERS = 3
+"""Number of listeners: callers, readiness and metrics."""
+
 READINESS_TIMEOUT_SECONDS = 0.5
 """Timeout for answering a readiness probe. The balancer sends one every second."""
 
@@ -87,6 +92,7 @@
     servers: list[serving.Server]
     exported: metrics.Metrics
     draining: list[bool]
+    connections: connections.Connections
 
 
 async def start(machine: settings.Machine, opened: listeners.Listeners | None = None) -> Entry:
@@ -137,6 +143,10 @@
         [],
         exported,
         draining,
+        connections.start(
+            machine.connection_limits,
+            limits.derive_budget(machine.memory_bytes, machine.descriptors, LISTENERS),
+        ),
     )
     await _await_initial_rows(reception_task)
     await _start_servers(entry, opened or {})
@@ -156,6 +166,7 @@
         entry.grouping.running,
         entry.scheduler.running,
         entry.scheduler.ticking,
+        entry.connections.running,
         *(server.serving for server in entry.servers),
     )
 
@@ -173,6 +184,7 @@
     await asyncio.sleep(DRAIN_FRACTION * entry.machine.stop_seconds)
     for server in entry.servers:
         await serving.close(server)
+    await connections.close(entry.connections)
     await scheduler.close(entry.scheduler)
     await reception.close(entry.reception)
     await passing.close(entry.passing)
@@ -194,7 +206,7 @@
     exported: metrics.Metrics,
 ) -> scheduler.Scheduler:
     """Start the scheduler with the limits of the installation."""
-    limits = state.Limits(
+    scheduler_limits = state.Limits(
         machine.retention_ms,
         hold_state.lease_ms(machine.longest_hold_ms),
         machine.remote_factor,
@@ -204,7 +216,7 @@
     return scheduler.start(
         machine.node,
         secrets.token_hex(4),
-        limits,
+        scheduler_limits,
         store_inbox,
         tickets.inbox if tickets else None,
         metrics.create_latency_recorder(
@@ -329,7 +341,10 @@
     for name, address, application in served:
         if address is not None:
             listener = listeners.take(opened, address.host, address.port)
-            entry.servers.append(await serving.start(name, listener, application))
+            server = await serving.start(
+                name, listener, application, entry.connections, ingress.encode_refusal
+            )
+            entry.servers.append(server)
 
 
 def _internal_application(entry: Entry, has_row: ingress.HasRow) -> applications.Starlette:
@@ -340,6 +355,7 @@
         "scheduler": entry.scheduler.inbox,
         "peers": entry.passing.inbox,
         "grouping": entry.grouping.inbox,
+        "connections": entry.connections.inbox,
     }
     identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "entry"}
     routes = [
--- a/packages/daemon/src/peridothatch_daemon/hosted/serving.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/serving.py
@@ -7,14 +7,18 @@
 import typing
 
 import uvicorn
+from starlette import requests
 
+from peridothatch_daemon.intake import protocol
 from peridothatch_wire import task
 
 if typing.TYPE_CHECKING:
     import socket
 
-IDLE_TIMEOUT_SECONDS = 30
-"""Time after which an idle client connection is closed."""
+    from peridothatch_daemon.hosted import connections
+
+BACKLOG = 512
+"""Number of connections that may wait to be accepted on each socket."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,11 +29,26 @@
     serving: task.Task
 
 
-async def start(name: str, listener: socket.socket, application: typing.Any) -> Server:
-    """Start serving an application on a listening socket, which the server takes ownership of."""
+async def start(
+    name: str,
+    listener: socket.socket,
+    application: typing.Any,
+    connected: connections.Connections,
+    encode: protocol.Encode,
+) -> Server:
+    """Start serving an application on a listening socket, which the server takes ownership of.
+
+    Parameters
+    ----------
+    connected : Connections
+        Limits, budget and counters of the connections of all servers of the process.
+    encode : callable
+        Encodes the refusal of a request that the application does not see.
+    """
+    bounded = protocol.Listener(name, connected.limits, connected.pool, encode, connected.report)
     config = uvicorn.Config(
-        application,
-        http="httptools",
+        _end_at_disconnect(application),
+        http=protocol.create_protocol(bounded),
         loop="asyncio",
         lifespan="off",
         ws="none",
@@ -38,16 +57,45 @@
         server_header=False,
         date_header=False,
         proxy_headers=False,
-        timeout_keep_alive=IDLE_TIMEOUT_SECONDS,
+        backlog=connected.pool.budget.accept_batch,
         timeout_graceful_shutdown=2,
     )
     server = uvicorn.Server(config)
     # ``commands`` installs the signal handlers of the process; uvicorn must not replace them.
     server.capture_signals = contextlib.nullcontext  # type: ignore[method-assign]
-    return Server(server, task.start(name, server.serve(sockets=[listener])))
+    return Server(server, task.start(name, _serve(server, listener)))
 
 
 async def close(server: Server) -> None:
     """Stop accepting connections and wait for the requests in progress."""
     server.server.should_exit = True
     await task.join(server.serving)
+
+
+async def _serve(server: uvicorn.Server, listener: socket.socket) -> None:
+    """Serve with the backlog of the listener.
+
+    The event loop accepts as many connections at once as the backlog that it sets, so the backlog
+    is raised again after the start.
+    """
+    start_up = server.startup
+
+    async def start_and_raise_backlog(sockets: list[socket.socket] | None = None) -> None:
+        await start_up(sockets=sockets)
+        listener.listen(BACKLOG)
+
+    server.startup = start_and_raise_backlog  # type: ignore[method-assign]
+    await server.serve(sockets=[listener])
+
+
+def _end_at_disconnect(application: typing.Any) -> typing.Any:
+    """Return the application without the exception for a client that is gone.
+
+    uvicorn writes a traceback for each exception, so that clients could fill the log.
+    """
+
+    async def run(scope: typing.Any, receive: typing.Any, send: typing.Any) -> None:
+        with contextlib.suppress(requests.ClientDisconnect):
+            await application(scope, receive, send)
+
+    return run
--- a/packages/daemon/src/peridothatch_daemon/intake/call.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/call.py
@@ -34,6 +34,9 @@
     ----------
     max_header_bytes : int
         Total size of the headers and the request target.
+    max_memory_bytes : int
+        Memory of which connections get a share (``core.connect.limits``). 1024 requests with the
+        longest body need 2 GiB and a fifth of that is enough for ordinary ones.
     linger_timeout_seconds : float
         How long the remaining body of a refused request is read and discarded, so that the
         caller can read the refusal before the connection closes.
@@ -58,6 +61,7 @@
     body_timeout_seconds: float = 20.0
     linger_timeout_seconds: float = 5.0
     max_requests_in_progress: int = 1024
+    max_memory_bytes: int = 2 * 1024**3
     reply_timeout_seconds: float = 10.0
     max_wait_seconds: float = 60.0
     max_deadline_seconds: float = 600.0
--- a/packages/daemon/src/peridothatch_daemon/intake/http.py
+++ b/packages/daemon/src/peridothatch_daemon/intake/http.py
@@ -5,11 +5,14 @@
 import contextlib
 import dataclasses
 import logging
+import resource
 import socket
 import typing
 
 import uvicorn
 
+from peridothatch_core.connect import limits as connect_limits
+from peridothatch_core.connect import pool
 from peridothatch_daemon import messages
 from peridothatch_daemon.intake import call, limits, protocol, routes
 from peridothatch_wire import mailbox, task
@@ -18,6 +21,9 @@
 
 BACKLOG = 512
 
+BODY_MARGIN_SECONDS = 5.0
+"""Time for the refusal of a late body to reach the caller before the connection closes."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
@@ -133,10 +139,30 @@
                 )
 
 
+def _create_listener(bounds: call.Limits) -> protocol.Listener:
+    """Return the limits of the connections, within the descriptors that the process may open."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    budget = connect_limits.derive_budget(bounds.max_memory_bytes, descriptors, 1)
+    # Without a first byte a connection ends like one whose head is incomplete.
+    of_one = connect_limits.Limits(
+        head_bytes=bounds.max_header_bytes,
+        head_seconds=bounds.header_timeout_seconds,
+        first_byte_seconds=bounds.header_timeout_seconds,
+        body_seconds=bounds.body_timeout_seconds + BODY_MARGIN_SECONDS,
+        linger_seconds=bounds.linger_timeout_seconds,
+        unread_seconds=bounds.send_timeout_seconds,
+    )
+
+    def report(reason: connect_limits.Reason, listener: str, address: str, detail: str) -> None:
+        logger.debug("%s: closed connection of %s: %s %s", listener, address, reason, detail)
+
+    return protocol.Listener("http", of_one, pool.Pool(budget), protocol.encode_problem, report)
+
+
 def _server_config(settings: Settings, state: call.State) -> uvicorn.Config:
     return uvicorn.Config(
         routes.create_application(state),
-        http=protocol.create_protocol(state.limits),
+        http=protocol.create_protocol(_create_listener(state.limits)),
         ssl_certfile=settings.certificate_path or None,
         ssl_keyfile=settings.key_path or None,
         log_config=None,
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -238,6 +238,45 @@
     ),
 }
 
+_CLIENT_LINE = "`connections:closed` names an address; find the client there."
+
+_CONNECTIONS = {
+    "head_bytes": Text("Heads refused for their size.", _CLIENT_LINE),
+    "head_lines": Text("Heads refused for their number of lines.", _CLIENT_LINE),
+    "head_time": Text("Heads refused because they were not complete in time.", _CLIENT_LINE),
+    "framing_bytes": Text(
+        "Connections closed for trailers or chunk extensions that were too long.", _CLIENT_LINE
+    ),
+    "body_time": Text(
+        "Connections closed because an announced body did not arrive in time.", _CLIENT_LINE
+    ),
+    "body_after_answer": Text(
+        "Connections closed because a body went on after its request was answered.", _CLIENT_LINE
+    ),
+    "unread_time": Text("Connections closed because answers were not read in time.", _CLIENT_LINE),
+    "idle_time": Text("Connections closed because they were idle.", "None."),
+    "malformed": Text("Requests refused because they were not HTTP.", _CLIENT_LINE),
+    "error": Text(
+        "Connections closed by an error of the protocol layer.",
+        "Must stay zero. Report the `detail` of `connections:closed`.",
+    ),
+    "budget_connections": Text(
+        "Connections refused, or idle ones closed for new ones, at the number that the process "
+        "may hold.",
+        "Look in the state dump at `by_listener`; add entries if the clients are ordinary.",
+    ),
+    "budget_address": Text("The same, at the number that one address may hold.", _CLIENT_LINE),
+    "budget_memory": Text(
+        "Connections closed because all of them together held too much memory.",
+        "Look for large or unread requests; add memory or entries if the clients are ordinary.",
+    ),
+    "open": Text("Open connections of clients.", "None; shows the load."),
+    "memory_bytes": Text(
+        "Estimated memory of all connections with their requests and unread answers.",
+        "Compare with `budget.memory_bytes` in the state dump.",
+    ),
+}
+
 _SCHEDULER = {
     "claims": Text("Times that this entry became the leader.", "Look for stopped entries."),
     "runs_ordered": Text("Runs that were ordered.", "None; shows the work."),
@@ -303,6 +342,7 @@
     "slots": _SLOTS,
     "members": _MEMBERS,
     "commit_route": _COMMIT_ROUTE,
+    "connections": _CONNECTIONS,
     "grouping": _GROUPING,
     "peers": _PEERS,
     "reception": _RECEPTION,
--- a/packages/daemon/tests/intake/test_http.py
+++ b/packages/daemon/tests/intake/test_http.py
@@ -181,3 +181,30 @@
         with pytest.raises(OSError, match="in use"):
             await http.start(http.Settings("127.0.0.1", server.port, "e2", "1"), client.ports)
     assert not task.failure(server.server_task)
+
+
+async def test_an_unanswered_request_is_not_answered_by_the_refusal_of_the_next(create_client):
+    # The caller of the first request took "not run" for its answer, although it may have run.
+    client = create_client(limits=call.Limits(reply_timeout_seconds=30.0))
+    async with run_server(client) as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        first = REQUEST_HEAD.replace(b"POST /v1/jobs", b"GET /v1/jobs/j1")
+        writer.write(first + b"\r\n")
+        received = await mailbox.take(client.ports.jobs)
+        writer.write(b"NONSENSE\r\n\r\n")
+        assert await reader.read() == b""
+        writer.close()
+        refusal = verdict.not_run(verdict.Code.NOT_FOUND, "there is no such job")
+        mailbox.answer(received.reply, result.Err(refusal))
+
+
+async def test_pipelined_requests_are_answered_in_order(create_client):
+    client = create_client()
+    heads = [b"GET /v1/none/%d HTTP/1.1\r\nHost: x\r\n\r\n" % number for number in range(200)]
+    heads.append(b"GET /v1/last HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    async with run_server(client) as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"".join(heads))
+        answers = await reader.read()
+        writer.close()
+    assert answers.count(b"HTTP/1.1 ") == len(heads)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -50,3 +50,15 @@
     assert "listen.ready: '10.1.0.19'" in line
     assert "not a TOML document" in _load(tmp_path, "= 3").err_value[0]
     assert isinstance(settings.load(pathlib.Path(tmp_path) / "none"), result.Err)
+
+
+def test_limits_of_connections_are_checked_and_have_defaults(tmp_path):
+    machine = _load(tmp_path, VALID).ok_value
+    assert (machine.memory_bytes, machine.descriptors) == (168 * 1024**2, 4096)
+    assert machine.connection_limits.head_bytes == 16_384
+    text = VALID + "[limits]\nmemory_mb = 200.5\nmax_fds = 4100\nhead_ms = 4000\n"
+    machine = _load(tmp_path, text).ok_value
+    assert (machine.memory_bytes, machine.descriptors) == (int(200.5 * 1024**2), 4100)
+    assert machine.connection_limits.head_seconds == 4.0
+    (line,) = _load(tmp_path, text.replace("4100", "0")).err_value
+    assert "limits.max_fds: 0" in line
