Send answers of entries and agents without waiting for acknowledgements

Cause: asyncio sets TCP_NODELAY only on sockets whose protocol is named, which sockets of socket.create_server are not. uvicorn writes head and body of an answer separately, so the body waited about 40 ms for the client's delayed acknowledgement of the head.

Change: the option is set on the listening socket, from which connections inherit it.

--- a/packages/daemon/src/peridothatch_daemon/hosted/serving.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/serving.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import socket
 import typing
 
 import uvicorn
@@ -13,8 +14,6 @@
 from peridothatch_wire import task
 
 if typing.TYPE_CHECKING:
-    import socket
-
     from peridothatch_daemon.hosted import connections
 
 BACKLOG = 512
@@ -60,6 +59,9 @@
         backlog=connected.pool.budget.accept_batch,
         timeout_graceful_shutdown=2,
     )
+    # Head and body of an answer are written separately. Sockets of ``socket.create_server`` do not
+    # name their protocol, so asyncio does not set this option.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     server = uvicorn.Server(config)
     # ``commands`` installs the signal handlers of the process; uvicorn must not replace them.
     server.capture_signals = contextlib.nullcontext  # type: ignore[method-assign]
