Guard learned run times against weights that are almost zero

A bin of a stored row with hardly any weight among many open runs had a share of zero, by which the quantile was divided.

--- a/packages/core/src/peridothatch_core/order/survival.py
+++ b/packages/core/src/peridothatch_core/order/survival.py
@@ -118,7 +118,9 @@
         beyond = _NORMAL.inv_cdf(share) - _NORMAL.inv_cdf(_last_share(curve))
         return _edge(curve.bins[-1] + 1) * math.exp(max(0.0, curve.spread * beyond))
     before = curve.ended[position - 1] if position else 0.0
-    part = (target - before) / (curve.ended[position] - before)
+    # A bin with hardly any weight among many open runs has a share of zero.
+    width = curve.ended[position] - before
+    part = (target - before) / width if width > 0 else 0.0
     return _edge(curve.bins[position] + min(max(part, 0.0), 1.0))
 
 
--- a/packages/core/tests/order/test_expectations.py
+++ b/packages/core/tests/order/test_expectations.py
@@ -222,6 +222,20 @@
     assert sum(bins.values()) <= expectations.MAX_SAMPLES + 2 * expectations.RECENT_SAMPLES + 1
 
 
+@pytest.mark.parametrize("weight", [1e-300, 1e-9, 1e-3])
+def test_weights_that_are_almost_zero_do_not_raise(weight):
+    # An odd row of the store would end the scheduler task of each new leader.
+    history = expectations.History()
+    expectations.restore(history, "a", QUEUE, {5: weight, 9: 4.0})
+    running = expectations.OpenRun("a", QUEUE, 1e6, weight=1e12)
+    expectations.observe_running(history, [running])
+    for quantile in (0.0, 0.01, 0.5, 1.0):
+        for customer in ("a", "new"):
+            assert math.isfinite(_estimate(history, customer, quantile).seconds)
+            rest = expectations.remaining(history, customer, QUEUE, 0.02, 0.0, quantile)
+            assert math.isfinite(rest)
+
+
 def test_restored_samples_count_as_older_than_those_of_the_new_leader():
     # The rows of an earlier leader must not replace what was learned while they were read.
     history = _history("a", [10.0] * 3)
