Start from learned speeds also when they are read late

Cause: a new leader reads the learned rows while it decides already. Speeds that arrived after its own first observations were ignored, and a second read of all rows forgot the tiers.

Change: learned speeds of workers of which the leader knows nothing are added whenever they arrive; the tiers are kept when all rows are read again.

Measured: the tests of schedule, hosted and observe pass.

--- a/packages/core/src/peridothatch_core/schedule/speed_tiers.py
+++ b/packages/core/src/peridothatch_core/schedule/speed_tiers.py
@@ -143,7 +143,7 @@
     Speeds that an earlier leader has learned are the start of the estimate. Returns a text for
     each service in which a worker has changed its tier.
     """
-    if not state.speeds.lasting and state.learned.speeds:
+    if state.learned.speeds.keys() - state.speeds.lasting.keys():
         speeds.restore(state.speeds, _restored(state))
     speeds.refit(state.speeds, now_ms)
     if state.desired is None or not state.speeds.lasting:
@@ -151,10 +151,7 @@
     basis = (state.speeds.fitted_ms, state.desired.version)
     if basis == state.speed_tiers.basis:
         return []
-    nodes: dict[str, list[str]] = {}
-    for agent in state.agents.values():
-        if agent.worker is not None and agent.node in state.speeds.lasting:
-            nodes.setdefault(agent.worker.service, []).append(agent.node)
+    nodes = _nodes_by_service(state)
     slack: dict[str, float] = {}
     for queue in state.desired.queues:
         slack[queue.service] = min(queue.slack_factor, slack.get(queue.service, math.inf))
@@ -273,6 +270,15 @@
     return [*narrowed, *groups]
 
 
+def _nodes_by_service(state: states.State) -> dict[str, list[str]]:
+    """Return the nodes of the workers whose speeds have been estimated."""
+    nodes: dict[str, list[str]] = {}
+    for agent in state.agents.values():
+        if agent.worker is not None and agent.node in state.speeds.lasting:
+            nodes.setdefault(agent.worker.service, []).append(agent.node)
+    return nodes
+
+
 def _learned(state: states.State, found: Mapping[str, Tiers]) -> dict[str, learned.LastingSpeed]:
     """Return the speeds of the workers that are known to be fast or slow.
 
@@ -297,9 +303,11 @@
 
 
 def _restored(state: states.State) -> dict[str, speed_fit.NodeSpeed]:
+    """Return the learned speeds of the workers of which this leader knows nothing."""
     return {
         node: speed_fit.from_shrunk(speed.started_ms, speed.log_ratio, speed.weight)
         for node, speed in state.learned.speeds.items()
+        if node not in state.speeds.lasting
     }
 
 
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -64,6 +64,7 @@
         locality_wait_since=previous.locality_wait_since,
         tickets=previous.tickets,
         speeds=previous.speeds,
+        speed_tiers=previous.speed_tiers,
         learned=previous.learned,
         leaving_at_ms=previous.leaving_at_ms,
         # A new leader has not written yet; the lease row tells how slow the store is.
