--- a/packages/core/src/peridothatch_core/schedule/speeds.py
+++ b/packages/core/src/peridothatch_core/schedule/speeds.py
@@ -239,7 +239,7 @@
 
 
 def restore(speeds: Speeds, restored: dict[str, speed_fit.NodeSpeed]) -> None:
-    """Add lasting speeds that an earlier leader has saved, before any observation.
+    """Add lasting speeds that an earlier leader has saved of workers without an estimate.
 
     A speed of another incarnation than the present one is kept with low weight.
     """
