--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -32,6 +32,7 @@
     groups_held: int = 0
     groups_refused: int = 0
     commits_expired: int = 0
+    commits_redirected: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,6 +44,25 @@
     commits_refused: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Connections:
+    """Counters of refused and closed connections; ``limits.Reason`` has the same names."""
+
+    head_bytes: int = 0
+    head_lines: int = 0
+    head_time: int = 0
+    framing_bytes: int = 0
+    body_time: int = 0
+    body_after_answer: int = 0
+    unread_time: int = 0
+    idle_time: int = 0
+    malformed: int = 0
+    error: int = 0
+    budget_connections: int = 0
+    budget_address: int = 0
+    budget_memory: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Scheduler:
     """Counters of the scheduler task."""
@@ -51,6 +71,8 @@
     renewals_carried: int = 0
     runs_ordered: int = 0
     runs_stopped: int = 0
+    preemptions: int = 0
+    preemptions_on_slack: int = 0
     runs_done: int = 0
     runs_failed: int = 0
     runs_lost: int = 0
@@ -81,6 +103,10 @@
             scheduler.runs_ordered += 1
         case "stopping":
             scheduler.runs_stopped += 1
+        case "preempting":
+            scheduler.preemptions += 1
+        case "preempting on slack":
+            scheduler.preemptions_on_slack += 1
         case "ended done":
             scheduler.runs_done += 1
         case "ended failed":
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -8,7 +8,7 @@
 from peridothatch_core.message import rows
 from peridothatch_core.message import tickets as ticket_messages
 from peridothatch_core.model import steps, storeclock
-from peridothatch_core.order import calibration, expectations
+from peridothatch_core.order import calibration, expectations, fair_share
 from peridothatch_core.schedule import (
     cycle,
     leadership,
@@ -17,6 +17,7 @@
     speed_fit,
     speed_tiers,
     tickets,
+    turns,
     writes,
 )
 from peridothatch_core.schedule import state as core_state
@@ -368,6 +369,7 @@
         "run_time_errors": calibration.describe(schedule.learned.errors),
         "learned_read": schedule.learned.is_read,
         "worker_speeds": len(schedule.learned.speeds),
+        "shares": _shares(schedule),
         "counters": dataclasses.asdict(state.counters),
         "gauges": {
             "leading": int(state.leadership.leading),
@@ -377,6 +379,7 @@
             "runs_open": sum(len(entries) for entries in schedule.runs.values()),
             "workers_fast": _count_workers(schedule, speed_tiers.Tier.FAST),
             "workers_slow": _count_workers(schedule, speed_tiers.Tier.SLOW),
+            "customers_take_turns": int(fair_share.is_enabled(schedule.desired)),
         },
     }
 
@@ -403,3 +406,13 @@
         len(speed_tiers.nodes_of(tiers, tier))
         for tiers in schedule.speed_tiers.by_service.values()
     )
+
+
+def _shares(schedule: core_state.State) -> dict[str, dict[str, int]]:
+    """Return the accelerators that each customer uses, and those guaranteed to it."""
+    used = turns.accelerators_in_use(schedule)
+    guaranteed = turns.guaranteed_accelerators(schedule)
+    return {
+        customer: {"used": used.get(customer, 0), "guaranteed": guaranteed.get(customer, 0)}
+        for customer in sorted(used.keys() | guaranteed.keys())
+    }
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -236,6 +236,9 @@
         "Groups that a full partition of the store refused; their transactions wait for the next.",
         "Look at the latency of the store.",
     ),
+    "commits_redirected": Text(
+        "Transactions whose senders were told that another entry leads.", "None."
+    ),
     "commits_expired": Text(
         "Transactions that were refused because their sender's time was too short for a group.",
         "The store's partition is slow; look at its latency.",
@@ -255,6 +258,45 @@
     ),
 }
 
+_CLIENT_LINE = "`connections:closed` names an address; find the client there."
+
+_CONNECTIONS = {
+    "head_bytes": Text("Heads refused for their size.", _CLIENT_LINE),
+    "head_lines": Text("Heads refused for their number of lines.", _CLIENT_LINE),
+    "head_time": Text("Heads refused because they were not complete in time.", _CLIENT_LINE),
+    "framing_bytes": Text(
+        "Connections closed for trailers or chunk extensions that were too long.", _CLIENT_LINE
+    ),
+    "body_time": Text(
+        "Connections closed because an announced body did not arrive in time.", _CLIENT_LINE
+    ),
+    "body_after_answer": Text(
+        "Connections closed because a body went on after its request was answered.", _CLIENT_LINE
+    ),
+    "unread_time": Text("Connections closed because answers were not read in time.", _CLIENT_LINE),
+    "idle_time": Text("Connections closed because they were idle.", "None."),
+    "malformed": Text("Requests refused because they were not HTTP.", _CLIENT_LINE),
+    "error": Text(
+        "Connections closed by an error of the protocol layer.",
+        "Must stay zero. Report the `detail` of `connections:closed`.",
+    ),
+    "budget_connections": Text(
+        "Connections refused, or idle ones closed for new ones, at the number that the process "
+        "may hold.",
+        "Look in the state dump at `by_listener`; add entries if the clients are ordinary.",
+    ),
+    "budget_address": Text("The same, at the number that one address may hold.", _CLIENT_LINE),
+    "budget_memory": Text(
+        "Connections closed because all of them together held too much memory.",
+        "Look for large or unread requests; add memory or entries if the clients are ordinary.",
+    ),
+    "open": Text("Open connections of clients.", "None; shows the load."),
+    "memory_bytes": Text(
+        "Estimated memory of all connections with their requests and unread answers.",
+        "Compare with `budget.memory_bytes` in the state dump.",
+    ),
+}
+
 _SCHEDULER = {
     "claims": Text("Times that this entry became the leader.", "Look for stopped entries."),
     "renewals_carried": Text(
@@ -265,6 +307,16 @@
     "runs_stopped": Text(
         "Runs that were ordered to stop.", "Look at the reason in `scheduler:stopping`."
     ),
+    "preemptions": Text(
+        "Times that work was stopped for an urgent job, within its customer's guarantee or the "
+        "limit on lost work.",
+        "A steady rise shows a shortage of workers. `scheduler:preempting` names the urgent jobs.",
+    ),
+    "preemptions_on_slack": Text(
+        "Times that work was stopped for an urgent job because its owners still meet their "
+        "objectives by the expected run times.",
+        "If stopped jobs end late, look at `scheduler:preempting on slack` and their runs.",
+    ),
     "runs_done": Text("Runs that ended done.", "None."),
     "runs_failed": Text("Runs that ended failed.", "Look for failing workers and jobs."),
     "orders_withdrawn": Text(
@@ -312,6 +364,10 @@
         "Workers that jobs with little slack use last, on the leading entry.",
         "If they should be as fast as the others, look at these machines.",
     ),
+    "customers_take_turns": Text(
+        "1 while the guarantees in force are so unequal that customers take turns.",
+        "Compare `shares` in the state dump of the leading entry when a customer's jobs wait.",
+    ),
 }
 
 _SUPERVISOR = {
@@ -338,6 +394,7 @@
     "slots": _SLOTS,
     "members": _MEMBERS,
     "commit_route": _COMMIT_ROUTE,
+    "connections": _CONNECTIONS,
     "grouping": _GROUPING,
     "peers": _PEERS,
     "reception": _RECEPTION,
