Let the run in the tests of learned run times last long enough to count

Cause: the run ended after about 5 ms, below the 10 ms from which a run time is plausible, so that its sample was dropped, depending on the load (two failures beside other test runs).

Measured: three runs of the file pass beside a load of 17.

--- a/packages/daemon/tests/hosted/test_schedule_learned.py
+++ b/packages/daemon/tests/hosted/test_schedule_learned.py
@@ -32,9 +32,14 @@
     return store
 
 
+RUN_SECONDS = 0.05
+"""Duration of the run. Run times below `survival.MIN_SECONDS` are dropped as implausible."""
+
+
 async def _finish_job(store):
-    """Let the only run end as done."""
+    """Let the only run end as done, after a time that is long enough for a sample."""
     await row_store.until(lambda: store.exists(row_store.ORDER))
+    await asyncio.sleep(RUN_SECONDS)
     claimed = dataclasses.replace(row_store.agent(), claimed=((row_store.TASK, 1),))
     end = steps.End(row_store.TASK, 1, row_store.NODE, steps.EndKind.DONE)
     store.put(
