--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -11,7 +11,7 @@
 import crowd_harness
 import pytest
 
-pytestmark = pytest.mark.xdist_group("crowds")
+pytestmark = [pytest.mark.alone, pytest.mark.xdist_group("crowds")]
 
 BLOCK = 64 * 1024
 MB = 1024 * 1024
