Leave runs to end that would miss a departure by little

Cause: a worker that is emptied as planned stays longer than the least time that it announces.

Change: a run counts as lost when its expected rest is 1.5 times the time left.

Measured: tests of schedule pass; the new case of a gang with 4 s of work and 3 s of notice fails without the change.

--- a/packages/core/src/peridothatch_core/schedule/departures.py
+++ b/packages/core/src/peridothatch_core/schedule/departures.py
@@ -23,6 +23,12 @@
 
 Their own ends usually arrive within this time, with the checkpoints."""
 
+CERTAIN_LOSS_FACTOR = 1.5
+"""Expected rest of a run, in multiples of the announced time, from which it counts as lost.
+
+Workers often stay longer than the least time that they announce, and a run that is moved begins
+anew, so one that would miss that time by little is left to end."""
+
 
 def observe(state: states.State) -> None:
     """Record when draining workers leave at the earliest, from the rows of their agents."""
@@ -92,7 +98,7 @@
     if rejection.is_suspended(state, job.id):
         return False
     remaining_ms = 1000.0 * expected.remaining_seconds(state, job, progress, run, now_ms)
-    return now_ms + remaining_ms > leaving_at_ms
+    return remaining_ms > CERTAIN_LOSS_FACTOR * max(0, leaving_at_ms - now_ms)
 
 
 def _stop(
--- a/packages/core/tests/schedule/test_departures.py
+++ b/packages/core/tests/schedule/test_departures.py
@@ -63,6 +63,7 @@
     "step",
     [
         _gang(estimate_ms=1000),
+        _gang(estimate_ms=4000),
         _gang(checkpointing=True),
         harness.step(3, long_running=True, max_unavailable=1),
     ],
