Decide once, at the announcement, whether a run can end before a departure

Measured: tests of schedule and hosted pass; the extended case fails when the decision is repeated in each cycle.

--- a/packages/core/src/peridothatch_core/schedule/cycle.py
+++ b/packages/core/src/peridothatch_core/schedule/cycle.py
@@ -40,8 +40,7 @@
         else:
             progress.open_occurrences(state, job, unix_ms)
             progress.complete_if_done(state, job, now_ms)
-    departures.observe(state)
-    departures.stop_doomed_runs(state, now_ms)
+    departures.stop_doomed_runs(state, departures.observe(state), now_ms)
     starts.order_runs(state, now_ms)
 
 
--- a/packages/core/src/peridothatch_core/schedule/departures.py
+++ b/packages/core/src/peridothatch_core/schedule/departures.py
@@ -16,7 +16,7 @@
 from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
 BROKEN_GANG_DELAY_MS = 400
 """Time after the first member of a gang has ended as broken at which the others count as ended.
@@ -30,8 +30,15 @@
 anew, so one that would miss that time by little is left to end."""
 
 
-def observe(state: states.State) -> None:
-    """Record when draining workers leave at the earliest, from the rows of their agents."""
+def observe(state: states.State) -> list[str]:
+    """Record when draining workers leave at the earliest, from the rows of their agents.
+
+    Returns
+    -------
+    list of str
+        Nodes whose workers have not been known to leave before.
+    """
+    announced = []
     for node, agent in state.agents.items():
         worker = agent.worker
         if worker is None or worker.state is not agents.WorkerState.DRAINING:
@@ -39,13 +46,21 @@
             continue
         leaving_at_ms = agent.hold_until_ms - state.limits.hold_ms + worker.leaves_in_ms
         # The time left is that of the last heartbeat, which may be older than the row.
+        if node not in state.leaving_at_ms:
+            announced.append(node)
         known_ms = state.leaving_at_ms.get(node, leaving_at_ms)
         state.leaving_at_ms[node] = min(known_ms, leaving_at_ms)
+    return announced
 
 
-def stop_doomed_runs(state: states.State, now_ms: int) -> None:
-    """Stop the runs without checkpoints that cannot end before their worker leaves."""
-    for node, leaving_at_ms in state.leaving_at_ms.items():
+def stop_doomed_runs(state: states.State, nodes: Iterable[str], now_ms: int) -> None:
+    """Stop the runs without checkpoints that cannot end before their worker leaves.
+
+    It is decided once, when the departure is announced: the later a run is stopped, the more work
+    it loses and the less time it gains.
+    """
+    for node in nodes:
+        leaving_at_ms = state.leaving_at_ms[node]
         for job, progress, run in list(state.runs.get(node, ())):
             if _is_doomed(state, job, progress, run, leaving_at_ms, now_ms):
                 reason = f"the worker leaves in {max(0, leaving_at_ms - now_ms)} ms"
--- a/packages/core/tests/schedule/test_departures.py
+++ b/packages/core/tests/schedule/test_departures.py
@@ -73,6 +73,9 @@
     _announce(scheduler, set(NODES), 3000)
     harness.run(scheduler, harness.NOW_MS + 100)
     assert not any(run.stopping for run in harness.open_runs(job))
+    # Stopped later, it would lose more work and gain less time.
+    harness.run(scheduler, harness.NOW_MS + 2800)
+    assert not any(run.stopping for run in harness.open_runs(job))
 
 
 def test_the_notice_counts_from_the_first_row_that_tells_it():
