--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -1,6 +1,7 @@
 """Faults that the soak test injects from outside the processes."""
 
 import asyncio
+import contextlib
 import signal
 import subprocess
 import time
@@ -102,6 +103,27 @@
     soak.store.put("op", "", f"evacuate/{zone}", None)
 
 
+async def _exceed_limits(soak, process, fault):
+    """Let clients of one entry send heads without end, and requests whose answers go unread."""
+    port, _ = soak.entry_ports[fault.target % len(soak.entry_ports)]
+    until = time.monotonic() + fault.seconds
+    endless = (b"GET /jobs/ HTTP/1.1\r\n" + b"a: b\r\n" * 1000, b"a: b\r\n" * 1000)
+    pipelined = (b"GET /jobs/ HTTP/1.1\r\n\r\n" * 100,) * 2
+    clients = (_send_until(port, until, *parts) for parts in (endless, pipelined) * 4)
+    await asyncio.gather(*clients)
+
+
+async def _send_until(port, until, first, then):
+    with contextlib.suppress(OSError, TimeoutError):
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(first)
+        while time.monotonic() < until:
+            writer.write(then)
+            await asyncio.wait_for(writer.drain(), max(0.01, until - time.monotonic()))
+            await asyncio.sleep(0.01)
+        writer.transport.abort()
+
+
 _FAULTS = {
     "kill": _kill, "pause": _pause, "terminate": _terminate,
     "store_reset": _proxy_fault("reset", "store"), "store_silent": _proxy_fault("silent", "store"),
@@ -111,4 +133,5 @@
     "worker_silent": _proxy_fault("silent", "worker"),
     "worker_reset": _proxy_fault("reset", "worker"), "worker_restart": _restart_worker,
     "worker_fails": _fail_tasks, "revoke": _revoke, "evacuate": _evacuate,
+    "clients_exceed_limits": _exceed_limits,
 }  # fmt: skip
--- a/tests/soak/soak_plan.py
+++ b/tests/soak/soak_plan.py
@@ -96,6 +96,17 @@
     return dataclasses.replace(plan, faults=tuple(faults))
 
 
+def make_excess(seed, spells=3, others=3, jobs=14):
+    """Return a plan in which clients outside the limits press the entries, beside other faults."""
+    plan = make(seed, others, jobs)
+    excess = [
+        Fault(at=0.5 + 4.0 * number, kind="clients_exceed_limits", target=number, seconds=3.0)
+        for number in range(spells)
+    ]
+    faults = sorted([*plan.faults, *excess], key=lambda fault: fault.at)
+    return dataclasses.replace(plan, faults=tuple(faults))
+
+
 def make(seed, faults=7, jobs=14, kinds=KINDS):
     """Return the plan of a seed; faults may overlap."""
     rng = random.Random(seed)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -27,6 +27,10 @@
 """Seeds from this one on let the store apply writes late while jobs wait for room."""
 
 
+FIRST_EXCESS_SEED = 3000
+"""Seeds from this one on have clients outside the limits among the ordinary ones."""
+
+
 async def run(seed, folder, plan=None):
     """Run one seed and return the observations; processes write their logs to ``folder``."""
     soak = await soak_installation.start(plan or make_plan(seed), pathlib.Path(folder))
@@ -53,6 +57,8 @@
 
 def make_plan(seed):
     """Return the plan of a seed, whose range selects the kind of plan."""
+    if seed >= FIRST_EXCESS_SEED:
+        return soak_plan.make_excess(seed)
     if seed >= FIRST_LATE_WRITE_SEED:
         return soak_plan.make_late_writes(seed)
     if seed >= FIRST_REVOCATION_SEED:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -36,6 +36,14 @@
     assert observations.starts
 
 
+async def test_invariants_hold_beside_clients_outside_the_limits(tmp_path):
+    # Such clients ended an entry, which ran out of memory.
+    plan = soak_plan.make_excess(soak_run.FIRST_EXCESS_SEED, spells=2, others=1, jobs=6)
+    observations = await soak_run.run(plan.seed, tmp_path, plan)
+    assert observations.breaches == []
+    assert observations.accepted
+
+
 @pytest.mark.parametrize("seed", soak_regressions.SEEDS)
 async def test_invariants_hold_for_seeds_that_failed_before(seed, tmp_path):
     observations = await soak_run.run(seed, tmp_path)
