Shorten the functions that start processes and tasks

Extracted without a change of behaviour: the room for tasks that do not fit, the version that an entry reports, and the identity of an agent.

Measured: tests of schedule, hosted and the processes on the platform pass.

--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -247,16 +247,7 @@
             if tiers[-1] is not usable and not urgent:
                 wait_log.log_waiting(state, job, step_progress, unplaced, candidates, now_ms)
                 return position
-            eligible = [
-                candidate
-                for candidate in tiers[-1]
-                if fit.is_eligible(candidate, step, job.service)
-            ]
-            plan = _preemption_plan(
-                state, job, step_progress, unplaced, [eligible], avoided, protected, now_ms
-            )
-            if plan is not None and not _preempt(state, job, step, plan, protected, now_ms):
-                preemption.reserve(step, plan)
+            _make_room(state, job, step_progress, unplaced, tiers[-1], avoided, protected, now_ms)
             wait_log.log_waiting(state, job, step_progress, unplaced, candidates, now_ms)
             return position
         if not pacing.may_order(state, job, {candidate.agent.node}):
@@ -270,6 +261,28 @@
     return len(waiting)
 
 
+def _make_room(
+    state: states.State,
+    job: steps.Job,
+    step_progress: steps.StepProgress,
+    count: int,
+    candidates: list[fit.Candidate],
+    avoided: set[str],
+    protected: set[str],
+    now_ms: int,
+) -> None:
+    """Preempt other work for tasks that do not fit, or keep the room that they will get."""
+    step = job.steps[step_progress.step]
+    eligible = [
+        candidate for candidate in candidates if fit.is_eligible(candidate, step, job.service)
+    ]
+    plan = _preemption_plan(
+        state, job, step_progress, count, [eligible], avoided, protected, now_ms
+    )
+    if plan is not None and not _preempt(state, job, step, plan, protected, now_ms):
+        preemption.reserve(step, plan)
+
+
 def _max_starts(
     state: states.State, job: steps.Job, step: steps.Step, candidates: list[fit.Candidate]
 ) -> int:
--- a/packages/daemon/src/peridothatch_daemon/hosted/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/agent.py
@@ -102,10 +102,10 @@
         "commit_route": route_task.inbox,
         "connections": connected.inbox,
     }
-    identity = {"node": machine.node, "data_centre": machine.data_centre, "role": "agent"}
+    observed = observe.application(_identity(machine), named_tasks, exported)
     applications = [
         ("heartbeats", machine.heartbeats, heartbeats.application(deliver, _rejected)),
-        ("metrics", machine.metrics, observe.application(identity, named_tasks, exported)),
+        ("metrics", machine.metrics, observed),
     ]
     servers = await _start_servers(applications, connected, opened or {})
     log.event("agent:started", data_centre=machine.data_centre, region=machine.region)
@@ -122,6 +122,10 @@
     )
 
 
+def _identity(machine: settings.Machine) -> dict[str, str]:
+    return {"node": machine.node, "data_centre": machine.data_centre, "role": "agent"}
+
+
 def tasks(agent: Agent) -> tuple[task.Task, ...]:
     """Return the tasks that the agent cannot go on without."""
     return (
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -322,12 +322,7 @@
         return final
 
     async def report_version() -> int:
-        reply = mailbox.Reply()
-        mailbox.post(entry.reception.inbox, messages.ReportVersion(reply))
-        try:
-            return await mailbox.wait(reply, READINESS_TIMEOUT_SECONDS)
-        except TimeoutError:
-            return 0
+        return await _report_version(entry.reception.inbox)
 
     async def has_row(key: rows.Key) -> bool | None:
         return await _has_row(entry.store.inbox, key)
@@ -379,6 +374,16 @@
     return observe.application(identity, tasks, entry.exported, routes)
 
 
+async def _report_version(reception_inbox: mailbox.Mailbox) -> int:
+    """Return the version of the desired state that this entry knows; 0 if there is none."""
+    reply = mailbox.Reply()
+    mailbox.post(reception_inbox, messages.ReportVersion(reply))
+    try:
+        return await mailbox.wait(reply, READINESS_TIMEOUT_SECONDS)
+    except TimeoutError:
+        return 0
+
+
 async def _has_row(store_inbox: mailbox.Mailbox, key: rows.Key) -> bool | None:
     reply = mailbox.Reply()
 
