Move only jobs that would miss their objectives from leaving workers

Change: a run is moved only if its job, started again at the departure, would miss its objective by the expected run times.

--- a/packages/core/src/peridothatch_core/schedule/departures.py
+++ b/packages/core/src/peridothatch_core/schedule/departures.py
@@ -1,10 +1,10 @@
 """Moves work away from workers that leave before it can end.
 
 Answers workers that are taken away at short notice, several at a time. A worker that drains tells
-the least time that it still has. A task that needs longer and writes no checkpoint loses its work
-in any case, so it is stopped at once and starts elsewhere that much sooner; in a gang, the members
-on other workers are not kept busy in vain. Tasks with checkpoints work on until their agent stops
-them shortly before the departure.
+the least time that it still has. A task that needs longer and writes no checkpoint is likely to
+lose its work, so if its job cannot wait until then, it is stopped at once and starts elsewhere
+that much sooner. Jobs with slack work on, because the worker may stay after all, and so do tasks
+with checkpoints, which their agent stops shortly before the departure.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 import typing
 
 from peridothatch_core.model import agents, steps
-from peridothatch_core.schedule import expected, rejection
+from peridothatch_core.schedule import expected, objectives, rejection
 from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
@@ -112,10 +112,22 @@
         return False
     if rejection.is_suspended(state, job.id):
         return False
+    left_seconds = max(0, leaving_at_ms - now_ms) / 1000.0
+    if _can_start_again(state, job, left_seconds, now_ms):
+        return False
     remaining_ms = 1000.0 * expected.remaining_seconds(state, job, progress, run, now_ms)
     return remaining_ms > CERTAIN_LOSS_FACTOR * max(0, leaving_at_ms - now_ms)
 
 
+def _can_start_again(
+    state: states.State, job: steps.Job, after_seconds: float, now_ms: int
+) -> bool:
+    """Return whether a job still meets its objective if it starts again after some time."""
+    seconds = objectives.step_seconds(state, job, quantile=0.5)
+    unfinished = objectives.unfinished(job, seconds)
+    return objectives.slack_seconds(job, seconds, unfinished, now_ms) >= after_seconds
+
+
 def _stop(
     state: states.State,
     job: steps.Job,
