Spread the agents of large fleets over the entries of a busy partition

The partition is full there in normal operation, so that all agents went through one entry all the time.

Change: agents use one entry only while at most 24 entries are known, otherwise as before.

Measured: tests of commit, hosted and relays pass; the new test fails without the change.

--- a/packages/core/src/peridothatch_core/commit/route.py
+++ b/packages/core/src/peridothatch_core/commit/route.py
@@ -35,6 +35,13 @@
 AVOIDED_SECONDS = 5.0
 """Time for which an entry is not used that has not answered or could not commit."""
 
+MAX_ENTRIES = 24
+"""Number of known entries up to which all agents may go through one of them.
+
+A larger fleet fills the partition in normal operation, and its agents are more than one entry can
+serve with its processor and its link; they are spread over the entries instead.
+"""
+
 MAX_FAILURES = 2
 """Failures one after the other from which commits are direct for `DIRECT_SECONDS`, or from which
 an entry is avoided whose commits have unknown outcomes."""
@@ -107,7 +114,7 @@
 def record_direct(route: Route, committed: rows.Committed, now: float) -> None:
     """Record the outcome of a direct commit."""
     seconds = committed.answered_at - committed.asked_at
-    if committed.busy or seconds >= SLOW_SECONDS:
+    if _may_use_one_entry(route) and (committed.busy or seconds >= SLOW_SECONDS):
         _stay_relayed(route, now)
     elif committed.outcome in (rows.Outcome.NOT_DONE, rows.Outcome.UNKNOWN):
         if not route.busy:
@@ -125,7 +132,7 @@
     if relayed is not None and relayed.leader:
         route.leader = relayed.leader
     slow = relayed is not None and relayed.store_seconds >= latency.SLOW_SECONDS
-    if committed.busy or slow:
+    if _may_use_one_entry(route) and (committed.busy or slow):
         _stay_relayed(route, now)
     if committed.busy or committed.outcome in (rows.Outcome.COMMITTED, rows.Outcome.CONFLICT):
         route.failures = 0 if route.busy else route.failures
@@ -136,6 +143,10 @@
         _record_failed_entry(route, now, used_address, cannot_commit=not slow)
 
 
+def _may_use_one_entry(route: Route) -> bool:
+    return len(route.known) <= MAX_ENTRIES
+
+
 def _stay_relayed(route: Route, now: float) -> None:
     route.busy = True
     spread = RELAYED_SPREAD * backoff.jitter(route.node, int(now))
--- a/packages/core/tests/commit/test_commit.py
+++ b/packages/core/tests/commit/test_commit.py
@@ -251,3 +251,17 @@
     assert not route.is_redirected(found, named)
     unknown = _relayed(rows.Outcome.NOT_DONE, "front-9", store_seconds=0.0)
     assert not route.is_redirected(found, unknown)
+
+
+def test_the_agents_of_a_large_fleet_are_spread_over_the_entries():
+    # The partition of 304 machines is full in normal operation, and one entry served too few.
+    addresses = set()
+    for number in range(40):
+        way = route.Route(f"n{number}")
+        for other in range(route.MAX_ENTRIES + 1):
+            entry = entries.Entry(f"front-{other}", f"10.0.0.{other}:1", f"10.0.0.{other}:2")
+            way.known[entry.node] = entry
+        route.record_direct(way, _refused(), 100.5)
+        assert not way.busy
+        addresses.add(route.address(way, 101.0))
+    assert len(addresses) > 10
