Log late renewals with their way, and leases that expire

Cause: leases of agents that are alive lapse on the large deployment, and the logs do not tell whether their renewals waited in the store, took a way that failed, or were never sent.

Change: a renewal that is applied with less than half of the lease left is logged with its way, its duration, the store's part of it and the time since the one before; so is a lease that ends while runs are at work. The intervals between renewals are a histogram, and both cases are counted.

--- a/packages/daemon/src/peridothatch_daemon/hosted/agent.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/agent.py
@@ -91,6 +91,9 @@
         metrics.create_latency_recorder(
             exported, "supervisor_start_seconds", "Time until a start is confirmed"
         ),
+        metrics.create_latency_recorder(
+            exported, "supervisor_renewal_seconds", "Time between renewals of the agent's lease"
+        ),
     )
     feed = await _follow_orders(machine, deliver)
     connected = connections.start(
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -94,6 +94,8 @@
     starts_unanswered: int = 0
     stops_unanswered: int = 0
     writes_failed: int = 0
+    renewals_late: int = 0
+    leases_expired: int = 0
 
 
 def count_decision(scheduler: Scheduler, kind: str) -> None:
--- a/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
@@ -24,6 +24,9 @@
 COMMIT_TIMEOUT_SECONDS = 1.5
 READ_TIMEOUT_SECONDS = 1.5
 
+LATE_LEASE_SHARE = 0.5
+"""Share of the lease left when a renewal is applied, below which it is reported as late."""
+
 SPEC_CACHE_SIZE = 64
 """Number of job specifications that are cached; each has at most 4,000 bytes."""
 
@@ -41,6 +44,8 @@
         is confirmed.
     pending_starts : dict
         Start requests that wait for their job's specification, by job.
+    lease_expired : bool
+        The lease has ended while runs were at work, and has not been renewed since.
     """
 
     hold: hold_state.State
@@ -49,9 +54,11 @@
     inbox: mailbox.Mailbox
     on_replaced: typing.Callable[[], None]
     record_latency: metrics.LatencyRecorder
+    record_renewal: metrics.LatencyRecorder
     specs: dict[str, str] = dataclasses.field(default_factory=dict)
     start_sent_at: dict[exchange.RunKey, float] = dataclasses.field(default_factory=dict)
     pending_starts: dict[str, list[exchange.Start]] = dataclasses.field(default_factory=dict)
+    lease_expired: bool = False
     counters: counters.Supervisor = dataclasses.field(default_factory=counters.Supervisor)
 
 
@@ -71,6 +78,7 @@
     worker: mailbox.Mailbox,
     on_replaced: typing.Callable[[], None],
     record_latency: metrics.LatencyRecorder,
+    record_renewal: metrics.LatencyRecorder,
 ) -> Supervisor:
     """Start the task.
 
@@ -86,8 +94,10 @@
         Called when another agent process has registered for this node.
     record_latency : callable
         Takes the time in seconds from the first start request of a run to its confirmation.
+    record_renewal : callable
+        Takes the time in seconds between the sending of two writes of the row that were applied.
     """
-    state = _State(hold, store, worker, inbox, on_replaced, record_latency)
+    state = _State(hold, store, worker, inbox, on_replaced, record_latency, record_renewal)
 
     def handle(message: typing.Any) -> None:
         _handle(state, message)
@@ -118,6 +128,7 @@
         case _:
             _log_event(state, message)
             _step(state, message)
+            _check_lease(state)
 
 
 def _step(state: _State, event: exchange.Event) -> None:
@@ -316,6 +327,7 @@
             log.event("supervisor:stop_answered", run=key, confirmed=confirmed)
             state.counters.stops_unanswered += not confirmed
         case rows.Committed(outcome=rows.Outcome.COMMITTED):
+            _record_renewal(state, event)
             for end in state.hold.ends_in_flight.values():
                 state.start_sent_at.pop((end.task, end.attempt), None)
                 log.event(
@@ -347,6 +359,52 @@
             log.event("supervisor:worker_left", instance=instance)
 
 
+def _record_renewal(state: _State, committed: rows.Committed) -> None:
+    """Record the time since the write before, and log how and when a late one was applied."""
+    hold = state.hold
+    if not hold.registered:
+        return
+    since = committed.asked_at - hold.renewed_at
+    state.record_renewal(since)
+    left = hold_state.lease_expires_at(hold) - committed.answered_at
+    if 1000 * left >= LATE_LEASE_SHARE * hold.lease_duration_ms:
+        return
+    state.counters.renewals_late += 1
+    relayed = committed.relayed
+    log.event(
+        "supervisor:renewed_late",
+        left_ms=round(1000 * left),
+        since_ms=round(1000 * since),
+        took_ms=round(1000 * (committed.answered_at - committed.asked_at)),
+        store_ms=None if relayed is None else round(1000 * relayed.store_seconds),
+        relayed=relayed is not None,
+        claims=len(hold.claims_in_flight),
+        ends=len(hold.ends_in_flight),
+    )
+
+
+def _check_lease(state: _State) -> None:
+    """Log once that the lease has ended while runs were at work."""
+    hold = state.hold
+    left = hold_state.lease_expires_at(hold) - clock.now()
+    if left > 0 or not hold.registered:
+        state.lease_expired = False
+        return
+    running = sum(run.phase is hold_state.Phase.RUNNING for run in hold.runs.values())
+    if state.lease_expired or not running:
+        return
+    state.lease_expired = True
+    state.counters.leases_expired += 1
+    since = clock.now() - hold.renewed_at
+    log.event(
+        "supervisor:lease_expired",
+        running=running,
+        since_ms=round(1000 * since),
+        write_pending=hold.row_call_pending,
+        refusals=hold.refusals,
+    )
+
+
 def _dump(state: _State) -> dict[str, typing.Any]:
     hold = state.hold
     return {
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -380,6 +380,14 @@
     ),
     "stops_unanswered": Text("Stops that the worker did not confirm.", "Check the worker."),
     "writes_failed": Text("Renewals of the lease that failed.", "Check the store."),
+    "renewals_late": Text(
+        "Renewals that were applied with less than half of the lease left.",
+        "Look at `supervisor:renewed_late`: the way that the write took, and how long it waited.",
+    ),
+    "leases_expired": Text(
+        "Leases that ended while runs were at work; the worker has stopped them.",
+        "Check the store, and `supervisor:renewed_late` before that time.",
+    ),
     "runs": Text("Runs that the agent holds.", "None."),
     "ends_waiting": Text(
         "Ends that are not in the store yet.", "Check the store when the value stays high."
--- /dev/null
+++ b/packages/daemon/tests/hosted/test_supervisor.py
@@ -0,0 +1,111 @@
+"""Failure: leases lapse, and the logs do not tell which renewals were late or by which way."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from peridothatch_core.hold import exchange
+from peridothatch_core.hold import state as hold_state
+from peridothatch_core.message import rows
+from peridothatch_core.model import agents, steps
+from peridothatch_daemon.hosted import clock, log, supervisor
+from peridothatch_wire import mailbox
+
+TASK = "00000000000000aa.0.0.0"
+LEASE_MS = 5_500
+WORKER = agents.Worker(
+    "w-1",
+    1_000,
+    "render",
+    "accra-a",
+    agents.WorkerState.READY,
+    steps.Demand(64_000, 256_000, 8),
+    "a",
+    "r1",
+)
+
+
+class _Tested:
+    """A supervisor, and what it has logged and recorded."""
+
+    def __init__(self):
+        self.hold = hold_state.State("side-1", "accra-a", LEASE_MS)
+        self.store = mailbox.create("store")
+        self.inbox = mailbox.create("supervisor")
+        self.logged = []
+        self.intervals = []
+        self.running = supervisor.start(
+            self.hold,
+            self.inbox,
+            self.store,
+            mailbox.create("worker"),
+            lambda: None,
+            lambda _: None,
+            self.intervals.append,
+        )
+
+    def post(self, *events):
+        for event in events:
+            mailbox.post(self.inbox, event)
+
+    async def commit(self, age_seconds=0.0, relayed=None):
+        """Apply the next write, which was sent ``age_seconds`` ago."""
+        message = None
+        while not isinstance(message, rows.Commit):
+            message = await asyncio.wait_for(mailbox.take(self.store), 5)
+        now = clock.now()
+        outcome = rows.Outcome.COMMITTED
+        done = rows.Committed("row", outcome, 5, int(1000 * now), now - age_seconds, now)
+        message.answer(dataclasses.replace(done, relayed=relayed))
+
+    async def register(self):
+        now = clock.now()
+        self.post(
+            exchange.StoreTime(int(1000 * now), now, now),
+            exchange.RowRead(True, None, 0),
+            exchange.Heartbeat(WORKER, 1),
+        )
+        await self.commit()
+        await self.commit()
+        await _settle()
+
+    def find(self, kind):
+        return [fields for name, fields in self.logged if name == kind]
+
+
+@pytest.fixture
+async def tested(monkeypatch):
+    """Yield a running supervisor that has registered."""
+    tested = _Tested()
+    monkeypatch.setattr(log, "event", lambda kind, **fields: tested.logged.append((kind, fields)))
+    await tested.register()
+    yield tested
+    await supervisor.close(tested.running)
+
+
+async def _settle():
+    await asyncio.sleep(2 * supervisor.TICK_SECONDS)
+
+
+async def test_a_late_renewal_is_logged_with_its_way(tested):
+    assert not tested.find("supervisor:renewed_late")
+    tested.hold.hold_until_ms -= LEASE_MS // 2
+    tested.post(exchange.RenewalRequested(True))
+    await tested.commit(0.4, rows.Relayed("front-1", 0.3))
+    await _settle()
+    (late,) = tested.find("supervisor:renewed_late")
+    assert late["relayed"]
+    assert late["store_ms"] == 300
+    assert late["left_ms"] < LEASE_MS / 2
+    assert tested.intervals
+
+
+async def test_a_lease_that_ends_while_a_run_is_at_work_is_logged_once(tested):
+    running = hold_state.TrackedRun(None, phase=hold_state.Phase.RUNNING)
+    tested.hold.runs[(TASK, 1)] = running
+    tested.hold.hold_until_ms -= 2 * LEASE_MS
+    tested.post(exchange.Tick(), exchange.Tick())
+    await _settle()
+    (expired,) = tested.find("supervisor:lease_expired")
+    assert expired["running"] == 1
