--- a/packages/core/tests/schedule/partition_model.py
+++ b/packages/core/tests/schedule/partition_model.py
@@ -22,6 +22,7 @@
         self.rows = {}
         self.committed = []
         self.refused = 0
+        self.is_down = False
         self._events = []
         self._numbers = itertools.count()
 
