Spread the renewals of agents that were answered together

Callers of a large fleet waited for a store that was not slow. Agents whose renewals were answered as one group, or came back together after an outage, renewed at the same moments from then on and queued behind each other in every round.

Change: each interval is up to a fifth shorter, by the node and the version of its row.

The test of the spread fails without the change.

--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -35,6 +35,10 @@
 """Share of the lease after which it is renewed while a run would lose its work with it. What is
 left of the lease is the longest outage of the store that such a run survives."""
 
+RENEW_SPREAD = 0.2
+"""Share of the interval by which renewals differ from each other. Those that were answered as one
+group, or after the same outage, would otherwise stay together and wait for each other."""
+
 SLOW_COMMIT_SECONDS = 0.15
 """Duration of a renewal from which the store counts as busy. Renewals then keep the longest
 interval, because more of them would only queue behind each other."""
@@ -307,14 +311,15 @@
 
 
 def renew_interval_seconds(state: State) -> float:
-    """Return the interval between renewals of the lease."""
+    """Return the time from the latest renewal of the lease to the next one."""
     dear = any(
         run.phase is Phase.RUNNING and run.order is not None and not run.order.checkpointing
         for run in state.runs.values()
     )
-    if not dear or state.commit_seconds >= SLOW_COMMIT_SECONDS:
-        return RENEW_INTERVAL_SECONDS
-    return min(RENEW_INTERVAL_SECONDS, RENEW_LEASE_SHARE * state.lease_duration_ms / 1000.0)
+    interval = RENEW_INTERVAL_SECONDS
+    if dear and state.commit_seconds < SLOW_COMMIT_SECONDS:
+        interval = min(interval, RENEW_LEASE_SHARE * state.lease_duration_ms / 1000.0)
+    return interval * (1.0 - RENEW_SPREAD * backoff.jitter(state.node, state.version))
 
 
 def refused_retry_seconds(state: State) -> float:
