Reserve the ports of a soak, and report a process that has ended

The agent side-3 had ended at its start, because its metrics port was in use.

Cause: the soak tested ports and gave them up before its programs bound them, so that a parallel soak took one of them, and the wait for readiness did not look at the processes.

Change: the sockets that reserve the ports stay bound until the soak ends; they do not listen, so the programs can. While the soak waits for readiness it fails at once when a process has ended, with its status and log.

--- a/tests/soak/soak_installation.py
+++ b/tests/soak/soak_installation.py
@@ -55,6 +55,7 @@
     logs: pathlib.Path
     config_version: int = 1
     session: aiohttp.ClientSession | None = None
+    reserved: list = dataclasses.field(default_factory=list)
 
 
 async def start(plan, folder):
@@ -68,7 +69,8 @@
     ]
     observations.zones = {number: ZONES[number % len(ZONES)] for number in range(soak_plan.AGENTS)}
     soak = Soak(plan, observations, store, workers, [], [], [], runners, folder)
-    ports = _free_ports(3 * soak_plan.ENTRIES + 2 * soak_plan.AGENTS)
+    soak.reserved = _reserve_ports(3 * soak_plan.ENTRIES + 2 * soak_plan.AGENTS)
+    ports = [reserved.getsockname()[1] for reserved in soak.reserved]
     for number in range(soak_plan.ENTRIES):
         front, ready, metrics = (ports.pop() for _ in range(3))
         proxy = await soak_proxy.start(store_port)
@@ -102,6 +104,8 @@
                 await soak_proxy.close(proxy)
     for runner in soak.runners:
         await runner.cleanup()
+    for reserved in soak.reserved:
+        reserved.close()
 
 
 async def _serve(application, runners):
@@ -113,16 +117,23 @@
     return runner.addresses[0][1]
 
 
-def _free_ports(count):
-    """Return free ports below the ephemeral range; parallel soak processes draw different ones."""
+def _reserve_ports(count):
+    """Return sockets that reserve free ports below the ephemeral range until they are closed.
+
+    They do not listen and let an address be reused, so a program can listen on it; another soak
+    process, which binds without that option first, takes other ports.
+    """
     rng = random.Random(os.getpid() * 1000 + time.monotonic_ns() % 1000)
     found = []
     while len(found) < count:
-        port = rng.randrange(20_000, 32_000)
-        with contextlib.suppress(OSError), socket.socket() as probe:
-            probe.bind((HOST, port))
-            if port not in found:
-                found.append(port)
+        reserved = socket.socket()
+        try:
+            reserved.bind((HOST, rng.randrange(20_000, 32_000)))
+        except OSError:
+            reserved.close()
+            continue
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        found.append(reserved)
     return found
 
 
@@ -201,6 +212,7 @@
 async def until_ready(soak):
     async with asyncio.timeout(60):
         while True:
+            check_running(soak)
             workers = [name for name in soak.store.rows if name[2].startswith("agent/")]
             ready = [await _is_ready(soak, port) for _, port in soak.entry_ports]
             if all(ready) and len(workers) == len(soak.workers):
@@ -208,6 +220,15 @@
             await asyncio.sleep(0.2)
 
 
+def check_running(soak):
+    """Raise an error if a process has ended; waiting for it would hide why."""
+    for process in soak.processes:
+        status = process.popen.poll()
+        if status is not None:
+            log = (soak.logs / f"{process.name}.log").read_text(errors="replace")
+            raise AssertionError(f"{process.name} ended with status {status}: {log[-2000:]}")
+
+
 async def _is_ready(soak, port):
     with contextlib.suppress(aiohttp.ClientError, TimeoutError):
         async with soak.session.get(f"http://{HOST}:{port}/peridothatch/ready") as response:
