Let only the leader follow the rows of the agents

Cause: traffic that grows with the product of two kinds of machine.

Change: a task of the entry follows the agents' rows while it leads, from the version at which its scheduler has read them. The feeds of an entry are a module of their own, which wires the process like the module they come from, so it may import the adapter.

--- a/packages/core/src/peridothatch_core/message/rows.py
+++ b/packages/core/src/peridothatch_core/message/rows.py
@@ -174,13 +174,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """All rows of a subscribed table; rows that it does not contain do not exist."""
+    """All rows of a subscribed table; rows that it does not contain do not exist.
+
+    Attributes
+    ----------
+    prefix : str
+        Beginning of the keys of these rows, if only a part of the table is subscribed to.
+    """
 
     table: str
     rows: tuple[Row, ...]
     now_ms: int
     asked_at: float
     answered_at: float
+    prefix: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/model/tables.py
+++ b/packages/core/src/peridothatch_core/model/tables.py
@@ -11,7 +11,8 @@
 """Jobs, cancellations and ends of runs; all entries subscribe to its changes."""
 
 MEMBERS_TABLE = "members"
-"""Leadership, agents and entries; all entries subscribe to its changes."""
+"""Leadership, agents and entries. Only the leader subscribes to all changes; each agent's row
+changes about once a second."""
 
 SPECS_TABLE = "specs"
 """Job specifications, which are read only by agents, one row at a time."""
@@ -28,13 +29,14 @@
 END_PREFIX = "e/"
 AGENT_PREFIX = "agent/"
 ENTRY_PREFIX = "entry/"
+LEADER_PREFIX = "leader/"
 RUN_TIMES_PREFIX = "run/"
 SPEED_PREFIX = "speed/"
 STOP_SUFFIX = "/stop"
 RENEW_SUFFIX = "/renew"
 
-EPOCH_KEY = rows.Key(MEMBERS_TABLE, "leader/epoch")
-LEASE_KEY = rows.Key(MEMBERS_TABLE, "leader/lease")
+EPOCH_KEY = rows.Key(MEMBERS_TABLE, LEADER_PREFIX + "epoch")
+LEASE_KEY = rows.Key(MEMBERS_TABLE, LEADER_PREFIX + "lease")
 
 
 def job_key(job_id: str) -> rows.Key:
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -10,12 +10,13 @@
 from peridothatch_core.connect import limits
 from peridothatch_core.hold import state as hold_state
 from peridothatch_core.message import rows
-from peridothatch_core.model import entries, tables, verdict
+from peridothatch_core.model import entries, verdict
 from peridothatch_core.schedule import state
 from peridothatch_daemon.hosted import (
+    agent_rows,
     clock,
     connections,
-    desired_feed,
+    entry_feeds,
     grouping,
     log,
     messages,
@@ -29,7 +30,6 @@
 from peridothatch_platform import (
     ingress,
     listeners,
-    operator,
     peer_calls,
     relay_calls,
     settings,
@@ -51,10 +51,6 @@
 RESIGN_TIMEOUT_SECONDS = 1.0
 """Maximum time to wait for the release of the leadership lease when stopping."""
 
-MEMBERS_POLL_INTERVAL_SECONDS = 0.25
-"""Minimum interval between polls of the members table. One of its rows changes every few
-milliseconds, so the interval collects several changes into one response."""
-
 INITIAL_ROWS_TIMEOUT_SECONDS = 0.5
 """Maximum time to wait for the first rows before calls are served. Reading them takes two round
 trips."""
@@ -89,6 +85,7 @@
     passing: passing.Forwarder
     grouping: grouping.Grouping
     scheduler: scheduler.Scheduler
+    agent_rows: agent_rows.AgentRows
     servers: list[serving.Server]
     exported: metrics.Metrics
     draining: list[bool]
@@ -121,14 +118,16 @@
         await ticket_service.start(machine.ticket_service) if machine.ticket_service else None
     )
     grouping_task = grouping.start(store_client.inbox, machine.node)
+    agent_rows_inbox = mailbox.create("agent rows")
     scheduler_task = _start_scheduler(
-        machine, store_client.inbox, tickets, exported, grouping_task.inbox
+        machine, store_client.inbox, tickets, exported, grouping_task.inbox, agent_rows_inbox
     )
+    agent_rows_task = entry_feeds.start_agent_rows(machine, agent_rows_inbox, scheduler_task.inbox)
     peer_client = await peer_calls.start(clock.now)
     callers = machine.callers.text if machine.callers else ""
     row = entries.Entry(machine.node, callers, machine.metrics.text, machine.data_centre)
     forwarder = passing.start(row, store_client.inbox, peer_client.inbox, reception_task.inbox)
-    feeds = await _follow_tables(
+    feeds = await entry_feeds.follow_tables(
         machine,
         reception_task.inbox,
         scheduler_task.inbox,
@@ -146,6 +145,7 @@
         forwarder,
         grouping_task,
         scheduler_task,
+        agent_rows_task,
         [],
         exported,
         draining,
@@ -172,6 +172,7 @@
         entry.grouping.running,
         entry.scheduler.running,
         entry.scheduler.ticking,
+        entry.agent_rows.running,
         entry.connections.running,
         *(server.serving for server in entry.servers),
     )
@@ -192,6 +193,7 @@
         await serving.close(server)
     await connections.close(entry.connections)
     await scheduler.close(entry.scheduler)
+    await agent_rows.close(entry.agent_rows)
     await reception.close(entry.reception)
     await passing.close(entry.passing)
     await grouping.close(entry.grouping)
@@ -211,6 +213,7 @@
     tickets: ticket_service.Client | None,
     exported: metrics.Metrics,
     grouping_inbox: mailbox.Mailbox,
+    agent_rows_inbox: mailbox.Mailbox,
 ) -> scheduler.Scheduler:
     """Start the scheduler with the limits of the installation."""
     scheduler_limits = state.Limits(
@@ -238,55 +241,10 @@
             "scheduler_run_time_error",
             "Absolute logarithm of a run time divided by the expected one",
         ),
+        lambda after: mailbox.post(agent_rows_inbox, messages.FollowAgents(after)),
     )
 
 
-async def _follow_tables(
-    machine: settings.Machine,
-    reception_inbox: mailbox.Mailbox,
-    scheduler_inbox: mailbox.Mailbox,
-    forwarder_inbox: mailbox.Mailbox,
-    grouping_inbox: mailbox.Mailbox,
-) -> list[store.Feed]:
-    """Follow the tables of the operator, the jobs and the members."""
-    desired = desired_feed.filter_into(
-        operator.decode_desired_state,
-        operator.CONFIG_KEY,
-        operator.evacuated_data_centre,
-        (reception_inbox, scheduler_inbox, forwarder_inbox),
-    )
-    return [
-        await store.follow(
-            machine.store,
-            store.OPERATOR_TABLE,
-            clock.now,
-            desired,
-            log.feed_lost,
-            log.feed_regained,
-            log.unreadable,
-        ),
-        await store.follow(
-            machine.store,
-            tables.WORK_TABLE,
-            clock.now,
-            _deliver_to(reception_inbox, scheduler_inbox),
-            _log_and_report(reception_inbox),
-            log.feed_regained,
-            log.unreadable,
-        ),
-        await store.follow(
-            machine.store,
-            tables.MEMBERS_TABLE,
-            clock.now,
-            _deliver_to(scheduler_inbox, forwarder_inbox, grouping_inbox),
-            log.feed_lost,
-            log.feed_regained,
-            log.unreadable,
-            MEMBERS_POLL_INTERVAL_SECONDS,
-        ),
-    ]
-
-
 async def _await_initial_rows(reception_task: reception.Reception) -> None:
     """Wait for the first rows; without them, calls waiting in the backlog would be refused."""
     reply = mailbox.Reply()
@@ -400,21 +358,3 @@
     if fetched.rows is None:
         return None
     return any(row.value is not None for row in fetched.rows)
-
-
-def _deliver_to(
-    *inboxes: mailbox.Mailbox,
-) -> typing.Callable[[rows.Snapshot | rows.Changes], None]:
-    def deliver(message: rows.Snapshot | rows.Changes) -> None:
-        for inbox in inboxes:
-            mailbox.post(inbox, message)
-
-    return deliver
-
-
-def _log_and_report(inbox: mailbox.Mailbox) -> typing.Callable[[str, str], None]:
-    def on_lost(table: str, reason: str) -> None:
-        log.feed_lost(table, reason)
-        mailbox.post(inbox, messages.FeedFailed())
-
-    return on_lost
--- a/packages/daemon/src/peridothatch_daemon/hosted/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/messages.py
@@ -50,6 +50,19 @@
     """A request of the jobs feed failed or had an invalid response."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowAgents:
+    """Follow the rows of the agents, because this entry leads and has read them.
+
+    Attributes
+    ----------
+    after : int or None
+        Version of the store after which changes are needed; ``None`` to follow them no longer.
+    """
+
+    after: int | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryCall:
     """Retry the store request of a pending call."""
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -50,6 +50,17 @@
     schedule_lease.apply_rows(state, fetched.rows, fetched.now_ms)
     if state.leadership.leading and state.work_rows is not None:
         _rebuild_schedule(state, state.work_rows, fetched.rows)
+        if not state.following:
+            state.following = True
+            state.schedule.agents_seen_ms = fetched.now_ms
+            state.follow_agents(fetched.version)
+
+
+def stop_following(state: schedule_state.State) -> None:
+    """End the feed of the agents' rows when this process does not lead any longer."""
+    if state.following and not state.leadership.leading:
+        state.following = False
+        state.follow_agents(None)
 
 
 def _rebuild_schedule(
@@ -119,7 +130,9 @@
         state, message.rows, message.now_ms
     ):
         start_load(state)
-    if not state.leadership.leading:
+    if not state.leadership.leading or (
+        isinstance(message, rows.Snapshot) and message.prefix == tables.LEADER_PREFIX
+    ):
         return
     if message.table == tables.MEMBERS_TABLE and message.now_ms:
         state.schedule.agents_seen_ms = message.now_ms
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
@@ -30,6 +30,11 @@
     ----------
     report_refused : callable
         Called when a full partition has refused a write of this process as the leader.
+    follow_agents : callable
+        Takes the version of the store after which changes of the agents' rows are needed, or
+        ``None`` when they are needed no longer.
+    following : bool
+        Changes of the agents' rows are being delivered.
     evacuated : frozenset of str or None
         Data centres that are out of service, as last read; ``None`` before the first read.
     operator_rows_at : float
@@ -72,6 +77,8 @@
     record_wait: metrics.LatencyRecorder
     report_refused: typing.Callable[[], None]
     record_error: metrics.ErrorRecorder
+    follow_agents: typing.Callable[[int | None], None]
+    following: bool = False
     clock: storeclock.StoreClock = dataclasses.field(default_factory=storeclock.StoreClock)
     schedule: core_state.State = dataclasses.field(default_factory=core_state.State)
     desired: desired.DesiredState | None = None
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -61,6 +61,10 @@
     """Take a report that nobody needs."""
 
 
+def _ignore_version(after: int | None) -> None:
+    """Follow nothing."""
+
+
 def _ignore_error(queue: str, error: float) -> None:
     """Record no error."""
 
@@ -75,6 +79,7 @@
     record_wait: metrics.LatencyRecorder,
     report_refused: typing.Callable[[], None] = _ignore,
     record_error: metrics.ErrorRecorder = _ignore_error,
+    follow_agents: typing.Callable[[int | None], None] = _ignore_version,
 ) -> Scheduler:
     """Start the task.
 
@@ -94,6 +99,9 @@
         Called when a full partition has refused a write of this process as the leader.
     record_error : callable
         Takes the queue and the error of the expected run time of a run that is done.
+    follow_agents : callable
+        Takes the version of the store after which changes of the agents' rows are to be delivered
+        to this task, or ``None`` when they are needed no longer.
     """
     inbox = mailbox.create("scheduler")
     own_leadership = leadership.Leadership(f"{node}/{incarnation}")
@@ -108,10 +116,12 @@
         record_wait,
         report_refused,
         record_error,
+        follow_agents,
     )
 
     def handle(message: typing.Any) -> None:
         _handle(state, message)
+        schedule_load.stop_following(state)
         if inbox.depth == 0:
             _run_due_work(state)
 
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -33,6 +33,7 @@
     (the next feed request gets status 410), ``long_polls_lost`` (long polls end without a
     response) or ``late`` (a share of the writes gets no response and is applied seconds later if
     its conditions then hold).
+    ``followers`` has the connections that have asked for changes, by table.
     """
 
     def __init__(self):
@@ -46,6 +47,7 @@
         self.longest_wait_seconds = 1.0
         self.free_at = 0.0
         self.random = random.Random(0)
+        self.followers = {}
         self.changed = asyncio.Event()
 
     def put(self, table, part, key, value):
@@ -138,6 +140,8 @@
         if self.mode == "forgotten":
             self.mode = "up"
             return web.Response(status=410)
+        peer = request.transport.get_extra_info("peername")
+        self.followers.setdefault(request.query["table"], set()).add(peer)
         after = int(request.query["after"])
         wait_seconds = min(LONGEST_WAIT_SECONDS, int(request.query["wait_ms"]) / 1000)
         deadline = time.monotonic() + wait_seconds
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -121,6 +121,48 @@
     await client_module.unfollow(feed)
 
 
+async def test_a_watch_delivers_the_rows_of_a_prefix_and_no_others(store):
+    # A feed delivers the changes of the whole table, which on a large fleet fill the link.
+    client = await _start(store)
+    for name in ("agent/side-1", "leader/lease"):
+        await _commit(client, rows.Transaction((), ((rows.Key("members", name), b"{}"),)))
+    delivered = asyncio.Queue()
+    lost = asyncio.Queue()
+    watch = await client_module.watch(
+        store.address, "members", "leader/", time.monotonic, delivered.put_nowait,
+        lambda name, _: lost.put_nowait(name), lambda name: lost.put_nowait(f"{name} back"),
+        _fail, 0.05,
+    )  # fmt: skip
+    found = await asyncio.wait_for(delivered.get(), 5)
+    assert [row.key for row in found.rows] == ["leader/lease"]
+    assert (found.table, found.prefix) == ("members", "leader/")
+    assert found.now_ms
+    store.mode = "refuse"
+    assert await asyncio.wait_for(lost.get(), 5) == "members/leader/"
+    store.mode = "up"
+    while await asyncio.wait_for(lost.get(), 5) != "members/leader/ back":
+        pass
+    await client_module.unfollow(watch)
+    await _close(client)
+
+
+async def test_a_feed_can_begin_with_the_changes_after_a_version(store):
+    # What a leader has read already is not read again.
+    client = await _start(store)
+    await _commit(client, rows.Transaction((), ((KEY, b"one"),)))
+    known = store.version
+    delivered = asyncio.Queue()
+    feed = await client_module.follow(
+        store.address, "work", time.monotonic, delivered.put_nowait, _fail, _fail, _fail,
+        after=known,
+    )  # fmt: skip
+    await _commit(client, rows.Transaction((), ((rows.Key("work", "j/2"), b"two"),)))
+    change = await _next_change(delivered)
+    assert [row.key for row in change.rows] == ["j/2"]
+    await client_module.unfollow(feed)
+    await _close(client)
+
+
 def test_two_changes_missed_by_long_polls_are_found_in_time():
     # Long polls may miss both a job and its order; urgent work must start within 1.1 s.
     poll = client_module.LONG_POLL_MS / 1000 + client_module.LONG_POLL_MARGIN_SECONDS
