Keep agents of a large fleet at their entry while the partition is slow

Cause: entries refused 410 shared commits, because their 2 s were not enough for the group before and their own. Agents took the refusals for faults of the entry and committed directly, which the full partition refused 284 times.

Change: a shared commit has 3.5 s while the store is slow, as other commits through entries have. A refusal by a full partition is no fault of the way, and begins sharing like a wait.

--- a/packages/core/src/peridothatch_core/commit/route.py
+++ b/packages/core/src/peridothatch_core/commit/route.py
@@ -117,6 +117,11 @@
     return sharing.is_active(route.sharing, now) and not route.busy
 
 
+def is_quick(route: Route, now: float) -> bool:
+    """Return whether a shared commit needs no time beyond that of its own group."""
+    return is_shared(route, now) and not route.sharing.is_slow
+
+
 def wanted_leader(route: Route) -> str | None:
     """Return the node that is taken for the leader, or ``None`` if any entry will do."""
     return route.leader if route.busy else None
@@ -195,8 +200,12 @@
 ) -> None:
     """Record what a commit tells about the load of the partition and about an entry."""
     worked = committed.outcome in (rows.Outcome.COMMITTED, rows.Outcome.CONFLICT)
-    if worked:
-        sharing.observe_duration(route.sharing, route.node, seconds, now)
+    if worked or committed.busy:
+        waited = max(seconds, latency.FULL_QUEUE_SECONDS) if committed.busy else seconds
+        sharing.observe_duration(route.sharing, route.node, waited, now)
+    if committed.busy:
+        # Another way leads to the same full partition.
+        return
     used = [node for node, entry in route.known.items() if entry.internal == used_address]
     sharing.record(
         route.sharing, used[0] if used_address and used else "", worked, was_reached, now
--- a/packages/core/src/peridothatch_core/commit/sharing.py
+++ b/packages/core/src/peridothatch_core/commit/sharing.py
@@ -12,7 +12,7 @@
 import typing
 import zlib
 
-from peridothatch_core.commit import backoff
+from peridothatch_core.commit import backoff, latency
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.model import entries
@@ -51,6 +51,8 @@
         Data centre of the agent.
     until : float
         Local time in seconds until which transactions are shared.
+    is_slow : bool
+        The latest transaction was slow, so the next one may wait for a group and its own.
     failures : int
         Commits that have failed since the last success, whatever their way.
     is_direct_next : bool
@@ -65,6 +67,7 @@
 
     data_centre: str = ""
     until: float = -1e9
+    is_slow: bool = False
     failures: int = 0
     is_direct_next: bool = False
     suspects: set[str] = dataclasses.field(default_factory=set)
@@ -79,6 +82,7 @@
 
 def observe_duration(sharing: Sharing, node: str, seconds: float, now: float) -> None:
     """Share transactions for a time if one of the agent has waited in the partition."""
+    sharing.is_slow = seconds >= latency.SLOW_SECONDS
     if seconds >= WAITED_SECONDS:
         spread = SHARED_SPREAD * backoff.jitter(node, int(now))
         sharing.until = now + SHARED_SECONDS * (1.0 + spread)
--- a/packages/core/tests/commit/fleet_model.py
+++ b/packages/core/tests/commit/fleet_model.py
@@ -147,7 +147,7 @@
             send(self.store, self.store_way, "direct", transaction, DIRECT_TIMEOUT, finish)
             return
         due_at = state.lease_expires_at(self.hold)
-        timeout = SHARED_TIMEOUT if route.is_shared(self.route, sent_at) else RELAYED_TIMEOUT
+        timeout = SHARED_TIMEOUT if route.is_quick(self.route, sent_at) else RELAYED_TIMEOUT
         wait = lease.may_wait_seconds(effect)
         commit = rows.Commit(
             self.hold.node, transaction, timeout, finish, due_at, may_wait_seconds=wait
--- a/packages/core/tests/commit/test_commit.py
+++ b/packages/core/tests/commit/test_commit.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from peridothatch_core.commit import backoff, group, route
+from peridothatch_core.commit import backoff, group, route, sharing
 from peridothatch_core.message import rows
 from peridothatch_core.model import entries, tables
 
@@ -253,15 +253,23 @@
     assert not route.is_redirected(found, unknown)
 
 
-def test_the_agents_of_a_large_fleet_are_spread_over_the_entries():
+def test_the_agents_of_a_large_fleet_are_spread_over_an_entry_of_each_data_centre():
     # The partition of 304 machines is full in normal operation, and one entry served too few.
-    addresses = set()
-    for number in range(40):
-        way = route.Route(f"n{number}")
+    zones = [f"zone-{number}" for number in range(6)]
+    addresses = {zone: set() for zone in zones}
+    for number in range(60):
+        zone = zones[number % len(zones)]
+        way = route.Route(f"n{number}", sharing=sharing.Sharing(zone))
         for other in range(route.MAX_ENTRIES + 1):
-            entry = entries.Entry(f"front-{other}", f"10.0.0.{other}:1", f"10.0.0.{other}:2")
+            entry = entries.Entry(
+                f"front-{other}",
+                f"10.0.0.{other}:1",
+                f"10.0.0.{other}:2",
+                zones[other % len(zones)],
+            )
             way.known[entry.node] = entry
         route.record_direct(way, _refused(), 100.5)
         assert not way.busy
-        addresses.add(route.address(way, 101.0))
-    assert len(addresses) > 10
+        addresses[zone].add(route.address(way, 101.0))
+    assert {len(used) for used in addresses.values()} == {1}
+    assert len(set.union(*addresses.values())) == len(zones)
--- a/packages/core/tests/commit/test_large_fleet.py
+++ b/packages/core/tests/commit/test_large_fleet.py
@@ -16,9 +16,11 @@
 DATA_CENTRES = ["accra-a", "tema-b", "kumasi-a", "tamale-a", "bolga-a", "wa-a"]
 FAR = {"tamale-a", "bolga-a", "wa-a"}
 WRITES_PER_SECOND = 200
+TXN_SECONDS = 1.0 / WRITES_PER_SECOND
 CLAIMS_PER_SECOND = 40
 OUTAGE_SECONDS = 4.4
 ENTRY_WAY = 0.0005
+SLOW_FROM, SLOW_SECONDS, SLOW_TXN_SECONDS, CLAIMS_WHILE_SLOW = 18.0, 4.7, 0.11, 1.0
 START, SETTLED, OUTAGE_FROM, END = 10.0, 14.0, 20.0, 28.0
 
 
@@ -26,8 +28,8 @@
     return 0.02 if data_centre in FAR else 0.0005
 
 
-def _start(fleet_size, seed):
-    store = partition_model.Partition(1.0 / WRITES_PER_SECOND)
+def _start(fleet_size, seed, claims_per_second=CLAIMS_PER_SECOND):
+    store = partition_model.Partition(TXN_SECONDS)
     store.now = START
     rng = fleet_model.seeded(seed)
     names = {f"front-{zone}-{n}": zone for zone in DATA_CENTRES for n in range(6)}
@@ -45,7 +47,7 @@
             )
         )
     fleet_model.start_agents(store, agents, rng)
-    fleet_model.write_as_leader_and_callers(store, rng, CLAIMS_PER_SECOND)
+    fleet_model.write_as_leader_and_callers(store, rng, claims_per_second)
     return store, agents
 
 
@@ -69,3 +71,19 @@
         store.at(outage_until, lambda store=store: setattr(store, "is_down", False))
         lapsed |= {(seed, node) for node in fleet_model.run(store, agents, END)}
     assert not lapsed
+
+
+@pytest.mark.parametrize("fleet_size", [20, 160])
+def test_leases_of_a_large_fleet_are_kept_while_a_transaction_takes_a_tenth_of_a_second(
+    fleet_size,
+):
+    # Entries refused commits that had waited for the group before for lack of time, agents took
+    # that for a fault of the entry and committed directly, and 113 runs lapsed on trouble-2.
+    lapsed = set()
+    for seed in range(4):
+        store, agents = _start(fleet_size, seed, CLAIMS_WHILE_SLOW)
+        store.at(SLOW_FROM, lambda store=store: setattr(store, "txn_seconds", SLOW_TXN_SECONDS))
+        slow_until = SLOW_FROM + SLOW_SECONDS
+        store.at(slow_until, lambda store=store: setattr(store, "txn_seconds", TXN_SECONDS))
+        lapsed |= {(seed, node) for node in fleet_model.run(store, agents, END)}
+    assert not lapsed
--- a/packages/core/tests/commit/test_sharing.py
+++ b/packages/core/tests/commit/test_sharing.py
@@ -101,6 +101,28 @@
     assert _shared(found, NOW + 4.0) == first
 
 
+def test_an_entry_that_refuses_for_a_full_partition_is_kept():
+    # Agents committed directly after such a refusal, and filled the partition further.
+    found = _route()
+    first = _shared(found)
+    refused = rows.Committed(
+        "row", rows.Outcome.NOT_DONE, busy=True, relayed=rows.Relayed("", 1.0)
+    )
+    for number in range(4):
+        route.record_relayed(found, refused, NOW + number, first, True)
+        assert _shared(found, NOW + number) == first
+
+
+def test_a_shared_commit_gets_more_time_while_the_store_is_slow():
+    # It waits for the group before its own.
+    found = _route()
+    _record_direct(found, 0.05)
+    assert route.is_quick(found, NOW)
+    _record_direct(found, 0.4)
+    assert route.is_shared(found, NOW)
+    assert not route.is_quick(found, NOW)
+
+
 def test_entries_that_are_all_lost_leave_direct_commits():
     found = _route()
     for node in ZONES:
--- a/packages/daemon/src/peridothatch_daemon/hosted/commit_route.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/commit_route.py
@@ -31,7 +31,7 @@
 lapsed, because their commits were refused for lack of time."""
 
 SHARED_TIMEOUT_SECONDS = 2.0
-"""Least timeout of a commit that is shared while the partition is not busy: one group and the way.
+"""Least timeout of a commit that is shared while the store is quick: one group and the way.
 An entry that is lost without a trace costs as much of a lease."""
 
 
@@ -121,8 +121,8 @@
         mailbox.post(state.store, dataclasses.replace(commit, answer=answer))
         return
     state.counters.commits_relayed += 1
-    is_shared = route.is_shared(state.route, now)
-    least = SHARED_TIMEOUT_SECONDS if is_shared else RELAYED_TIMEOUT_SECONDS
+    is_quick = route.is_quick(state.route, now)
+    least = SHARED_TIMEOUT_SECONDS if is_quick else RELAYED_TIMEOUT_SECONDS
     timeout = max(commit.timeout_seconds, least)
     leader = route.wanted_leader(state.route)
     relayed = dataclasses.replace(commit, answer=answer, timeout_seconds=timeout, leader=leader)
