--- a/packages/core/src/peridothatch_core/hold/lease.py
+++ b/packages/core/src/peridothatch_core/hold/lease.py
@@ -112,7 +112,6 @@
             relayed = done.relayed
             own_seconds = done.answered_at - done.asked_at
             state.commit_seconds = relayed.store_seconds if relayed else own_seconds
-            state.is_combined = relayed is not None
             _confirm_claims(state)
             _discard_recorded_ends(state)
         case rows.Outcome.NOT_DONE:
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -35,10 +35,6 @@
 """Share of the lease after which it is renewed while a run would lose its work with it. What is
 left of the lease is the longest outage of the store that such a run survives."""
 
-RENEW_COMBINED_LEASE_SHARE = 0.1
-"""The same share while an entry combines the renewals of several agents, which then cost the
-partition little."""
-
 RENEW_SPREAD = 0.2
 """Share of the interval by which renewals differ from each other. Those that were answered as one
 group, or after the same outage, would otherwise stay together and wait for each other."""
@@ -188,9 +184,7 @@
     renewed_at : float
         When the last committed write was sent.
     commit_seconds : float
-        How long the store took for that write.
-    is_combined : bool
-        An entry has made that write, with those of other agents.
+        How long that write took.
     write_failed_at : float
         When a write or a read of the row failed last.
     refusals : int
@@ -273,7 +267,6 @@
     pending_until_ms: int = 0
     renewed_at: float = -1e9
     commit_seconds: float = 0.0
-    is_combined: bool = False
     write_failed_at: float = -1e9
     refusals: int = 0
     dirty: bool = False
@@ -325,8 +318,7 @@
     )
     interval = RENEW_INTERVAL_SECONDS
     if dear and state.commit_seconds < SLOW_COMMIT_SECONDS:
-        share = RENEW_COMBINED_LEASE_SHARE if state.is_combined else RENEW_LEASE_SHARE
-        interval = min(interval, share * state.lease_duration_ms / 1000.0)
+        interval = min(interval, RENEW_LEASE_SHARE * state.lease_duration_ms / 1000.0)
     return interval * (1.0 - RENEW_SPREAD * backoff.jitter(state.node, state.version))
 
 
