Log waits within a guarantee, and late confirmations of the desired state

Cause: the logs could not tell whether a late urgent job was within its customer's guarantee, and an entry whose desired state was old left no trace unless a poll failed or a call was refused.

Change: the leader follows urgent jobs within their guarantee until agents have claimed their first step (scheduler:guaranteed, guaranteed begun, begun late, guarantee exceeded, with counters). desired:read has the guarantees and the duration of the poll; desired:confirmed_late tells that no poll confirmed the desired state for a second. The bound reclaim_ms is read from the settings. No decision changes.

--- a/packages/core/src/peridothatch_core/schedule/preemption.py
+++ b/packages/core/src/peridothatch_core/schedule/preemption.py
@@ -100,22 +100,24 @@
     """Return the urgent jobs of customers whose urgent jobs together fit their guarantee."""
     if state.desired is None:
         return set()
-    demand_by_customer: dict[str, int] = {}
-    urgent: dict[str, list[str]] = {}
-    for job in state.jobs.values():
-        if job.priority != URGENT_PRIORITY or job.state in steps.FINAL_STATES:
-            continue
-        demand = max(step.count * step.demand.accelerators for step in job.steps)
-        demand_by_customer[job.customer] = demand_by_customer.get(job.customer, 0) + demand
-        urgent.setdefault(job.customer, []).append(job.id)
     return {
         job_id
-        for customer, jobs in urgent.items()
-        if demand_by_customer[customer] <= desired.guaranteed_accelerators(state.desired, customer)
-        for job_id in jobs
+        for customer, demand in urgent_demand(state).items()
+        if sum(demand.values()) <= desired.guaranteed_accelerators(state.desired, customer)
+        for job_id in demand
     }
 
 
+def urgent_demand(state: states.State) -> dict[str, dict[str, int]]:
+    """Return the accelerators that each urgent job needs, by customer and job."""
+    demand: dict[str, dict[str, int]] = {}
+    for job in state.jobs.values():
+        if job.priority == URGENT_PRIORITY and job.state not in steps.FINAL_STATES:
+            needed = max(step.count * step.demand.accelerators for step in job.steps)
+            demand.setdefault(job.customer, {})[job.id] = needed
+    return demand
+
+
 def plan(
     state: states.State,
     job: steps.Job,
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -6,6 +6,7 @@
 from peridothatch_core.schedule import (
     expected,
     fit,
+    guaranteed_wait,
     last_attempt,
     pacing,
     preemption,
@@ -49,6 +50,7 @@
     if state.evacuated is None:
         return
     protected = preemption.protected_jobs(state)
+    guaranteed_wait.observe(state, protected, preemption.urgent_demand(state), now_ms)
     candidates = fit.available_workers(state, now_ms)
     state.nodes_without_claim = pacing.nodes_without_claim(state)
     state.outlooks.clear()
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -100,6 +100,8 @@
         Transactions that the store applies in one partition, one after another.
     evacuate_ms : int
         Time within which the last run must start in a data centre that is taken out of service.
+    reclaim_ms : int
+        Time within which an urgent job within its customer's guarantee begins.
     """
 
     retention_ms: int = 120_000
@@ -107,6 +109,7 @@
     remote_factor: float = 3.0
     partition_writes_per_second: float = 200.0
     evacuate_ms: int = 5000
+    reclaim_ms: int = 3000
 
 
 @dataclasses.dataclass(slots=True)
@@ -232,6 +235,11 @@
         Store time until which nothing is decided for a job, by job id; see `rejection`.
     learned : Learned
         Run times and lasting speeds of workers, learned from finished work.
+    guaranteed_since_ms : dict
+        Store time since which a job waits within its customer's guarantee, by job id; see
+        `guaranteed_wait`.
+    guaranteed_begun : set of str
+        Jobs within their customer's guarantee whose first step has begun.
     health : Record
         Failures by worker and job, and the workers that are ejected.
     speeds : Speeds
@@ -284,6 +292,8 @@
     written_alone: set[str] = dataclasses.field(default_factory=set)
     suspended_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     learned: learned.Learned = dataclasses.field(default_factory=learned.Learned)
+    guaranteed_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    guaranteed_begun: set[str] = dataclasses.field(default_factory=set)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
     speeds: speeds.Speeds = dataclasses.field(default_factory=speeds.Speeds)
     speed_tiers: speed_tiers.Fleet = dataclasses.field(default_factory=speed_tiers.Fleet)
@@ -366,6 +376,8 @@
     state.cancelled.discard(job.id)
     state.written_alone.discard(job.id)
     state.suspended_until_ms.pop(job.id, None)
+    state.guaranteed_since_ms.pop(job.id, None)
+    state.guaranteed_begun.discard(job.id)
     per_step = (
         state.failed_nodes,
         state.attempt_wait_since,
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from peridothatch_core.schedule import guaranteed_wait
+
 
 @dataclasses.dataclass(slots=True)
 class Reception:
@@ -83,6 +85,9 @@
     ends_unmatched: int = 0
     job_rows_outdated: int = 0
     learned_not_written: int = 0
+    guarantees_exceeded: int = 0
+    guaranteed_begun: int = 0
+    guaranteed_begun_late: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,6 +120,12 @@
             scheduler.runs_failed += 1
         case "ended withdrawn":
             scheduler.orders_withdrawn += 1
+        case guaranteed_wait.EXCEEDED:
+            scheduler.guarantees_exceeded += 1
+        case guaranteed_wait.BEGUN:
+            scheduler.guaranteed_begun += 1
+        case guaranteed_wait.BEGUN_LATE:
+            scheduler.guaranteed_begun_late += 1
         case "unmatched end":
             scheduler.ends_unmatched += 1
         case _ if kind.startswith("ended"):
--- a/packages/daemon/src/peridothatch_daemon/hosted/desired_feed.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/desired_feed.py
@@ -11,6 +11,10 @@
 if typing.TYPE_CHECKING:
     from peridothatch_core.model import desired
 
+LATE_SECONDS = 1.0
+"""Time between two confirmations of the desired state from which it is logged. A feed whose
+polls wait for news confirms it several times a second."""
+
 
 def filter_into(
     decode: typing.Callable[[bytes], desired.DesiredState],
@@ -33,10 +37,15 @@
         string.
     """
     evacuated_names: set[str] = set()
+    confirmed_at: float | None = None
 
     def apply(message: rows.Snapshot | rows.Changes) -> None:
+        nonlocal confirmed_at
         if isinstance(message, rows.Snapshot):
             evacuated_names.clear()
+        if confirmed_at is not None and message.answered_at - confirmed_at > LATE_SECONDS:
+            _log_late(message, confirmed_at)
+        confirmed_at = message.asked_at
         newest: desired.DesiredState | None = None
         for row in message.rows:
             if row.key == config_key and row.value is not None:
@@ -50,6 +59,11 @@
                 version=newest.version,
                 queues=len(newest.queues),
                 customers=len(newest.tenancies),
+                guaranteed={
+                    tenancy.customer: tenancy.guaranteed_accelerators
+                    for tenancy in newest.tenancies
+                },
+                poll_ms=round(1000 * (message.answered_at - message.asked_at)),
             )
         for inbox in inboxes:
             mailbox.post(inbox, messages.DesiredChanged(newest, message.asked_at))
@@ -59,6 +73,16 @@
     return apply
 
 
+def _log_late(message: rows.Snapshot | rows.Changes, confirmed_at: float) -> None:
+    """Log that the desired state was confirmed late, as a new version could be in force late."""
+    log.event(
+        "desired:confirmed_late",
+        age_ms=round(1000 * (message.answered_at - confirmed_at)),
+        poll_ms=round(1000 * (message.answered_at - message.asked_at)),
+        rows=len(message.rows),
+    )
+
+
 def _decode_or_log(
     decode: typing.Callable[[bytes], desired.DesiredState], row: rows.Row
 ) -> desired.DesiredState | None:
--- a/packages/daemon/src/peridothatch_daemon/hosted/entry.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry.py
@@ -222,6 +222,7 @@
         machine.remote_factor,
         machine.partition_writes_per_second,
         machine.evacuate_ms,
+        machine.reclaim_ms,
     )
     return scheduler.start(
         machine.node,
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -352,6 +352,17 @@
         "None while rare: a takeover then loses more of what was learned. "
         "`scheduler:learned_not_written` has the reason.",
     ),
+    "guarantees_exceeded": Text(
+        "Waiting jobs that lost their guarantee because their customer submitted more.",
+        "None; `scheduler:guarantee exceeded` has what the customer needs and its guarantee.",
+    ),
+    "guaranteed_begun": Text(
+        "Urgent jobs within their customer's guarantee whose first step began in time.", "None."
+    ),
+    "guaranteed_begun_late": Text(
+        "Urgent jobs within their customer's guarantee whose first step began too late.",
+        "Must stay zero on calm days. Follow the job from `scheduler:guaranteed` to its starts.",
+    ),
     "leading": Text("1 while this entry leads.", "Exactly one entry leads for most of the time."),
     "jobs_open": Text("Jobs that have not ended, on the leading entry.", "None."),
     "runs_open": Text("Runs that have not ended, on the leading entry.", "None."),
