Let only a readable version confirm the desired state

What callers saw: an entry that cannot decode the newest desired state answers by the version before it for good, is ready, and its state shows an age of a fraction of a second. The same holds for a task whose mailbox was full when the change was posted.

Cause: the feed sent changes, and "no change" confirmed whatever the receiver knew. A version that was not decoded, or a message that was dropped, counted as no change. Class: absence of news taken for confirmation. The set of evacuated data centres had the same shape: it was posted only when a row changed.

Change: the feed keeps what it knows and sends the whole of it with each poll, so that each message makes good for a lost one. While the newest version cannot be read, nothing is confirmed; the entry becomes unready after 1.6 s and passes calls on. Evacuations carry their own time, so that an unreadable desired state does not stop scheduling.

--- a/packages/daemon/src/peridothatch_daemon/hosted/messages.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/messages.py
@@ -23,26 +23,36 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class DesiredChanged:
-    """The store has answered a request for the desired state.
+class DesiredConfirmed:
+    """The store has confirmed which desired state is the newest.
+
+    The message has the whole state each time, so that a message that is lost is made good by the
+    next one.
 
     Attributes
     ----------
-    desired : DesiredState or None
-        The new desired state; ``None`` if it has not changed.
+    desired : DesiredState
+        The newest desired state.
     asked_at : float
         Local time in seconds of the request; the state is at least this recent.
     """
 
-    desired: desired.DesiredState | None
+    desired: desired.DesiredState
     asked_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class EvacuationsChanged:
-    """The set of data centres that are out of service, as last read."""
+class EvacuationsConfirmed:
+    """The store has confirmed which data centres are out of service.
+
+    Attributes
+    ----------
+    asked_at : float
+        Local time in seconds of the request; the set is at least this recent.
+    """
 
     data_centres: frozenset[str]
+    asked_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/peridothatch_daemon/hosted/passing.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/passing.py
@@ -156,9 +156,8 @@
     match message:
         case rows.Snapshot() | rows.Changes():
             _apply_rows(state, message)
-        case messages.DesiredChanged(desired_state, _):
-            if desired_state is not None:
-                state.desired_version = max(state.desired_version, desired_state.version)
+        case messages.DesiredConfirmed(desired_state, _):
+            state.desired_version = max(state.desired_version, desired_state.version)
         case messages.ForwardCall():
             nodes = peers.candidates(state.known_peers, clock.now())
             _try_next_entry(
--- a/packages/daemon/src/peridothatch_daemon/hosted/reception.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/reception.py
@@ -87,11 +87,9 @@
             mailbox.answer(reply, state.desired.version if state.desired else 0)
         case messages.FeedFailed():
             store_health.record_failure(state.health)
-        case messages.DesiredChanged(desired_state, asked_at):
+        case messages.DesiredConfirmed(desired_state, asked_at):
             state.desired_at = max(state.desired_at, asked_at)
-            if desired_state is not None and (
-                state.desired is None or desired_state.version > state.desired.version
-            ):
+            if state.desired is None or desired_state.version > state.desired.version:
                 state.desired = desired_state
         case rows.Snapshot() | rows.Changes():
             _apply_rows(state, message)
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_state.py
@@ -37,8 +37,8 @@
         Changes of the agents' rows are being delivered.
     evacuated : frozenset of str or None
         Data centres that are out of service, as last read; ``None`` before the first read.
-    operator_rows_at : float
-        Local time in seconds at which the operator's rows were last requested with success.
+    evacuations_at : float
+        Local time in seconds at which the evacuations were last requested with success.
     evacuations_late : bool
         The evacuations are not known well enough to order runs.
     loading : bool
@@ -83,7 +83,7 @@
     schedule: core_state.State = dataclasses.field(default_factory=core_state.State)
     desired: desired.DesiredState | None = None
     evacuated: frozenset[str] | None = None
-    operator_rows_at: float = -1e9
+    evacuations_at: float = -1e9
     evacuations_late: bool = False
     loading: bool = False
     load_due: bool = False
--- a/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/scheduler.py
@@ -160,13 +160,11 @@
                 schedule_load.handle_fetched(state, message)
         case ticket_messages.Answered():
             _handle_tickets(state, message)
-        case messages.DesiredChanged(desired_state, asked_at):
-            state.operator_rows_at = max(state.operator_rows_at, asked_at)
-            if desired_state is not None and (
-                state.desired is None or desired_state.version > state.desired.version
-            ):
+        case messages.DesiredConfirmed(desired_state, _):
+            if state.desired is None or desired_state.version > state.desired.version:
                 state.desired = desired_state
-        case messages.EvacuationsChanged(data_centres):
+        case messages.EvacuationsConfirmed(data_centres, asked_at):
+            state.evacuations_at = max(state.evacuations_at, asked_at)
             if data_centres != state.evacuated:
                 log.event("scheduler:evacuations", data_centres=sorted(data_centres))
             state.evacuated = data_centres
@@ -250,7 +248,7 @@
 
 def _recent_evacuations(state: schedule_state.State) -> frozenset[str] | None:
     """Return the data centres out of service, or ``None`` if they must be read first."""
-    age_ms = 1000 * (clock.now() - state.operator_rows_at)
+    age_ms = 1000 * (clock.now() - state.evacuations_at)
     late = state.evacuated is None or age_ms > core_state.max_evacuations_age_ms(state.limits)
     if late != state.evacuations_late:
         state.evacuations_late = late
--- a/packages/daemon/tests/hosted/row_store.py
+++ b/packages/daemon/tests/hosted/row_store.py
@@ -112,9 +112,8 @@
 
 
 async def _poll_operator_rows(inbox):
-    mailbox.post(inbox, messages.EvacuationsChanged(frozenset()))
     while True:
-        mailbox.post(inbox, messages.DesiredChanged(None, clock.now()))
+        mailbox.post(inbox, messages.EvacuationsConfirmed(frozenset(), clock.now()))
         await asyncio.sleep(0.3)
 
 
--- a/packages/daemon/tests/hosted/test_scheduler.py
+++ b/packages/daemon/tests/hosted/test_scheduler.py
@@ -78,8 +78,7 @@
 
 
 def _post_operator_rows(running, asked_at, evacuated=frozenset()):
-    mailbox.post(running.inbox, messages.DesiredChanged(None, asked_at))
-    mailbox.post(running.inbox, messages.EvacuationsChanged(evacuated))
+    mailbox.post(running.inbox, messages.EvacuationsConfirmed(evacuated, asked_at))
 
 
 async def _leading(work, members, meanwhile=None, operator_rows=True, version=0):
@@ -142,7 +141,7 @@
         for name, amount in {"hotels": 16, "ministry": 4, "port": 4}.items()
     )
     version = desired.DesiredState(1, tenancies=tenancies)
-    mailbox.post(running.inbox, messages.DesiredChanged(version, clock.now() + AHEAD_SECONDS))
+    mailbox.post(running.inbox, messages.DesiredConfirmed(version, clock.now() + AHEAD_SECONDS))
     await asyncio.sleep(SETTLE_SECONDS)
     reply = mailbox.Reply()
     mailbox.post(running.inbox, daemon_messages.DumpState(reply))
