Read the desired state part by part

What callers saw: nothing of a new version comes into force if one of its fields is odd.

Cause: the desired state was decoded as a whole; a field that the store accepts and the decoder does not (null for an empty list, a number above a bound) lost all routes and keys of the version.

Change: queues, services and customers are decoded one by one; one that cannot be read is left out and logged as input:unreadable. A field that is null counts as left out.

--- a/packages/daemon/src/peridothatch_daemon/hosted/entry_feeds.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/entry_feeds.py
@@ -11,6 +11,7 @@
 
 if typing.TYPE_CHECKING:
     from peridothatch_core.message import rows
+    from peridothatch_core.model import desired
     from peridothatch_platform import settings
 
 AGENTS_POLL_INTERVAL_SECONDS = 0.25
@@ -32,8 +33,12 @@
     grouping_inbox: mailbox.Mailbox,
 ) -> list[store.Feed]:
     """Follow the tables of the operator and the jobs, and the members but for the agents."""
-    desired = desired_feed.filter_into(
-        operator.decode_desired_state,
+
+    def decode(value: bytes) -> desired.DesiredState:
+        return operator.decode_desired_state(value, log.unreadable)
+
+    deliver_desired = desired_feed.filter_into(
+        decode,
         operator.CONFIG_KEY,
         operator.evacuated_data_centre,
         (reception_inbox, scheduler_inbox, forwarder_inbox),
@@ -43,7 +48,7 @@
             machine.store,
             store.OPERATOR_TABLE,
             clock.now,
-            desired,
+            deliver_desired,
             log.feed_lost,
             log.feed_regained,
             log.unreadable,
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -1,3 +1,4 @@
+import dataclasses
 import json
 
 import conftest
@@ -6,8 +7,16 @@
 from peridothatch_platform import operator, worker
 
 
+def _unexpected(source, key, reason):
+    raise AssertionError(f"{source} {key}: {reason}")
+
+
+def _decode(config, on_unreadable=_unexpected):
+    return operator.decode_desired_state(json.dumps(config).encode(), on_unreadable)
+
+
 def test_a_desired_state_is_read_into_queues_services_and_customers():
-    state = operator.decode_desired_state(json.dumps(conftest.CONFIG).encode())
+    state = _decode(conftest.CONFIG)
     assert state.version == 3
     assert (state.queues[0].prefix, state.queues[0].objective_ms) == ("/jobs/", 500)
     assert state.services[0].guards
@@ -18,7 +27,32 @@
 def test_an_invalid_desired_state_is_an_error():
     for value in (b"", b"[]", b'{"routes": 3}', b"\xff"):
         with pytest.raises(ValueError):
-            operator.decode_desired_state(value)
+            operator.decode_desired_state(value, _unexpected)
+
+
+@pytest.mark.parametrize(
+    ("part", "odd"),
+    [
+        ("routes", {"name": "odd", "host": 7}),
+        ("routes", conftest.CONFIG["routes"][0] | {"name": "odd", "slo_ms": 10**12}),
+        ("services", "odd"),
+        ("tenants", {"name": "odd", "guaranteed": {"gpu": -1}}),
+    ],
+)
+def test_a_part_that_cannot_be_read_does_not_hold_back_the_others(part, odd):
+    # Guards against a version of which nothing comes into force because of one field.
+    reported = []
+    changed = conftest.CONFIG | {"version": 4, part: [odd, *conftest.CONFIG[part]]}
+    state = _decode(changed, lambda _, key, __: reported.append(key))
+    assert reported == [f"{part}/0"]
+    assert state == dataclasses.replace(_decode(conftest.CONFIG), version=4)
+
+
+def test_a_field_that_is_null_counts_as_left_out():
+    tenant = {"name": "hotels", "api_keys": None, "guaranteed": None}
+    state = _decode({"version": 4, "routes": None, "services": None, "tenants": [tenant]})
+    assert (state.version, state.queues) == (4, ())
+    assert state.tenancies[0].keys == frozenset()
 
 
 def test_evacuations_are_distinguished_from_other_rows():
