Keep the room that is being freed for a job until it starts

Cause: a preemption plan was forgotten at the end of its cycle, while the stops take several. In the next cycle each job planned anew, and room that is being freed costs nothing to anyone: a job that comes earlier in the order could plan on the room that a later one had paid for. The later one then stopped more work and waited again. Class: a decision that lasts longer than the state that remembers it.

Change: core.schedule.reservations records the workers of a plan and reserves their room in each cycle before any job is placed, for guaranteed jobs first, then for the others. When it is a job's turn, its own room is released and kept again if the job still has to wait. A record is dropped if the step no longer waits or a worker is lost. A gang takes its freed room as soon as all is free.

--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -11,6 +11,7 @@
     pacing,
     preemption,
     progress,
+    reservations,
     speed_tiers,
     speeds,
     tickets,
@@ -55,9 +56,16 @@
     state.nodes_without_claim = pacing.nodes_without_claim(state)
     state.outlooks.clear()
     state.is_paced = False
+    state.reserved_targets.clear()
+    reservations.apply(state, candidates, protected.__contains__, now_ms)
+    others_applied = False
     for detail in speed_tiers.update(state, now_ms):
         state.events.append(states.Event("speed tiers", "", detail=detail))
     for job in turns.by_urgency(state, protected, now_ms):
+        if job.id not in protected and not others_applied:
+            # A guaranteed job may take the room that is being freed for another one.
+            others_applied = True
+            reservations.apply(state, candidates, lambda job_id: job_id not in protected, now_ms)
         starts_left = MAX_STARTS_PER_JOB
         for step_progress in progress.ready_steps(job):
             waiting = progress.waiting_tasks(state, job, step_progress, now_ms)
@@ -135,6 +143,7 @@
         wait_log.log_waiting(state, job, step_progress, len(waiting), candidates, now_ms)
         return
     avoided = _avoided_nodes(state, job, step_progress, now_ms)
+    being_freed = reservations.release(state, job, step_progress)
     *preferred, candidates = last_attempt.candidate_tiers(
         state, job, step_progress, 0, candidates, avoided, now_ms
     )
@@ -147,11 +156,16 @@
     full_speed = fit.full_speed_groups(step, job.service, candidates)
     chosen = _place_gang(state, job, step, full_speed, avoided)
     plan = None
+    if chosen is None and reservations.are_free(step, being_freed, step.count):
+        chosen = being_freed
+    if chosen is None and reservations.keep(state, job, step_progress, being_freed, step.count):
+        wait_log.log_waiting(state, job, step_progress, len(waiting), candidates, now_ms)
+        return
     if chosen is None:
         plan = _preemption_plan(
             state, job, step_progress, step.count, full_speed, avoided, protected, now_ms
         )
-        if _preempt(state, job, step, plan, protected, now_ms):
+        if _preempt(state, job, step_progress, plan, protected, now_ms):
             return
     if chosen is None and _locality_wait_is_over(
         state, job, step_progress, full_speed, protected, now_ms
@@ -166,7 +180,7 @@
             anywhere = _preemption_plan(
                 state, job, step_progress, step.count, [eligible], avoided, protected, now_ms
             )
-            if _preempt(state, job, step, anywhere, protected, now_ms):
+            if _preempt(state, job, step_progress, anywhere, protected, now_ms):
                 return
             plan = plan or anywhere
     if chosen is None:
@@ -223,6 +237,7 @@
     for run_ in step_progress.runs:
         tasks_on_node[run_.node] = tasks_on_node.get(run_.node, 0) + 1
     avoided = _avoided_nodes(state, job, step_progress, now_ms)
+    being_freed = reservations.release(state, job, step_progress)
     preferred = speed_tiers.preference(state.speed_tiers.by_service, job)
     rank = speed_tiers.task_rank(preferred, step, tasks_on_node)
     full_speed = fit.full_speed_groups(step, job.service, candidates)
@@ -249,7 +264,14 @@
             if tiers[-1] is not usable and not urgent:
                 wait_log.log_waiting(state, job, step_progress, unplaced, candidates, now_ms)
                 return position
-            _make_room(state, job, step_progress, unplaced, tiers[-1], avoided, protected, now_ms)
+            # Room that is free already and was not chosen is of no use for this task.
+            is_unusable = reservations.are_free(step, being_freed, 1)
+            if is_unusable or not reservations.keep(
+                state, job, step_progress, being_freed, unplaced
+            ):
+                _make_room(
+                    state, job, step_progress, unplaced, tiers[-1], avoided, protected, now_ms
+                )
             wait_log.log_waiting(state, job, step_progress, unplaced, candidates, now_ms)
             return position
         if not pacing.may_order(state, job, {candidate.agent.node}):
@@ -281,7 +303,7 @@
     plan = _preemption_plan(
         state, job, step_progress, count, [eligible], avoided, protected, now_ms
     )
-    if plan is not None and not _preempt(state, job, step, plan, protected, now_ms):
+    if plan is not None and not _preempt(state, job, step_progress, plan, protected, now_ms):
         preemption.reserve(step, plan)
 
 
@@ -340,17 +362,19 @@
 def _preempt(
     state: states.State,
     job: steps.Job,
-    step: steps.Step,
+    step_progress: steps.StepProgress,
     plan: preemption.Plan | None,
     protected: set[str],
     now_ms: int,
 ) -> bool:
     """Execute a plan if its loss is acceptable; return whether the tasks will fit soon."""
+    step = job.steps[step_progress.step]
     if plan is None or not preemption.is_acceptable(state, job, step, plan, protected):
         return False
     if plan.victims and states.awaits_confirmations(state, now_ms):
         return False
     preemption.execute(state, job, step, plan, protected)
+    reservations.record(state, job, step_progress, plan.targets)
     return True
 
 
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -13,7 +13,7 @@
     from peridothatch_core.message import rows
     from peridothatch_core.model import agents, desired
     from peridothatch_core.order import calibration
-    from peridothatch_core.schedule import spare, tickets
+    from peridothatch_core.schedule import fit, spare, tickets
 
 START_WINDOW_MS = 2000
 """Time within which an agent must start an ordered run.
@@ -235,6 +235,11 @@
         Store time until which nothing is decided for a job, by job id; see `rejection`.
     learned : Learned
         Run times and lasting speeds of workers, learned from finished work.
+    reservations : dict
+        Nodes on which work is being stopped for a step, one for each task, by job, occurrence and
+        step; see `reservations`.
+    reserved_targets : dict
+        The same as candidates whose room is reserved in the current cycle.
     guaranteed_since_ms : dict
         Store time since which a job waits within its customer's guarantee, by job id; see
         `guaranteed_wait`.
@@ -292,6 +297,12 @@
     written_alone: set[str] = dataclasses.field(default_factory=set)
     suspended_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     learned: learned.Learned = dataclasses.field(default_factory=learned.Learned)
+    reservations: dict[tuple[str, int, int], tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    reserved_targets: dict[tuple[str, int, int], list[fit.Candidate]] = dataclasses.field(
+        default_factory=dict
+    )
     guaranteed_since_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     guaranteed_begun: set[str] = dataclasses.field(default_factory=set)
     health: ejection.Record = dataclasses.field(default_factory=ejection.Record)
@@ -384,6 +395,7 @@
         state.locality_wait_since,
         state.wait_logged_at,
         state.broken_at_ms,
+        state.reservations,
         state.retry_at,
         state.tickets,
     )
--- a/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/schedule_load.py
@@ -85,6 +85,7 @@
         # The agents' rows are read after the work rows. An agent's row may no longer list a run
         # that has ended, while the end is not yet among the work rows.
         claimed_runs=previous.claimed_runs,
+        reservations=previous.reservations,
         guaranteed_since_ms=previous.guaranteed_since_ms,
         guaranteed_begun=previous.guaranteed_begun,
         agents_seen_ms=previous.agents_seen_ms,
