Guarantee urgent jobs in order of submission

What callers saw: a customer that submits more urgent work than its guarantee holds gets no guarantee at all. Its jobs within the guarantee wait for others, and its running ones are stopped for jobs of other customers. Any difference in counting (a job whose end has not been recorded, or that no caller knows of) does the same to a customer at its guarantee.

Cause: protected_jobs compared the sum of all urgent jobs of a customer with its guarantee. The promise is that the number of accelerators belongs to the customer for its urgent jobs at all times. Class: a promise about an amount kept as a condition on the whole.

Whether the reported RECLAIM had this cause is not known; the rule asks only about customers whose jobs all fit.

Change: jobs count against the guarantee in order of submission. One that does not fit leaves the rest to later ones, unless it has runs, which use it up. The check of test_urgent_jobs_within_the_ guarantee_are_not_stopped_for_each_other that a third job leaves nobody guaranteed was wrong by the promise: it asserted the fault. It now asserts that the first two stay guaranteed, and not the third.

Tests of core and hosted pass.

--- a/packages/core/src/peridothatch_core/schedule/preemption.py
+++ b/packages/core/src/peridothatch_core/schedule/preemption.py
@@ -97,15 +97,23 @@
 
 
 def protected_jobs(state: states.State) -> set[str]:
-    """Return the urgent jobs of customers whose urgent jobs together fit their guarantee."""
+    """Return the urgent jobs that fit their customer's guarantee, the earliest first.
+
+    A job that exceeds what earlier ones leave of the guarantee is not protected, and leaves it to
+    later ones unless it has runs, which use it.
+    """
     if state.desired is None:
         return set()
-    return {
-        job_id
-        for customer, demand in urgent_demand(state).items()
-        if sum(demand.values()) <= desired.guaranteed_accelerators(state.desired, customer)
-        for job_id in demand
-    }
+    protected: set[str] = set()
+    for customer, demand in urgent_demand(state).items():
+        left = desired.guaranteed_accelerators(state.desired, customer)
+        for job in sorted(map(state.jobs.__getitem__, demand), key=_arrival_order):
+            if demand[job.id] <= left:
+                protected.add(job.id)
+                left -= demand[job.id]
+            elif _has_runs(job):
+                left = 0
+    return protected
 
 
 def urgent_demand(state: states.State) -> dict[str, dict[str, int]]:
@@ -118,6 +126,14 @@
     return demand
 
 
+def _arrival_order(job: steps.Job) -> tuple[int, str]:
+    return job.submitted_ms, job.id
+
+
+def _has_runs(job: steps.Job) -> bool:
+    return any(step_progress.runs for step_progress in job.progress)
+
+
 def plan(
     state: states.State,
     job: steps.Job,
--- a/packages/core/tests/schedule/test_preemption.py
+++ b/packages/core/tests/schedule/test_preemption.py
@@ -102,6 +102,42 @@
     _add_job(scheduler, second)
     assert preemption.protected_jobs(scheduler) == {"first", "second"}
     _add_job(scheduler, _urgent("third", accelerators=4))
+    assert preemption.protected_jobs(scheduler) == {"first", "second"}
+
+
+def test_a_job_beyond_the_guarantee_takes_it_from_no_earlier_one():
+    # Guards against guaranteed jobs that wait, or are stopped for jobs of other customers, because
+    # their customer submits more: none of its jobs was guaranteed then.
+    scheduler, jobs = _with_borrowed_work()
+    first = _urgent("first", accelerators=8)
+    later = harness.job("later", harness.step(1, 8), priority=0, submitted_ms=harness.NOW_MS + 11)
+    for job in (first, later):
+        _add_job(scheduler, job)
+    now_ms = harness.NOW_MS + 15_000
+    harness.renew(scheduler, now_ms)
+    harness.run(scheduler, now_ms)
+    # Work of 15 s is stopped for guaranteed jobs only.
+    assert sum(harness.open_runs(job)[0].stopping for job in jobs) == 1
+    assert preemption.protected_jobs(scheduler) == {"first"}
+
+
+def test_a_job_that_fits_is_guaranteed_beside_an_earlier_one_that_exceeds_the_guarantee():
+    scheduler = harness.make_scheduler([], [], {"ministry": 8})
+    for job in (
+        harness.job("wide", harness.step(2, 8), priority=0, submitted_ms=1),
+        harness.job("small", harness.step(1, 8), priority=0, submitted_ms=2),
+    ):
+        _add_job(scheduler, job)
+    assert preemption.protected_jobs(scheduler) == {"small"}
+
+
+def test_a_running_job_that_exceeds_the_guarantee_uses_it():
+    wide = harness.job("wide", harness.step(2, 8), priority=0, submitted_ms=1)
+    nodes = [harness.agent("n1"), harness.agent("n2")]
+    scheduler = harness.make_scheduler([wide], nodes, {"ministry": 8})
+    harness.run(scheduler)
+    _add_job(scheduler, harness.job("small", harness.step(1, 1), priority=0, submitted_ms=2))
+    assert len(harness.open_runs(wide)) == 2
     assert preemption.protected_jobs(scheduler) == set()
 
 
