Read a job's specification while its order is being claimed

What callers saw: urgent jobs begin a round trip later than needed in the region without the store.

Cause: an agent read the specification only when the claim was answered, one round trip after the other.

Change: the read is sent when the order is seen; a start waits for it as before.

Measured: the new test fails before; tests of hosted and tests/platform pass.

--- a/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
@@ -43,7 +43,8 @@
         Local time in seconds at which the first start request of a run was sent, until the start
         is confirmed.
     pending_starts : dict
-        Start requests that wait for their job's specification, by job.
+        Start requests that wait for their job's specification, by job whose specification is
+        being read.
     lease_expired : bool
         The lease has ended while runs were at work, and has not been renewed since.
     """
@@ -167,10 +168,15 @@
         state.start_sent_at.setdefault(call.key, clock.now())
         mailbox.post(state.worker, dataclasses.replace(call, spec=spec))
         return
-    waiting = state.pending_starts.setdefault(call.order.job, [])
-    waiting.append(call)
-    if len(waiting) == 1:
-        _fetch(state, ("spec", call.order.job), tables.spec_key(call.order.job))
+    _request_spec(state, call.order.job)
+    state.pending_starts[call.order.job].append(call)
+
+
+def _request_spec(state: _State, job_id: str) -> None:
+    """Read the specification of a job, unless it is known or being read."""
+    if job_id not in state.specs and job_id not in state.pending_starts:
+        state.pending_starts[job_id] = []
+        _fetch(state, ("spec", job_id), tables.spec_key(job_id))
 
 
 def _write_row(state: _State, effect: exchange.WriteRow) -> None:
@@ -277,6 +283,9 @@
             poll_ms=round(1000 * (message.answered_at - message.asked_at)),
             store_ms=message.now_ms,
         )
+        if not is_stop:
+            # The claim of the order takes as long as the read.
+            _request_spec(state, order.job)
         added = exchange.OrderAdded(key, order, row.version)
         _step(state, exchange.StopAdded(key) if is_stop else added)
 
--- a/packages/daemon/tests/hosted/test_supervisor.py
+++ b/packages/daemon/tests/hosted/test_supervisor.py
@@ -8,8 +8,8 @@
 from peridothatch_core.hold import exchange
 from peridothatch_core.hold import state as hold_state
 from peridothatch_core.message import rows
-from peridothatch_core.model import agents, steps
-from peridothatch_daemon.hosted import clock, log, supervisor
+from peridothatch_core.model import agents, steps, tables
+from peridothatch_daemon.hosted import clock, log, records, supervisor
 from peridothatch_wire import mailbox
 
 TASK = "00000000000000aa.0.0.0"
@@ -109,3 +109,21 @@
     await _settle()
     (expired,) = tested.find("supervisor:lease_expired")
     assert expired["running"] == 1
+
+
+async def test_the_specification_is_read_while_the_order_is_being_claimed(tested):
+    # Guards against urgent jobs that begin late in the region without the store: an agent read
+    # the specification only when the claim of the order had been answered.
+    now = clock.now()
+    now_ms = int(1000 * now)
+    order = steps.Order("00000000000000aa", TASK, 1, "w-1", 1_000, now_ms + 60_000)
+    key = tables.order_key("side-1", TASK, 1)
+    row = rows.Row(key.table, key.key, records.encode(order), 9)
+    tested.post(rows.Changes(key.table, (row,), now_ms, now, now))
+    read = await asyncio.wait_for(mailbox.take(tested.store), 5)
+    while not isinstance(read, rows.Fetch):
+        read = await asyncio.wait_for(mailbox.take(tested.store), 5)
+    assert read.prefix == tables.spec_key("00000000000000aa").key
+    read.answer(rows.Fetched(read.token, (), now_ms, now, now))
+    await _settle()
+    assert tested.find("supervisor:no_spec")
