Split making room for waiting tasks from starting them

Change: schedule.room has the plans and their execution; _make_room_for_gang is a function of its own; reservations are applied by two functions that say for whom. No decision changes.

Measured: the tests of schedule, core and hosted pass.

--- a/packages/core/src/peridothatch_core/schedule/reservations.py
+++ b/packages/core/src/peridothatch_core/schedule/reservations.py
@@ -13,7 +13,7 @@
 from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from peridothatch_core.model import steps
 
@@ -29,40 +29,30 @@
     state.reservations[_key(job, step_progress)] = nodes
 
 
-def apply(
-    state: states.State,
-    candidates: Iterable[fit.Candidate],
-    is_included: Callable[[str], bool],
-    now_ms: int,
+def apply_guaranteed(
+    state: states.State, candidates: list[fit.Candidate], protected: set[str], now_ms: int
 ) -> None:
-    """Reserve the recorded room of the jobs that are included, for the current cycle.
+    """Reserve the recorded room of guaranteed jobs for the current cycle."""
+    state.reserved_targets.clear()
+    keys = [key for key in state.reservations if key[0] in protected]
+    _apply(state, candidates, keys, now_ms)
 
-    A record is dropped if its step does not wait any longer, or if the room will not be free after
-    the stops, for example because a worker is lost.
 
-    Parameters
-    ----------
-    is_included : callable
-        Takes the id of a job.
+def apply_others(
+    state: states.State, candidates: list[fit.Candidate], protected: set[str], now_ms: int
+) -> None:
+    """Reserve the recorded room of the other jobs, once all guaranteed ones have had their turn.
+
+    A guaranteed job may take the room that is being freed for another one.
     """
-    by_node = {candidate.agent.node: candidate for candidate in candidates}
-    for key, nodes in list(state.reservations.items()):
-        if not is_included(key[0]):
-            continue
-        del state.reservations[key]
-        found = _find_step(state, key)
-        if found is None or not progress.waiting_tasks(state, *found, now_ms):
-            continue
-        targets = [by_node[node] for node in nodes if node in by_node]
-        job, step_progress = found
-        if len(targets) == len(nodes):
-            keep(state, job, step_progress, targets, len(targets))
+    keys = [key for key in state.reservations if key[0] not in protected]
+    _apply(state, candidates, keys, now_ms)
 
 
 def release(
     state: states.State, job: steps.Job, step_progress: steps.StepProgress
 ) -> list[fit.Candidate]:
-    """Return the room reserved for a step, so that its tasks may use it; return the workers."""
+    """Undo the reservation of a step, so that its tasks may use the room; return its workers."""
     key = _key(job, step_progress)
     state.reservations.pop(key, None)
     targets = state.reserved_targets.pop(key, [])
@@ -99,7 +89,7 @@
 
 
 def are_free(step: steps.Step, targets: Iterable[fit.Candidate], count: int) -> bool:
-    """Return whether ``count`` tasks fit on these workers now, one on each entry."""
+    """Return whether ``count`` tasks fit on these workers now, one on each item."""
     demand = states.reserved_demand(step)
     tried: list[fit.Candidate] = []
     for candidate in targets:
@@ -111,6 +101,28 @@
     return len(tried) >= count
 
 
+def _apply(
+    state: states.State,
+    candidates: list[fit.Candidate],
+    keys: list[tuple[str, int, int]],
+    now_ms: int,
+) -> None:
+    """Reserve recorded room.
+
+    A record is dropped if its step does not wait any longer, or if the room will not be free after
+    the stops, for example because a worker is lost.
+    """
+    by_node = {candidate.agent.node: candidate for candidate in candidates}
+    for key in keys:
+        nodes = state.reservations.pop(key)
+        found = _find_step(state, key)
+        if found is None or not progress.waiting_tasks(state, *found, now_ms):
+            continue
+        targets = [by_node[node] for node in nodes if node in by_node]
+        if len(targets) == len(nodes):
+            keep(state, *found, targets, len(targets))
+
+
 def _key(job: steps.Job, step_progress: steps.StepProgress) -> tuple[str, int, int]:
     return (job.id, step_progress.occurrence, step_progress.step)
 
--- a/packages/core/src/peridothatch_core/schedule/starts.py
+++ b/packages/core/src/peridothatch_core/schedule/starts.py
@@ -12,6 +12,7 @@
     preemption,
     progress,
     reservations,
+    room,
     speed_tiers,
     speeds,
     tickets,
@@ -56,16 +57,14 @@
     state.nodes_without_claim = pacing.nodes_without_claim(state)
     state.outlooks.clear()
     state.is_paced = False
-    state.reserved_targets.clear()
-    reservations.apply(state, candidates, protected.__contains__, now_ms)
+    reservations.apply_guaranteed(state, candidates, protected, now_ms)
     others_applied = False
     for detail in speed_tiers.update(state, now_ms):
         state.events.append(states.Event("speed tiers", "", detail=detail))
     for job in turns.by_urgency(state, protected, now_ms):
         if job.id not in protected and not others_applied:
-            # A guaranteed job may take the room that is being freed for another one.
             others_applied = True
-            reservations.apply(state, candidates, lambda job_id: job_id not in protected, now_ms)
+            reservations.apply_others(state, candidates, protected, now_ms)
         starts_left = MAX_STARTS_PER_JOB
         for step_progress in progress.ready_steps(job):
             waiting = progress.waiting_tasks(state, job, step_progress, now_ms)
@@ -155,40 +154,57 @@
             return
     full_speed = fit.full_speed_groups(step, job.service, candidates)
     chosen = _place_gang(state, job, step, full_speed, avoided)
-    plan = None
     if chosen is None and reservations.are_free(step, being_freed, step.count):
         chosen = being_freed
     if chosen is None and reservations.keep(state, job, step_progress, being_freed, step.count):
-        wait_log.log_waiting(state, job, step_progress, len(waiting), candidates, now_ms)
+        wait_log.log_waiting(state, job, step_progress, step.count, candidates, now_ms)
         return
     if chosen is None:
-        plan = _preemption_plan(
-            state, job, step_progress, step.count, full_speed, avoided, protected, now_ms
+        chosen = _make_room_for_gang(
+            state, job, step_progress, full_speed, candidates, avoided, protected, now_ms
         )
-        if _preempt(state, job, step_progress, plan, protected, now_ms):
-            return
-    if chosen is None and _locality_wait_is_over(
-        state, job, step_progress, full_speed, protected, now_ms
-    ):
+    if chosen is not None:
+        _order_gang(state, job, step_progress, waiting, chosen, now_ms)
+
+
+def _make_room_for_gang(
+    state: states.State,
+    job: steps.Job,
+    step_progress: steps.StepProgress,
+    full_speed: list[list[fit.Candidate]],
+    candidates: list[fit.Candidate],
+    avoided: set[str],
+    protected: set[str],
+    now_ms: int,
+) -> list[fit.Candidate] | None:
+    """Preempt other work for a gang, or keep the room that it will get.
+
+    Returns
+    -------
+    list of Candidate or None
+        Workers for the gang where it runs more slowly, if it need not wait for full speed.
+    """
+    step = job.steps[step_progress.step]
+    plan = room.find_plan(
+        state, job, step_progress, step.count, full_speed, avoided, protected, now_ms
+    )
+    if room.free(state, job, step_progress, plan, protected, now_ms):
+        return None
+    if _locality_wait_is_over(state, job, step_progress, full_speed, protected, now_ms):
         chosen = _place_gang(state, job, step, fit.fallback_groups(candidates), avoided)
-        if chosen is None:
-            eligible = [
-                candidate
-                for candidate in candidates
-                if fit.is_eligible(candidate, step, job.service)
-            ]
-            anywhere = _preemption_plan(
-                state, job, step_progress, step.count, [eligible], avoided, protected, now_ms
-            )
-            if _preempt(state, job, step_progress, anywhere, protected, now_ms):
-                return
-            plan = plan or anywhere
-    if chosen is None:
-        if plan is not None:
-            preemption.reserve(step, plan)
-        wait_log.log_waiting(state, job, step_progress, len(waiting), candidates, now_ms)
-        return
-    _order_gang(state, job, step_progress, waiting, chosen, now_ms)
+        if chosen is not None:
+            return chosen
+        eligible = [item for item in candidates if fit.is_eligible(item, step, job.service)]
+        anywhere = room.find_plan(
+            state, job, step_progress, step.count, [eligible], avoided, protected, now_ms
+        )
+        if room.free(state, job, step_progress, anywhere, protected, now_ms):
+            return None
+        plan = plan or anywhere
+    if plan is not None:
+        preemption.reserve(step, plan)
+    wait_log.log_waiting(state, job, step_progress, step.count, candidates, now_ms)
+    return None
 
 
 def _place_gang(
@@ -269,7 +285,7 @@
             if is_unusable or not reservations.keep(
                 state, job, step_progress, being_freed, unplaced
             ):
-                _make_room(
+                room.make(
                     state, job, step_progress, unplaced, tiers[-1], avoided, protected, now_ms
                 )
             wait_log.log_waiting(state, job, step_progress, unplaced, candidates, now_ms)
@@ -285,28 +301,6 @@
     return len(waiting)
 
 
-def _make_room(
-    state: states.State,
-    job: steps.Job,
-    step_progress: steps.StepProgress,
-    count: int,
-    candidates: list[fit.Candidate],
-    avoided: set[str],
-    protected: set[str],
-    now_ms: int,
-) -> None:
-    """Preempt other work for tasks that do not fit, or keep the room that they will get."""
-    step = job.steps[step_progress.step]
-    eligible = [
-        candidate for candidate in candidates if fit.is_eligible(candidate, step, job.service)
-    ]
-    plan = _preemption_plan(
-        state, job, step_progress, count, [eligible], avoided, protected, now_ms
-    )
-    if plan is not None and not _preempt(state, job, step_progress, plan, protected, now_ms):
-        preemption.reserve(step, plan)
-
-
 def _max_starts(
     state: states.State, job: steps.Job, step: steps.Step, candidates: list[fit.Candidate]
 ) -> int:
@@ -330,54 +324,6 @@
     return max(0, (free - headroom) // needed)
 
 
-def _preemption_plan(
-    state: states.State,
-    job: steps.Job,
-    step_progress: steps.StepProgress,
-    count: int,
-    groups: list[list[fit.Candidate]],
-    avoided: set[str],
-    protected: set[str],
-    now_ms: int,
-) -> preemption.Plan | None:
-    """Return a preemption plan.
-
-    Plans that avoid ``avoided`` nodes are preferred. All nodes are considered if there is no such
-    plan or its loss is not acceptable.
-    """
-    step = job.steps[step_progress.step]
-    unavoided = [
-        [candidate for candidate in group if candidate.agent.node not in avoided]
-        for group in groups
-    ]
-    first = None
-    for choice in (unavoided, groups) if avoided else (groups,):
-        plan = preemption.plan(state, job, step_progress, count, choice, protected, now_ms)
-        if plan is not None and preemption.is_acceptable(state, job, step, plan, protected):
-            return plan
-        first = first or plan
-    return first
-
-
-def _preempt(
-    state: states.State,
-    job: steps.Job,
-    step_progress: steps.StepProgress,
-    plan: preemption.Plan | None,
-    protected: set[str],
-    now_ms: int,
-) -> bool:
-    """Execute a plan if its loss is acceptable; return whether the tasks will fit soon."""
-    step = job.steps[step_progress.step]
-    if plan is None or not preemption.is_acceptable(state, job, step, plan, protected):
-        return False
-    if plan.victims and states.awaits_confirmations(state, now_ms):
-        return False
-    preemption.execute(state, job, step, plan, protected)
-    reservations.record(state, job, step_progress, plan.targets)
-    return True
-
-
 def _locality_wait_is_over(
     state: states.State,
     job: steps.Job,
