--- a/packages/core/src/peridothatch_core/schedule/guaranteed_wait.py
+++ b/packages/core/src/peridothatch_core/schedule/guaranteed_wait.py
@@ -18,7 +18,7 @@
 """Kind of the event of a job that begins to wait within its customer's guarantee."""
 
 EXCEEDED = "guarantee exceeded"
-"""Kind of the event of a waiting job whose customer's urgent jobs exceed the guarantee."""
+"""Kind of the event of a waiting job for which too little of the guarantee is left."""
 
 BEGUN = "guaranteed begun"
 """Kind of the event of a job whose first step has begun in time."""
@@ -60,7 +60,7 @@
 def _beginning(state: states.State, protected: set[str]) -> Iterable[steps.Job]:
     """Return the jobs that wait within a guarantee and did not in the cycle before."""
     known = state.guaranteed_since_ms.keys() | state.guaranteed_begun
-    for job_id in protected - known:
+    for job_id in sorted(protected - known):
         job = state.jobs[job_id]
         if _has_begun(state, job):
             state.guaranteed_begun.add(job_id)
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -353,7 +353,8 @@
         "`scheduler:learned_not_written` has the reason.",
     ),
     "guarantees_exceeded": Text(
-        "Waiting jobs that lost their guarantee because their customer submitted more.",
+        "Waiting jobs that lost their guarantee to earlier jobs of their customer, or because it "
+        "was lowered.",
         "None; `scheduler:guarantee exceeded` has what the customer needs and its guarantee.",
     ),
     "guaranteed_begun": Text(
