--- a/review/8/case.py
+++ b/review/8/case.py
@@ -12,8 +12,8 @@
 
 MAX_ATTEMPTS = 2
 WORK_SECONDS = 4.0
-KILL_AFTER_SECONDS = 3.2
-RESTART_SECONDS = 1.0
+KILL_AFTER_SECONDS = 3.4
+RESTART_SECONDS = 2.0
 """Time from the kill of a process to its next start."""
 
 JOB = "/jobs/00000000000000aa"
