Review: a worker whose clock jumped back is ignored for good

Cause: an agent ignores check-ins with a lower start time than the one that it knows, without an end to that. Change: case 10 takes the place of the one on an agent's row (AVAIL), which breaks no promise on accepted work; the stand-ins lose what only that used, and end their processes when they are terminated.

--- a/review/standins_2/standins.py
+++ b/review/standins_2/standins.py
@@ -29,11 +29,11 @@
 """Command of the deploy file, without the role."""
 
 HEARTBEAT_SECONDS = 1.5
+MAX_SECONDS = 110
 PAGE_ROWS = 500
 TRANSACTION_SECONDS = 0.004
 MAX_ROW_BYTES = 65_536
 KILL_GRACE_SECONDS = 0.1
-STARTUP_SECONDS = 1.0
 KEY = "k1"
 HOST_NAME = "a.example"
 
@@ -176,22 +176,15 @@
     stop_at: float | None = None
 
 
-def _percent(run):
-    """Return the progress of a run; a task that lasts is at work after a short startup."""
-    if not run.spec.get("lasts"):
-        return 50
-    return 100 if time.monotonic() - run.started_at > STARTUP_SECONDS else 0
-
-
 class Worker:
     """One worker, which carries out the calls of the agent on its machine.
 
     The job's specification is a JSON text: ``seconds`` of work, ``gpu`` of each task, ``gang``
-    with the number of members, ``fails`` if the first task always fails, and ``lasts`` if the
-    tasks run until they are stopped.
+    with the number of members, and ``fails`` if the first task always fails.
     """
 
-    slots = 8
+    clock_step_ms = 0
+    """Difference of the machine's time of day from the true time."""
 
     def __init__(self, number, fleet):
         self.number = number
@@ -201,7 +194,7 @@
 
     def start(self):
         """Begin a lifetime without any state of the one before."""
-        self.born = int(1000 * time.time())
+        self.born = int(1000 * time.time()) + self.clock_step_ms
         self.origin = time.monotonic()
         self.runs, self.ends, self.barred, self.noted = {}, [], {}, {}
         self.last_end = self.fence = self.deadline_ms = self.sequence = 0
@@ -224,7 +217,7 @@
         """Return the body of the next check-in."""
         self.sequence += 1
         return {
-            "service": "tooling", "zone": "zone-a", "version": "v1", "slots": self.slots,
+            "service": "tooling", "zone": "zone-a", "version": "v1", "slots": 8,
             "state": "ready",
             "cold_left_ms": 0, "labels": ["a", f"r{self.number}"], "clock_ms": self.clock_ms(),
             "capacity": {"cpu": 32000, "mem_mb": 131072, "gpu": 8}, "seq": self.sequence,
@@ -299,7 +292,7 @@
             self.ended.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.ended.wait(), min(body["wait_ms"], 2000) / 1000)
-        running = [[run.task, run.attempt, "", _percent(run), 0] for run in self.runs.values()]
+        running = [[run.task, run.attempt, "", 50, 0] for run in self.runs.values()]
         return self._answer(200, running=running, finished=self.ends[:500])
 
     def _answer(self, status, **fields):
@@ -606,8 +599,15 @@
     """Run a case within its time, and exit with its result; 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        result = asyncio.run(asyncio.wait_for(main(trouble), 110))
-    except Exception as error:
+        result = asyncio.run(_run_bounded(main, trouble))
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {type(error).__name__}: {error}")
         result = 2
     sys.exit(result)
+
+
+async def _run_bounded(main, trouble):
+    """Run a case; when it is terminated, it ends its processes as well."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(main(trouble), MAX_SECONDS)
