Take a heartbeat for a new incarnation only if the worker's address confirms it

Cause: a heartbeat with another id or a later start was taken as proof that the known incarnation had ended with all its runs, and the worker's own heartbeats were older than the foreign one from then on.

Change: a heartbeat of another incarnation is a candidate (hold.incarnation) until the worker's address answers as that instance with that start time, to a call sent after the last answer of the known incarnation. Silence changes nothing. A heartbeat of the known incarnation with another service or data centre is ignored, and an id that no call can name is refused. Ignored heartbeats are logged (supervisor:heartbeat_ignored) and counted.

Existing tests give a heartbeat to the agent together with the answer of the worker's address; the test of the first call to a new incarnation still requires the higher token in the first call. The stand-in worker refuses calls for another instance, as the protocol says.

Why it works: only the incarnation that runs at the address can answer for it, so a run is closed only when its incarnation has really been replaced.

--- a/packages/core/src/peridothatch_core/hold/exchange.py
+++ b/packages/core/src/peridothatch_core/hold/exchange.py
@@ -66,6 +66,17 @@
     concurrent: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class IdentifyWorker:
+    """Effect: ask the worker's address whether an instance runs there, and since when.
+
+    The call extends no deadline and acknowledges no end.
+    """
+
+    instance: str
+    fence: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteRow:
     """Effect: write the agent's row and new ends, provided that the row's version is unchanged.
@@ -100,7 +111,7 @@
     fence: int
 
 
-Effect = Start | Stop | ListRuns | WriteRow | ReadRow | Replaced
+Effect = Start | Stop | ListRuns | IdentifyWorker | WriteRow | ReadRow | Replaced
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,7 +161,17 @@
     recorded_through: int
 
 
-Observation = IncarnationChanged | EndsPassedOver | RunDisappeared
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeartbeatIgnored:
+    """Observation: a heartbeat does not describe the worker that runs at the worker's address."""
+
+    instance: str
+    started_ms: int
+    service: str
+    reason: str
+
+
+Observation = IncarnationChanged | EndsPassedOver | RunDisappeared | HeartbeatIgnored
 
 
 class StartOutcome(enum.Enum):
@@ -300,6 +321,29 @@
     fence: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerIdentified:
+    """Event: a call of ``IdentifyWorker`` ended.
+
+    Attributes
+    ----------
+    answered : bool
+        The worker's address gave a usable answer.
+    started_ms : int or None
+        Start time of the incarnation that answered; ``None`` if it is of another instance.
+    asked_at : float
+        Local time in seconds before the call.
+    fence : int
+        Copied from the effect.
+    """
+
+    instance: str
+    answered: bool
+    started_ms: int | None
+    asked_at: float
+    fence: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowRead:
     """Event: a read of the agent's own row ended; ``read`` is false when it failed."""
@@ -334,6 +378,7 @@
     | StartAnswered
     | StopAnswered
     | RunsListed
+    | WorkerIdentified
     | RowRead
     | rows.Committed
     | StoreTime
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -175,6 +175,21 @@
     end: steps.End | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A heartbeat of an incarnation that the worker's address has not confirmed yet.
+
+    Attributes
+    ----------
+    received_at : float
+        Local time in seconds at which the heartbeat arrived.
+    """
+
+    worker: agents.Worker
+    sequence: int
+    received_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class State:
     """State of the agent; times are local seconds unless stated otherwise.
@@ -233,6 +248,12 @@
         Orders that an earlier process of this node claimed.
     worker : Worker or None
         Latest description of the worker.
+    candidates : dict of Candidate
+        Latest heartbeats of incarnations other than the known one, by instance and start time.
+    identification : IdentifyWorker or None
+        The call that asks for a candidate, until it is answered.
+    identification_retry_at : float
+        When the next such call may be sent.
     sequence : int
         Number of the last heartbeat from this incarnation of the worker; -1 accepts any.
     worker_seen : bool
@@ -314,6 +335,9 @@
     claim_retry_at: float = 0.0
     inherited_claims: set[exchange.RunKey] = dataclasses.field(default_factory=set)
     worker: agents.Worker | None = None
+    candidates: dict[tuple[str, int], Candidate] = dataclasses.field(default_factory=dict)
+    identification: exchange.IdentifyWorker | None = None
+    identification_retry_at: float = 0.0
     sequence: int = -1
     worker_seen: bool = False
     last_contact_at: float = 0.0
@@ -412,6 +436,7 @@
     state.incarnation_confirmed = False
     state.list_call = None
     state.concurrent_list_call = None
+    state.identification = None
 
 
 def has_ends_to_acknowledge(state: State) -> bool:
--- a/packages/core/src/peridothatch_core/hold/step.py
+++ b/packages/core/src/peridothatch_core/hold/step.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from peridothatch_core.hold import exchange, lease, listing, orders, worker
+from peridothatch_core.hold import exchange, incarnation, lease, listing, orders, worker
 from peridothatch_core.hold import state as states
 from peridothatch_core.message import rows
 from peridothatch_core.model import storeclock
@@ -23,6 +23,7 @@
     effects = list(_handle(state, event, now))
     worker.detect_silence(state, now)
     worker.close_expired_runs(state, now)
+    effects.extend(incarnation.due_effects(state, now))
     effects.extend(orders.due_effects(state, now))
     effects.extend(lease.due_effects(state, now))
     return effects
@@ -59,6 +60,8 @@
         case exchange.RunsListed(listed, no_listener, concurrent):
             _runs_listed(state, listed, concurrent, now)
             worker.update_reachability(state, not no_listener, now)
+        case exchange.WorkerIdentified():
+            worker.handle_identification(state, event, now)
         case rows.Committed():
             storeclock.observe(state.clock, event.now_ms, event.asked_at, event.answered_at)
             yield from lease.handle_commit(state, event, now)
@@ -118,7 +121,7 @@
     if state.incarnation_confirmed:
         states.lose_contact(state)
     if listed is not None and listed.instance == states.worker_instance(state):
-        worker.handle_unknown_incarnation(state, listed.started_ms, now)
+        incarnation.handle_unknown_incarnation(state, listed.started_ms, now)
 
 
 def _confirm_incarnation(
@@ -130,7 +133,7 @@
     """Take note that the worker's known incarnation has answered a list call."""
     if not state.worker_clock_ms:
         # Until now it may have carried out calls with a deadline on an earlier clock.
-        worker.extend_inherited_deadline(state, now)
+        incarnation.extend_inherited_deadline(state, now)
     state.incarnation_confirmed = True
     state.has_just_answered = now - listed.asked_at <= states.ACKNOWLEDGE_WITHIN_SECONDS
     if call is not None:
--- a/packages/core/src/peridothatch_core/hold/worker.py
+++ b/packages/core/src/peridothatch_core/hold/worker.py
@@ -1,11 +1,11 @@
-"""Handles the worker's heartbeats, and detects incarnations of the worker that have ended."""
+"""Handles the worker's heartbeats, and closes the runs of a worker that has left or is silent."""
 
 from __future__ import annotations
 
 import dataclasses
 import typing
 
-from peridothatch_core.hold import exchange, listing
+from peridothatch_core.hold import exchange, incarnation, listing
 from peridothatch_core.hold import state as states
 from peridothatch_core.model import agents, steps, storeclock
 
@@ -16,26 +16,56 @@
 def handle_heartbeat(
     state: states.State, worker: agents.Worker, sequence: int, now: float
 ) -> bool:
-    """Update the description of the worker from a heartbeat.
+    """Update the description of the worker from a heartbeat of its known incarnation.
+
+    One of another incarnation waits until the worker's address has confirmed it.
 
     Returns
     -------
     bool
-        Whether the heartbeat was used. One from an earlier incarnation, or with a sequence number
-        that is not higher than the last one, is ignored.
+        Whether the heartbeat was used. One from an earlier incarnation, with a sequence number
+        that is not higher than the last one, or with a service or data centre that the known
+        incarnation does not have, is ignored.
     """
     known = state.worker
+    if known is None or incarnation.identity(worker) != incarnation.identity(known):
+        if known is None or worker.started_ms >= known.started_ms:
+            incarnation.add_candidate(state, states.Candidate(worker, sequence, now))
+        return False
+    if (worker.service, worker.zone) != (known.service, known.zone):
+        # Both are fixed for the lifetime of an incarnation.
+        incarnation.observe_ignored(state, worker, "another service or data centre")
+        return False
+    if sequence <= state.sequence:
+        return False
+    _apply_heartbeat(state, states.Candidate(worker, sequence, now), now)
+    return True
+
+
+def handle_identification(
+    state: states.State, event: exchange.WorkerIdentified, now: float
+) -> None:
+    """Make a candidate that the worker's address has confirmed the known incarnation."""
+    confirmed = incarnation.take_confirmed(state, event, now)
+    if confirmed is None:
+        return
+    known = state.worker
+    if known is not None and incarnation.identity(known) == incarnation.identity(confirmed.worker):
+        # The row of an earlier process has named it meanwhile.
+        handle_heartbeat(state, confirmed.worker, confirmed.sequence, now)
+        return
     if known is not None:
-        if (worker.started_ms, sequence) <= (known.started_ms, state.sequence):
-            return False
-        if worker.started_ms != known.started_ms or worker.instance != known.instance:
-            _observe_change(state, known, worker)
-            _new_incarnation(state, now)
-    state.sequence = sequence
+        incarnation.replace(state, known, confirmed.worker, now)
+    _apply_heartbeat(state, confirmed, now)
+
+
+def _apply_heartbeat(state: states.State, heartbeat: states.Candidate, now: float) -> None:
+    worker, known = heartbeat.worker, state.worker
+    state.sequence = heartbeat.sequence
     state.last_contact_at = now
     state.deregistered = False
     if worker.state is agents.WorkerState.DRAINING:
-        leaves_at = now + worker.leaves_in_ms / 1000.0
+        leaves_at = heartbeat.received_at + worker.leaves_in_ms / 1000.0
         state.leaves_at = leaves_at if state.leaves_at is None else min(state.leaves_at, leaves_at)
     else:
         state.leaves_at = None
@@ -47,7 +77,6 @@
         state.dirty = True
     state.worker = worker
     state.worker_seen = True
-    return True
 
 
 def handle_deregistration(state: states.State, instance: str) -> bool:
@@ -156,77 +185,6 @@
     return (*dataclasses.astuple(dataclasses.replace(worker, leaves_in_ms=0)),)
 
 
-def _observe_change(state: states.State, known: agents.Worker, worker: agents.Worker) -> None:
-    state.observations.append(
-        exchange.IncarnationChanged(
-            known.started_ms,
-            worker.started_ms,
-            state.recorded_through,
-            tuple(state.ends),
-            tuple(state.ends_in_flight),
-            (state.list_call is not None) + (state.concurrent_list_call is not None),
-        )
-    )
-
-
-def _new_incarnation(state: states.State, now: float) -> None:
-    """Reset the state of the worker's previous incarnation, which ended with all its runs.
-
-    A start that was sent before this heartbeat may have reached the new incarnation already, if it
-    has the same id, and an unanswered one may still reach it. Runs that the previous incarnation
-    has listed are recorded as lost at once. The next list shows which of the others the new
-    incarnation runs; the rest are stopped and then recorded as lost.
-    """
-    extend_inherited_deadline(state, now)
-    reason = "the worker has started a new incarnation"
-    for key, run in list(state.runs.items()):
-        pending = run.may_have_started or run.call_pending
-        if run.phase is states.Phase.WAITING and pending:
-            run.stop_reason = run.stop_reason or reason
-            run.may_have_started = True
-            run.stop_confirmed_at = None
-        elif run.phase is states.Phase.RUNNING and run.listed and not pending:
-            listing.record_end(state, key, steps.EndKind.LOST, run.saved, reason)
-        run.listed = False
-    state.leaves_at = None
-    state.list_retry_at = 0.0
-    _discard_clock(state)
-    states.lose_contact(state)
-    state.recorded_through = 0
-    state.acknowledged_through = 0
-    state.skipped_ends.clear()
-    # Ends of the previous incarnation are still recorded, but its numbers mean nothing any more.
-    state.end_numbers.clear()
-
-
-def handle_unknown_incarnation(state: states.State, started_ms: int, now: float) -> None:
-    """Stop sending deadlines when a list shows a restart before the first heartbeat does.
-
-    They would be on the clock of the previous incarnation.
-    """
-    if started_ms <= states.worker_started_ms(state) or not state.worker_clock_ms:
-        return
-    extend_inherited_deadline(state, now)
-    _discard_clock(state)
-
-
-def extend_inherited_deadline(state: states.State, now: float) -> None:
-    """Allow for calls that reached a new incarnation with a deadline on an earlier clock.
-
-    The new incarnation shortens such a deadline to the longest that it grants.
-    """
-    granted_ms = state.lease_duration_ms + states.LEASE_MARGIN_MS
-    latest_ms = storeclock.latest_ms(state.clock, now) + granted_ms
-    state.inherited_until_ms = max(state.inherited_until_ms, latest_ms)
-
-
-def _discard_clock(state: states.State) -> None:
-    """Discard the clock of an incarnation that has ended, and the deadlines on it."""
-    state.worker_clock_ms = 0
-    state.latest_lease_end_ms = 0
-    state.inherited_until_ms = max(state.inherited_until_ms, state.hold_until_ms)
-
-
 def _close_runs(state: states.State, reason: str, *, starts_may_arrive: bool) -> None:
     """Record the ends of all open runs.
 
--- a/packages/core/tests/hold/hold_harness.py
+++ b/packages/core/tests/hold/hold_harness.py
@@ -58,6 +58,31 @@
     assert not [effect for effect in effects if isinstance(effect, kind)], effects
 
 
+def heartbeat(agent, described, sequence, now, runs=None):
+    """Handle a heartbeat while the worker's address runs the incarnation that it names.
+
+    ``runs`` is the instance and start time that run at the address instead.
+    """
+    effects = step.step(agent, exchange.Heartbeat(described, sequence), now)
+    return identify(agent, effects, now, runs or (described.instance, described.started_ms))
+
+
+def identify(agent, effects, now, runs):
+    """Answer the calls that ask which incarnation runs at the worker's address."""
+    others = []
+    while effects:
+        effect = effects.pop(0)
+        if isinstance(effect, exchange.IdentifyWorker):
+            started_ms = runs[1] if effect.instance == runs[0] else None
+            answer = exchange.WorkerIdentified(
+                effect.instance, True, started_ms, now, effect.fence
+            )
+            effects += step.step(agent, answer, now)
+        else:
+            others.append(effect)
+    return others
+
+
 def registered_agent(now=10.0, orders=None, stops=None, listed=True):
     """Return an agent that has registered and read its orders at ``now``."""
     agent = state.State("side-1", "accra-a", 9_500)
@@ -67,6 +92,7 @@
     write = single(effects, exchange.WriteRow)
     step.step(agent, exchange.Heartbeat(worker(), 1), now)
     effects = step.step(agent, committed(write, now, version=7), now)
+    effects = identify(agent, effects, now, ("w-1", STARTED_MS))
     write = single(effects, exchange.WriteRow)
     step.step(agent, committed(write, now, version=8), now)
     loaded = exchange.OrdersLoaded(orders or {}, frozenset(stops or ()))
@@ -102,8 +128,7 @@
 
 def restart_worker(agent, now, started_ms=9_000):
     """Handle the first heartbeat of a new incarnation, and commit the write that it causes."""
-    heartbeat = exchange.Heartbeat(worker(started_ms=started_ms), 0)
-    return commit_writes(agent, step.step(agent, heartbeat, now), now)
+    return commit_writes(agent, heartbeat(agent, worker(started_ms=started_ms), 0, now), now)
 
 
 def send_ticks(agent, first, last):
--- a/packages/core/tests/hold/test_acknowledgements.py
+++ b/packages/core/tests/hold/test_acknowledgements.py
@@ -142,7 +142,10 @@
     step.step(agent, exchange.RunsListed(None, fence=probe.fence), 10.41)
     heartbeat = exchange.Heartbeat(harness.worker(started_ms=RESTARTED_MS), 0)
     effects = step.step(agent, heartbeat, 10.45)
-    assert harness.single(effects, exchange.ListRuns).fence > probe.fence
+    identification = harness.single(effects, exchange.IdentifyWorker)
+    assert identification.fence > probe.fence
+    effects = harness.identify(agent, effects, 10.46, ("w-1", RESTARTED_MS))
+    assert harness.single(effects, exchange.ListRuns).fence >= identification.fence
 
 
 # Guards against ends that are seen late: after each acknowledgement no call waited for the next
--- a/packages/core/tests/hold/test_hold.py
+++ b/packages/core/tests/hold/test_hold.py
@@ -191,7 +191,7 @@
 def test_a_draining_worker_gets_no_start():
     agent = harness.registered_agent()
     leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=5_000)
-    step.step(agent, exchange.Heartbeat(leaving, 2), 10.1)
+    harness.heartbeat(agent, leaving, 2, 10.1)
     effects = step.step(agent, exchange.OrderAdded(harness.KEY, harness.order()), 10.2)
     harness.assert_none(effects, exchange.Start)
     assert [end.kind for end in agent.ends.values()] == [steps.EndKind.REJECTED]
@@ -203,7 +203,7 @@
     running = harness.listing(10.1, running=[(harness.TASK, 1, "c1", 40)])
     step.step(agent, exchange.RunsListed(running), 10.1)
     leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=3_000)
-    harness.assert_none(step.step(agent, exchange.Heartbeat(leaving, 2), 10.2), exchange.Stop)
+    harness.assert_none(harness.heartbeat(agent, leaving, 2, 10.2), exchange.Stop)
     harness.single(step.step(agent, exchange.Tick(), 11.9), exchange.Stop)
 
 
@@ -213,7 +213,7 @@
     step.step(agent, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.STARTED), 10.05)
     running = harness.listing(10.1, running=[(harness.TASK, 1, "c1", 40)])
     step.step(agent, exchange.RunsListed(running), 10.1)
-    step.step(agent, exchange.Heartbeat(harness.worker(started_ms=9_000), 0), 10.5)
+    harness.heartbeat(agent, harness.worker(started_ms=9_000), 0, 10.5)
     assert [(end.kind, end.saved) for end in agent.ends.values()] == [(steps.EndKind.LOST, "c1")]
     assert agent.recorded_through == 0
 
@@ -224,7 +224,7 @@
     agent = harness.registered_agent(orders=late, listed=False)
     running = harness.listing(10.1, running=[(harness.TASK, 1, "c1", 40)])
     step.step(agent, exchange.RunsListed(running), 10.1)
-    step.step(agent, exchange.Heartbeat(harness.worker(started_ms=9_000), 0), 10.5)
+    harness.heartbeat(agent, harness.worker(started_ms=9_000), 0, 10.5)
     assert not agent.ends
     new = harness.listing(10.8, started_ms=9_000)
     harness.single(step.step(agent, exchange.RunsListed(new), 10.8), exchange.Stop)
@@ -238,7 +238,7 @@
     agent = harness.registered_agent()
     step.step(agent, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
     step.step(agent, exchange.StartAnswered(harness.KEY, exchange.StartOutcome.STARTED), 10.2)
-    step.step(agent, exchange.Heartbeat(harness.worker(started_ms=9_000), 0), 10.5)
+    harness.heartbeat(agent, harness.worker(started_ms=9_000), 0, 10.5)
     return agent
 
 
@@ -266,7 +266,7 @@
     agent = harness.registered_agent()
     effects = step.step(agent, exchange.OrderAdded(harness.KEY, harness.order()), 10.1)
     harness.single(harness.commit_writes(agent, effects, 10.1), exchange.Start)
-    step.step(agent, exchange.Heartbeat(harness.worker(started_ms=9_000), 0), 10.5)
+    harness.heartbeat(agent, harness.worker(started_ms=9_000), 0, 10.5)
     assert not agent.ends
     unanswered = exchange.StartAnswered(harness.KEY, exchange.StartOutcome.NO_ANSWER)
     harness.single(step.step(agent, unanswered, 10.9), exchange.Stop)
@@ -281,7 +281,7 @@
     step.step(agent, exchange.RunsListed(running), 10.5)
     step.step(agent, exchange.Deregistered("w-1"), 10.6)
     assert not agent.ends
-    step.step(agent, exchange.Heartbeat(harness.worker(), 2), 11.0)
+    harness.heartbeat(agent, harness.worker(), 2, 11.0)
     assert agent.worker.state is agents.WorkerState.READY
     step.step(agent, exchange.RunsListed(None, no_listener=True), 11.1)
     assert not agent.ends
@@ -302,7 +302,7 @@
     running = harness.listing(10.5, running=[(harness.TASK, 1, "c1", 40)])
     step.step(agent, exchange.RunsListed(running), 10.5)
     leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=2_000)
-    step.step(agent, exchange.Heartbeat(leaving, 2), 11.0)
+    harness.heartbeat(agent, leaving, 2, 11.0)
     return agent
 
 
@@ -345,7 +345,7 @@
     agent = _agent_of_departing_worker()
     leaving = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=0)
     harness.send_ticks(agent, 11.0, 12.9)
-    step.step(agent, exchange.Heartbeat(leaving, 3), 12.9)
+    harness.heartbeat(agent, leaving, 3, 12.9)
     for now in (13.1, 13.4, 13.7):
         step.step(agent, exchange.RunsListed(None, no_listener=True), now)
     assert not agent.ends
@@ -353,8 +353,8 @@
 
 def test_a_late_heartbeat_of_an_earlier_incarnation_is_ignored():
     agent = harness.registered_agent()
-    step.step(agent, exchange.Heartbeat(harness.worker(started_ms=9_000, instance="w-2"), 0), 10.5)
-    step.step(agent, exchange.Heartbeat(harness.worker(), 50), 10.6)
+    harness.heartbeat(agent, harness.worker(started_ms=9_000, instance="w-2"), 0, 10.5)
+    harness.heartbeat(agent, harness.worker(), 50, 10.6)
     assert agent.worker.instance == "w-2"
 
 
@@ -467,7 +467,7 @@
 
 def test_a_heartbeat_offers_the_worker_of_a_restarted_agent():
     agent = _restarted_agent(_agent_row(39_500))
-    effects = step.step(agent, exchange.Heartbeat(harness.worker(), 0), 30.1)
+    effects = harness.heartbeat(agent, harness.worker(), 0, 30.1)
     assert harness.single(effects, exchange.WriteRow).row.worker.state is agents.WorkerState.READY
 
 
@@ -507,7 +507,7 @@
     # reports in the old row.
     report = agents.RunReport(harness.TASK, 1, "c9", 70)
     agent = _restarted_agent(_agent_row(33_000, (report,)))
-    step.step(agent, exchange.Heartbeat(harness.worker(started_ms=9_000), 0), 30.5)
+    harness.heartbeat(agent, harness.worker(started_ms=9_000), 0, 30.5)
     step.step(agent, exchange.StopAnswered(harness.KEY, True), 30.6)
     listing = harness.listing(31.0, started_ms=9_000)
     step.step(agent, exchange.RunsListed(listing), 31.0)
--- a/packages/core/tests/hold/test_incarnations.py
+++ b/packages/core/tests/hold/test_incarnations.py
@@ -19,7 +19,7 @@
 
 def restart(agent, now):
     """Handle the first heartbeat of a new incarnation, and return the effects."""
-    return step.step(agent, exchange.Heartbeat(harness.worker(started_ms=RESTARTED_MS), 0), now)
+    return harness.heartbeat(agent, harness.worker(started_ms=RESTARTED_MS), 0, now)
 
 
 def agent_with_ends_in_flight():
@@ -88,8 +88,7 @@
 def test_a_later_process_has_a_higher_token_than_any_that_this_one_may_use():
     agent, _ = agent_with_recorded_ends()
     for started_ms in (9_000, 9_100, 9_200):
-        heartbeat = exchange.Heartbeat(harness.worker(started_ms=started_ms), 0)
-        effects = step.step(agent, heartbeat, 11.0)
+        harness.heartbeat(agent, harness.worker(started_ms=started_ms), 0, 11.0)
     row = dataclasses.replace(agent_row(agent), fence=agent.fence - 3)
     effects = step.step(agent, exchange.RowRead(True, row, 55), 11.1)
     harness.assert_none(effects, exchange.Replaced)
--- a/packages/core/tests/hold/test_late_answers.py
+++ b/packages/core/tests/hold/test_late_answers.py
@@ -72,7 +72,7 @@
 def beat(agent, now, sequence=0):
     """Handle a heartbeat of the new incarnation."""
     described = harness.worker(started_ms=RESTARTED_MS)
-    return step.step(agent, exchange.Heartbeat(described, sequence), now)
+    return harness.heartbeat(agent, described, sequence, now)
 
 
 def drive(agent, worker, effects, first, last, store_answers=True):
@@ -205,13 +205,13 @@
 def test_a_late_heartbeat_does_not_undo_a_newer_one_of_the_same_incarnation(deregistered):
     agent = harness.registered_agent()
     draining = harness.worker(state=agents.WorkerState.DRAINING, leaves_in_ms=2_000)
-    step.step(agent, exchange.Heartbeat(draining, 20), 10.5)
+    harness.heartbeat(agent, draining, 20, 10.5)
     if deregistered:
         step.step(agent, exchange.Deregistered("w-1"), 11.0)
     else:
         harness.send_ticks(agent, 11.0, 15.0)
     assert agent.worker.state is agents.WorkerState.ABSENT
-    step.step(agent, exchange.Heartbeat(harness.worker(), 19), 15.1)
+    harness.heartbeat(agent, harness.worker(), 19, 15.1)
     assert agent.worker.state is not agents.WorkerState.READY
 
 
--- a/packages/core/tests/hold/test_lease.py
+++ b/packages/core/tests/hold/test_lease.py
@@ -130,7 +130,7 @@
     write = harness.single(step.step(agent, exchange.Tick(), 12.0), exchange.WriteRow)
     late = deadline_ms / 1000 - 0.5
     for number in range(2, 9):
-        step.step(agent, exchange.Heartbeat(harness.worker(), number), 10.5 + number)
+        harness.heartbeat(agent, harness.worker(), number, 10.5 + number)
     effects = step.step(agent, harness.committed(write, late), late)
     call = harness.single(effects, exchange.ListRuns)
     assert call.concurrent
--- a/packages/core/tests/hold/test_listed_ends.py
+++ b/packages/core/tests/hold/test_listed_ends.py
@@ -116,8 +116,8 @@
 
 def restart(agent, now):
     """Handle the first heartbeat of a new incarnation, and return the calls that follow."""
-    heartbeat = exchange.Heartbeat(harness.worker(started_ms=RESTARTED_MS), 0)
-    return harness.commit_writes(agent, step.step(agent, heartbeat, now), now)
+    effects = harness.heartbeat(agent, harness.worker(started_ms=RESTARTED_MS), 0, now)
+    return harness.commit_writes(agent, effects, now)
 
 
 def refuses_late_start(calls, start):
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -104,6 +104,7 @@
     incarnations_changed: int = 0
     ends_passed_over: int = 0
     runs_disappeared: int = 0
+    heartbeats_ignored: int = 0
 
 
 def count_decision(scheduler: Scheduler, kind: str) -> None:
--- a/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor.py
@@ -93,7 +93,7 @@
     store : Mailbox
         Takes ``rows.Commit`` and ``rows.Fetch``.
     worker : Mailbox
-        Takes ``exchange.Start``, ``exchange.Stop`` and ``exchange.ListRuns``.
+        Takes the calls to the worker that `exchange` defines.
     on_replaced : callable
         Called when another agent process has registered for this node.
     record_latency : callable
@@ -151,6 +151,8 @@
                     state.hold, effect, state.acknowledged
                 )
                 mailbox.post(state.worker, effect)
+            case exchange.IdentifyWorker():
+                mailbox.post(state.worker, effect)
             case exchange.WriteRow():
                 _write_row(state, effect)
             case exchange.ReadRow():
--- a/packages/daemon/src/peridothatch_daemon/hosted/supervisor_log.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/supervisor_log.py
@@ -1,4 +1,4 @@
-"""Log lines of the supervisor about ends: recorded, acknowledged, passed over or missing."""
+"""Log lines of the supervisor about ends, incarnations of the worker and ignored heartbeats."""
 
 from __future__ import annotations
 
@@ -30,6 +30,9 @@
             case exchange.RunDisappeared():
                 counted.runs_disappeared += 1
                 log.event("supervisor:run_disappeared", **fields)
+            case exchange.HeartbeatIgnored():
+                counted.heartbeats_ignored += 1
+                log.event("supervisor:heartbeat_ignored", **fields)
     hold.observations.clear()
 
 
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -415,6 +415,11 @@
         "The run is recorded as lost and runs again, although it may have been done: compare "
         "`supervisor:ends_acknowledged` before that time, and report a fault.",
     ),
+    "heartbeats_ignored": Text(
+        "Heartbeats that do not describe the worker that runs at the worker's address.",
+        "Find their sender by `supervisor:heartbeat_ignored`. A worker whose own heartbeats are "
+        "ignored gets no new runs: compare `instance`, `started_ms` and `service` with its lists.",
+    ),
     "runs": Text("Runs that the agent holds.", "None."),
     "ends_waiting": Text(
         "Ends that are not in the store yet.", "Check the store when the value stays high."
--- a/packages/daemon/tests/hosted/test_supervisor.py
+++ b/packages/daemon/tests/hosted/test_supervisor.py
@@ -68,9 +68,24 @@
             exchange.Heartbeat(WORKER, 1),
         )
         await self.commit()
+        await self.confirm(WORKER)
         await self.commit()
         await _settle()
 
+    async def confirm(self, worker):
+        """Answer the call that identifies a worker, and return the calls that were sent before."""
+        sent = []
+        while not (sent and isinstance(sent[-1], exchange.IdentifyWorker)):
+            sent.append(await asyncio.wait_for(mailbox.take(self.worker), 5))
+        call = sent.pop()
+        assert call.instance == worker.instance
+        self.post(
+            exchange.WorkerIdentified(
+                call.instance, True, worker.started_ms, clock.now(), call.fence
+            )
+        )
+        return sent
+
     def find(self, kind):
         return [fields for name, fields in self.logged if name == kind]
 
@@ -144,6 +159,7 @@
         exchange.RunsListed(listing),
         exchange.Heartbeat(restarted, 1),
     )
+    await tested.confirm(restarted)
     await _settle()
     (changed,) = tested.find("supervisor:incarnation_changed")
     assert (changed["previous_ms"], changed["started_ms"]) == (1_000, 2_000)
@@ -200,13 +216,14 @@
     while not isinstance(read, rows.Fetch):
         read = await asyncio.wait_for(mailbox.take(tested.store), 5)
     assert read.prefix == tables.spec_key(order.job).key
-    tested.post(exchange.Heartbeat(dataclasses.replace(WORKER, started_ms=2_000), 1))
+    restarted = dataclasses.replace(WORKER, started_ms=2_000)
+    tested.post(exchange.Heartbeat(restarted, 1))
+    sent = await tested.confirm(restarted)
     await tested.commit()
     await _settle()
     spec = rows.Row(tables.SPECS_TABLE, order.job, b"{}", 3)
     read.answer(rows.Fetched(read.token, (spec,), now_ms, now, now))
     await _settle()
-    sent = []
     while not any(isinstance(call, exchange.Stop) for call in sent):
         sent.append(await asyncio.wait_for(mailbox.take(tested.worker), 5))
     assert not [call for call in sent if isinstance(call, exchange.Start)]
--- a/tests/platform/decoder_registry.py
+++ b/tests/platform/decoder_registry.py
@@ -152,6 +152,8 @@
             _stored(lambda row: own_rows.parse_planner_lease(row.value)), b"{}"),
     Decoder("outlet.worker", "worker", own_worker.WorkerBody.model_validate_json, b"{}"),
     Decoder("outlet.worker", "tasks", own_worker.TasksBody.model_validate_json, b"{}"),
+    Decoder("platform.worker", "identity", lambda data: worker.decode_identity(200, data),
+            b'{"clock_ms": 5, "born": 7, "running": [], "finished": []}'),
     Decoder("outlet.backend", "server", backend.ServerBody.model_validate_json, b"{}"),
     Decoder("outlet.backend", "refusal", backend.reports_no_free_slot,
             b'{"reason": "no free slot"}'),
--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -8,6 +8,9 @@
 
 from aiohttp import web
 
+INSTANCE = "w-1"
+"""Id of the worker."""
+
 LONGEST_WAIT_SECONDS = 0.5
 
 REFUSAL_STATUSES = {"refuse": 503, "reject": 413, "full": 429}
@@ -175,6 +178,14 @@
         return {"row_version": self.version, "now_ms": _now_ms()}
 
 
+@web.middleware
+async def _check_instance(request, handler):
+    """Refuse a call that is meant for another instance."""
+    if request.headers.get("X-Target-Instance", INSTANCE) != INSTANCE:
+        return web.json_response({}, status=421)
+    return await handler(request)
+
+
 class Worker:
     """Worker that runs each task for ``task_seconds``.
 
@@ -199,7 +210,7 @@
         self.deadline_ms = 0
 
     def application(self):
-        app = web.Application()
+        app = web.Application(middlewares=[_check_instance])
         app.router.add_post("/peridothatch/run-start", self._start)
         app.router.add_post("/peridothatch/run-stop", self._stop)
         app.router.add_post("/peridothatch/hold", self._hold)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import decoder_registry
+import platform_standin
 import process_harness as harness
 import pytest
 
@@ -104,6 +105,13 @@
         worker_module.decode_heartbeat("i-1", json.dumps({**example, **change}).encode())
 
 
+# Guards against a call that is answered by the worker although it names another instance.
+@pytest.mark.parametrize("instance", [" w-1", "w-1\r\nX: y", "w-\u00e9", "", "w" * 201])
+def test_an_id_that_no_call_can_name_is_rejected(instance):
+    with pytest.raises(ValueError, match="id: "):
+        worker_module.decode_heartbeat(instance, decoder_registry.ALL[0].example)
+
+
 def test_a_page_of_rows_is_read_past_what_cannot_be_read():
     # The feed asked for the same version again for ever.
     skipped = []
@@ -214,7 +222,7 @@
 
 async def _send_heartbeats(caller, machine):
     body = json.loads(decoder_registry.ALL[0].example)
-    path = f"http://{machine.heartbeats.text}/peridothatch/instances/i-1"
+    path = f"http://{machine.heartbeats.text}/peridothatch/instances/{platform_standin.INSTANCE}"
     while True:
         body["seq"] += 1
         async with caller.put(path, json=body) as response:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -237,6 +237,21 @@
     assert len(system.worker.starts) == 1
 
 
+# Guards against a task that runs twice: a heartbeat of another writer ended the runs at work.
+async def test_a_heartbeat_of_another_writer_keeps_the_run(system):
+    system.worker.task_seconds = 2
+    await system.call("POST", body=ONE_TASK)
+    await harness.until(lambda: _resolved(bool(system.worker.running)))
+    later = {"born": HEARTBEAT.get("born", 0) + 5_000, "service": "no-such-service", "seq": 99}
+    await _heartbeat(system.machines[1], instance="other-1", **later)
+    await _heartbeat(system.machines[1], **later)
+    await system.until_state("completed")
+    assert len(system.worker.starts) == 1
+    await _heartbeat(system.machines[1], sequence=9)
+    await system.call("POST", "/jobs/00000000000000bb", body=ONE_TASK)
+    await harness.until(lambda: _resolved(len(system.worker.starts) == 2))
+
+
 async def test_metrics_and_state_are_served(system):
     await system.call("POST", body=ONE_TASK)
     await system.until_state("completed")
@@ -248,10 +263,11 @@
                 assert (await response.json())["process"]["node"] == machine.node
 
 
-async def _heartbeat(machine, sequence=1):
+async def _heartbeat(machine, sequence=1, instance="w-1", **changes):
     async with aiohttp.ClientSession(f"http://{machine.heartbeats.text}") as session:
-        path = "/peridothatch/instances/w-1"
-        async with session.put(path, json=HEARTBEAT | {"seq": sequence}) as response:
+        path = f"/peridothatch/instances/{instance}"
+        body = HEARTBEAT | {"seq": sequence} | changes
+        async with session.put(path, json=body) as response:
             assert response.status == 200
 
 
