Count the failure of a gang whose agent reports it after the gang was closed

The agent of the failing member had been killed shortly before the first failure.

Cause: 0.4 s after one member had ended as broken, the scheduler closed the others as broken too and deleted their orders. The restarted agent found the end "failed", had no order for it and acknowledged it without a record. A restart is not needed: any end that is written later than 0.4 s was read as unmatched and dropped.

Change: a member of a broken gang that is closed without its end is kept as unreported in its job's row, and its order stays, until its agent reports the end or the agent's lease has lapsed (schedule.unreported). A late failure counts once for its attempt. The gang starts again as early as before while attempts are left even if the unreported ones have failed; otherwise it waits. supervisor:ends_passed_over now has the kind of the end, and late ends are logged and counted.

Why it works: the agent acknowledges an end only after it has written it, as long as it has the order, and no attempt starts that an end still to come could forbid.

--- a/packages/core/src/peridothatch_core/hold/exchange.py
+++ b/packages/core/src/peridothatch_core/hold/exchange.py
@@ -142,14 +142,15 @@
 class EndsPassedOver:
     """Observation: ends from ``first`` to ``last`` count as recorded without a record.
 
-    ``run`` is the run of a single end whose order is gone, and ``None`` for numbers that the
-    worker does not list.
+    ``run`` and ``kind`` are those of a single end whose order is gone, and ``None`` for numbers
+    that the worker does not list.
     """
 
     started_ms: int
     first: int
     last: int
     run: RunKey | None = None
+    kind: steps.EndKind | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/peridothatch_core/hold/listing.py
+++ b/packages/core/src/peridothatch_core/hold/listing.py
@@ -83,7 +83,7 @@
         state.skipped_ends.add(ended.number)
         state.observations.append(
             exchange.EndsPassedOver(
-                states.worker_started_ms(state), ended.number, ended.number, key
+                states.worker_started_ms(state), ended.number, ended.number, key, ended.kind
             )
         )
         if run is not None and run.order is None:
--- a/packages/core/src/peridothatch_core/model/steps.py
+++ b/packages/core/src/peridothatch_core/model/steps.py
@@ -183,6 +183,10 @@
         Last attempt of a gang in which a member ended as ``BROKEN``.
     saved : list of str
         Latest checkpoint; empty if there is none.
+    runs : list of Run
+        Open runs.
+    unreported : list of Run
+        Runs of a gang that were closed before their agents have reported how they ended.
     """
 
     occurrence: int
@@ -194,6 +198,7 @@
     broken_attempt: int = 0
     saved: list[str] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
+    unreported: list[Run] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/src/peridothatch_core/schedule/cycle.py
+++ b/packages/core/src/peridothatch_core/schedule/cycle.py
@@ -6,7 +6,15 @@
 
 from peridothatch_core.model import agents, steps, tables
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import departures, expected, progress, rejection, starts, withdraw
+from peridothatch_core.schedule import (
+    departures,
+    expected,
+    progress,
+    rejection,
+    starts,
+    unreported,
+    withdraw,
+)
 from peridothatch_core.schedule import state as states
 
 
@@ -27,6 +35,7 @@
     rejection.resume_jobs(state, now_ms)
     _declare_lapsed_leases(state, now_ms)
     _close_lapsed_runs(state, now_ms)
+    _discard_lapsed_runs(state)
     progress.process_ends(state, now_ms)
     _close_broken_gang_members(state, now_ms)
     withdraw.withdraw_unclaimed(state, now_ms)
@@ -47,7 +56,8 @@
 def _declare_lapsed_leases(state: states.State, now_ms: int) -> None:
     """Mark the leases of agents as lapsed that hold runs and were not renewed in time."""
     for node, agent in state.agents.items():
-        if node in state.lapsing or not state.runs.get(node):
+        holds_runs = state.runs.get(node) or node in state.unreported
+        if node in state.lapsing or not holds_runs:
             continue
         if agent.hold_until_ms + states.LAPSE_MARGIN_MS < now_ms:
             state.lapsing[node] = dataclasses.replace(
@@ -87,14 +97,22 @@
             )
 
 
+def _discard_lapsed_runs(state: states.State) -> None:
+    """Forget unreported runs whose agent's lease has lapsed: their ends count no longer."""
+    for node, entries in list(state.unreported.items()):
+        agent = state.agents.get(node)
+        for job, step_progress, run_ in list(entries):
+            has_lapsed = agent is None or agent.lapses > run_.lapses
+            if has_lapsed and not rejection.is_suspended(state, job.id):
+                unreported.discard(state, job, step_progress, run_)
+
+
 def _close_broken_gang_members(state: states.State, now_ms: int) -> None:
     """Close the members of a broken gang whose ends have not been reported yet."""
     for job, step_progress, run_, report in departures.broken_members(state, now_ms):
-        task = steps.task_name(job.id, step_progress.occurrence, step_progress.step, run_.index)
-        states.close_run(state, job, step_progress, run_)
-        pending = states.pending_change(state, job.id)
-        pending.deferred_deletes.append(tables.order_key(run_.node, task, run_.attempt))
-        pending.deferred_deletes.append(tables.stop_key(run_.node, task, run_.attempt))
+        unreported.set_aside(state, job, step_progress, run_)
+        if step_progress.failed_attempt >= run_.attempt:
+            unreported.discard(state, job, step_progress, run_)
         reason = "another member ended as broken, and this one has not reported its end"
         progress.apply_end(
             state, job, step_progress, run_, steps.EndKind.BROKEN, report.saved, reason, now_ms
--- a/packages/core/src/peridothatch_core/schedule/departures.py
+++ b/packages/core/src/peridothatch_core/schedule/departures.py
@@ -75,7 +75,7 @@
     A worker ends a member as broken when another member has ended, and then no member of that run
     is working. The end of a member whose worker is gone would be known only seconds later. Only
     members that their agent has reported as running are included, because a start that was never
-    confirmed may still be carried out late.
+    confirmed may still be carried out late. Their own ends may still come; see `unreported`.
     """
     for node, entries in list(state.runs.items()):
         agent = state.agents.get(node)
--- a/packages/core/src/peridothatch_core/schedule/progress.py
+++ b/packages/core/src/peridothatch_core/schedule/progress.py
@@ -6,7 +6,7 @@
 
 from peridothatch_core.model import steps, tables
 from peridothatch_core.place import ejection
-from peridothatch_core.schedule import expected, rejection, tickets
+from peridothatch_core.schedule import expected, rejection, tickets, unreported
 from peridothatch_core.schedule import state as states
 
 if typing.TYPE_CHECKING:
@@ -81,7 +81,7 @@
 ) -> list[int]:
     """Return the indices of the tasks of a ready step that may be started now."""
     step = job.steps[progress.step]
-    if step.gang and progress.runs:
+    if step.gang and (progress.runs or unreported.may_use_up_attempts(job, progress)):
         return []
     running_or_done = {run.index for run in progress.runs} | set(progress.done)
     waiting = []
@@ -104,6 +104,8 @@
         if parsed is not None and rejection.is_suspended(state, parsed[0]):
             continue
         del state.ends[key]
+        if _apply_late_end(state, end, now_ms):
+            continue
         closed_run = _close_run(state, end)
         if closed_run is not None:
             closed.append((*closed_run, end))
@@ -124,22 +126,49 @@
     states.pending_change(state, job_id).deferred_deletes.append(
         tables.end_key(end.task, end.attempt)
     )
-    job = state.jobs.get(job_id)
-    closed_run = (
-        _find_run(job, parsed, end.attempt) if parsed is not None and job is not None else None
-    )
-    if job is None or closed_run is None:
+    closed_run = _find_run(state, end, _open_runs)
+    if closed_run is None:
         state.events.append(
             states.Event("unmatched end", job_id, end.task, end.attempt, end.node, str(end.kind))
         )
         return None
-    progress, run = closed_run
+    job, progress, run = closed_run
     states.close_run(state, job, progress, run)
     if end.kind not in (steps.EndKind.REJECTED, steps.EndKind.ALONE):
         job.begun = True
     return job, progress, run
 
 
+def _apply_late_end(state: states.State, end: steps.End, now_ms: int) -> bool:
+    """Apply the end of a run that was closed before; return whether it is one.
+
+    The gang may have started again. A failure still counts as an attempt, and other ends change
+    nothing: the checkpoint was taken from the agent's last report.
+    """
+    found = _find_run(state, end, _unreported_runs)
+    if found is None:
+        return False
+    job, progress, run = found
+    states.pending_change(state, job.id).deferred_deletes.append(
+        tables.end_key(end.task, end.attempt)
+    )
+    unreported.forget(state, job, progress, run)
+    state.events.append(
+        states.Event("late end", job.id, end.task, end.attempt, end.node, str(end.kind))
+    )
+    if job.state in steps.FINAL_STATES or step_done(job, progress):
+        return True
+    if end.kind in WORKER_FAULT_KINDS:
+        _blame_worker(state, job, progress, run, now_ms)
+        if not job.steps[progress.step].long_running:
+            _count_failure(state, job, progress, run, now_ms)
+    elif end.kind is steps.EndKind.DONE and not job.steps[progress.step].long_running:
+        _record_done(state, job, progress, run)
+        for other in list(progress.runs):
+            states.stop_run(state, job, progress, other, "an earlier run of the gang has done it")
+    return True
+
+
 def apply_end(
     state: states.State,
     job: steps.Job,
@@ -216,6 +245,7 @@
     took_ms = now_ms - job.submitted_ms
     state.events.append(states.Event(str(final), job.id, detail=reason, elapsed_ms=took_ms))
     states.pending_change(state, job.id).save_job = True
+    unreported.discard_job(state, job)
     for progress in job.progress:
         for run in list(progress.runs):
             if final is not steps.JobState.COMPLETED:
@@ -250,16 +280,39 @@
     run: steps.Run,
     now_ms: int,
 ) -> None:
+    """Record a failed run, which counts as an attempt unless its gang has been counted."""
+    _blame_worker(state, job, progress, run, now_ms)
     step = job.steps[progress.step]
-    slot = steps.progress_index(step, run.index)
-    ejection.record_failure(state.health, job.id, (run.node,), now_ms / 1000.0)
-    state.failed_nodes.setdefault((job.id, progress.occurrence, progress.step), set()).add(
-        run.node
-    )
     if step.long_running or (step.gang and progress.failed_attempt >= run.attempt):
         return
-    progress.failed_attempt = run.attempt
+    _count_failure(state, job, progress, run, now_ms)
+
+
+def _blame_worker(
+    state: states.State,
+    job: steps.Job,
+    progress: steps.StepProgress,
+    run: steps.Run,
+    now_ms: int,
+) -> None:
+    ejection.record_failure(state.health, job.id, (run.node,), now_ms / 1000.0)
+    failed_nodes = state.failed_nodes.setdefault(
+        (job.id, progress.occurrence, progress.step), set()
+    )
+    failed_nodes.add(run.node)
+
+
+def _count_failure(
+    state: states.State,
+    job: steps.Job,
+    progress: steps.StepProgress,
+    run: steps.Run,
+    now_ms: int,
+) -> None:
+    slot = steps.progress_index(job.steps[progress.step], run.index)
+    progress.failed_attempt = max(progress.failed_attempt, run.attempt)
     progress.failures[slot] += 1
+    unreported.discard_attempt(state, job, progress, run.attempt)
     if progress.failures[slot] >= job.max_attempts:
         task = steps.task_name(job.id, progress.occurrence, progress.step, run.index)
         reason = f"task {task} failed {progress.failures[slot]} times"
@@ -267,18 +320,33 @@
 
 
 def _find_run(
-    job: steps.Job, parsed: tuple[str, int, int, int], attempt: int
-) -> tuple[steps.StepProgress, steps.Run] | None:
+    state: states.State,
+    end: steps.End,
+    runs_of: typing.Callable[[steps.StepProgress], list[steps.Run]],
+) -> tuple[steps.Job, steps.StepProgress, steps.Run] | None:
+    """Return the run that an end belongs to, among those that ``runs_of`` returns for its step."""
+    parsed = steps.parse_task_name(end.task)
+    job = state.jobs.get(parsed[0]) if parsed else None
+    if parsed is None or job is None:
+        return None
     _, occurrence, step, index = parsed
     for progress in job.progress:
         if (progress.occurrence, progress.step) != (occurrence, step):
             continue
-        for run in progress.runs:
-            if (run.index, run.attempt) == (index, attempt):
-                return progress, run
+        for run in runs_of(progress):
+            if (run.index, run.attempt) == (index, end.attempt):
+                return job, progress, run
     return None
 
 
+def _open_runs(progress: steps.StepProgress) -> list[steps.Run]:
+    return progress.runs
+
+
+def _unreported_runs(progress: steps.StepProgress) -> list[steps.Run]:
+    return progress.unreported
+
+
 def _initial_progress(job: steps.Job, occurrence: int, step_index: int) -> steps.StepProgress:
     step = job.steps[step_index]
     width = 1 if step.gang else step.count
--- a/packages/core/src/peridothatch_core/schedule/state.py
+++ b/packages/core/src/peridothatch_core/schedule/state.py
@@ -184,6 +184,8 @@
         Resources reserved by open runs, by node, as [cpu_millis, memory_mb, accelerators].
     runs : dict
         Open runs by node, as (job, progress, run).
+    unreported : dict
+        The same for runs that were closed before their ends were reported; see `unreported`.
     retry_at : dict
         Store time before which a task must not be retried, by job, occurrence, step and index.
     attempt_wait_since : dict
@@ -271,6 +273,9 @@
     runs: dict[str, list[tuple[steps.Job, steps.StepProgress, steps.Run]]] = dataclasses.field(
         default_factory=dict
     )
+    unreported: dict[str, list[tuple[steps.Job, steps.StepProgress, steps.Run]]] = (
+        dataclasses.field(default_factory=dict)
+    )
     retry_at: dict[tuple[str, int, int, int], int] = dataclasses.field(default_factory=dict)
     attempt_wait_since: dict[tuple[str, int, int, int], int] = dataclasses.field(
         default_factory=dict
@@ -335,6 +340,15 @@
     for progress in job.progress:
         for run in progress.runs:
             _update_usage(state, job, progress, run, 1)
+        for run in progress.unreported:
+            index_unreported(state, job, progress, run)
+
+
+def index_unreported(
+    state: State, job: steps.Job, progress: steps.StepProgress, run: steps.Run
+) -> None:
+    """Add a run to those whose ends the agent of its node has not reported."""
+    state.unreported.setdefault(run.node, []).append((job, progress, run))
 
 
 def update_agent(state: State, agent: agents.Agent, version: int) -> None:
--- a/packages/daemon/src/peridothatch_daemon/hosted/counters.py
+++ b/packages/daemon/src/peridothatch_daemon/hosted/counters.py
@@ -83,6 +83,7 @@
     writes_unclear: int = 0
     writes_rejected: int = 0
     ends_unmatched: int = 0
+    ends_late: int = 0
     job_rows_outdated: int = 0
     learned_not_written: int = 0
     guarantees_exceeded: int = 0
@@ -132,5 +133,7 @@
             scheduler.guaranteed_begun_late += 1
         case "unmatched end":
             scheduler.ends_unmatched += 1
+        case "late end":
+            scheduler.ends_late += 1
         case _ if kind.startswith("ended"):
             scheduler.runs_lost += 1
--- a/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
+++ b/packages/daemon/src/peridothatch_daemon/observe/metric_texts.py
@@ -342,6 +342,11 @@
         "Ends of runs that were not open for the leader; their rows were deleted.",
         "None while rare. If a job stands still, look for `scheduler:unmatched end` with its id.",
     ),
+    "ends_late": Text(
+        "Ends of runs of gangs that were closed before their agents reported them.",
+        "None while rare. `scheduler:late end` has their kinds; a failure among them counts as an "
+        "attempt.",
+    ),
     "job_rows_outdated": Text(
         "Changes of job rows that the leader learned from the feed, not from its own writes.",
         "None while rare: such a write had no answer and was applied late. Otherwise another "
