Use a worker that restarts after its clock was set back

Cause: a heartbeat with a lower start time than the known one was taken for one of an earlier incarnation and ignored; so were the lists of that incarnation.

Change: which incarnation is the later one is the worker's address to say, as for any other heartbeat of another incarnation, and start times are compared for equality only.

--- a/packages/core/src/peridothatch_core/hold/incarnation.py
+++ b/packages/core/src/peridothatch_core/hold/incarnation.py
@@ -144,12 +144,12 @@
     )
 
 
-def handle_unknown_incarnation(state: states.State, started_ms: int, now: float) -> None:
+def handle_unknown_incarnation(state: states.State, now: float) -> None:
     """Stop sending deadlines when a list shows a restart before the first heartbeat does.
 
     They would be on the clock of the previous incarnation.
     """
-    if started_ms <= states.worker_started_ms(state) or not state.worker_clock_ms:
+    if not state.worker_clock_ms:
         return
     extend_inherited_deadline(state, now)
     _discard_clock(state)
--- a/packages/core/src/peridothatch_core/hold/step.py
+++ b/packages/core/src/peridothatch_core/hold/step.py
@@ -121,7 +121,7 @@
     if state.incarnation_confirmed:
         states.lose_contact(state)
     if listed is not None and listed.instance == states.worker_instance(state):
-        incarnation.handle_unknown_incarnation(state, listed.started_ms, now)
+        incarnation.handle_unknown_incarnation(state, now)
 
 
 def _confirm_incarnation(
--- a/packages/core/src/peridothatch_core/hold/worker.py
+++ b/packages/core/src/peridothatch_core/hold/worker.py
@@ -18,19 +18,18 @@
 ) -> bool:
     """Update the description of the worker from a heartbeat of its known incarnation.
 
-    One of another incarnation waits until the worker's address has confirmed it.
+    One of another incarnation waits until the worker's address has confirmed it. Start times do
+    not tell which of two is the later one, because the time of day may have been set back.
 
     Returns
     -------
     bool
-        Whether the heartbeat was used. One from an earlier incarnation, with a sequence number
-        that is not higher than the last one, or with a service or data centre that the known
-        incarnation does not have, is ignored.
+        Whether the heartbeat was used. One with a sequence number that is not higher than the last
+        one, or with a service or data centre that the known incarnation does not have, is ignored.
     """
     known = state.worker
     if known is None or incarnation.identity(worker) != incarnation.identity(known):
-        if known is None or worker.started_ms >= known.started_ms:
-            incarnation.add_candidate(state, states.Candidate(worker, sequence, now))
+        incarnation.add_candidate(state, states.Candidate(worker, sequence, now))
         return False
     if (worker.service, worker.zone) != (known.service, known.zone):
         # Both are fixed for the lifetime of an incarnation.
--- a/packages/core/tests/hold/test_incarnations.py
+++ b/packages/core/tests/hold/test_incarnations.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import hold_harness as harness
+import pytest
 
 from peridothatch_core.hold import exchange, state, step
 from peridothatch_core.message import rows
@@ -83,6 +84,30 @@
     assert again.fence == after.fence
 
 
+# Guards against a worker that is never used again: it restarted after its time of day had been set
+# back, and heartbeats with a lower start time than the known one were ignored for good.
+@pytest.mark.parametrize("instance", ["w-1", "w-2"])
+def test_a_worker_that_restarts_with_its_clock_set_back_is_used(instance):
+    agent = harness.running_agent()
+    earlier = harness.worker(instance=instance, started_ms=harness.STARTED_MS - 900)
+    effects = harness.heartbeat(agent, earlier, 0, 10.5)
+    assert agent.worker == earlier
+    *_, call = [effect for effect in effects if isinstance(effect, exchange.ListRuns)]
+    assert (call.instance, call.lease_end_ms) == (instance, None)
+    listed = dataclasses.replace(
+        harness.listing(10.6, started_ms=earlier.started_ms), instance=instance
+    )
+    step.step(agent, exchange.RunsListed(listed, fence=agent.fence), 10.6)
+    assert agent.incarnation_confirmed
+
+
+def test_a_list_of_a_restart_with_the_clock_set_back_stops_deadlines():
+    agent = harness.running_agent()
+    earlier = harness.listing(10.5, started_ms=harness.STARTED_MS - 900)
+    step.step(agent, exchange.RunsListed(earlier), 10.5)
+    assert not agent.worker_clock_ms
+
+
 # Guards against an agent that ends itself or shares a token: its row may have a lower token than
 # the one that it uses, and another process must get a higher one all the same.
 def test_a_later_process_has_a_higher_token_than_any_that_this_one_may_use():
