Refuse a job whose names would make its row exceed the store's limit

Cause: the estimate of the row's size took 600 bytes for each step, whatever its texts. The row fitted as it was submitted, and not with the progress of its steps, so the store rejected the leader's first write each time.

Change: a step takes what its names of images, labels and racks and its predecessors take in JSON, and at least 600 bytes as before. The refusal (400) names the field that takes most of the row.

On the code before, the property test of the estimate and four tests of the refusal fail.

--- a/packages/core/src/peridothatch_core/reception/limits.py
+++ b/packages/core/src/peridothatch_core/reception/limits.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from peridothatch_core.model import verdict
@@ -23,7 +24,10 @@
 """Estimated size of a job without its steps."""
 
 STEP_BYTES = 600
-"""Estimated size of a step's description."""
+"""Least estimated size of a step's description, which covers names of usual length."""
+
+STEP_FIXED_BYTES = 360
+"""Largest size of a step's description without its names and its predecessors."""
 
 PROGRESS_BYTES = 160
 """Estimated size of a step's progress in one occurrence, without its tasks."""
@@ -34,6 +38,9 @@
 RUN_BYTES = 120
 """Estimated size of an open run."""
 
+ESCAPE_BYTES = 6
+"""Size of a control character in JSON."""
+
 OPEN_OCCURRENCES = 2
 """Occurrences that may have open runs at the same time in every job that is accepted."""
 
@@ -49,6 +56,9 @@
         )
     row_size = estimate_row_bytes(job_steps, timetable)
     if row_size > MAX_ROW_BYTES:
+        excess = sum(max(0, _step_bytes(step) - STEP_BYTES) for step in job_steps)
+        if row_size - excess <= MAX_ROW_BYTES:
+            return _refuse_descriptions(job_steps, row_size)
         tasks = sum(step.count for step in job_steps)
         expected = (
             f"fewer tasks or occurrences: its state takes {row_size} bytes of {MAX_ROW_BYTES}"
@@ -83,4 +93,38 @@
     times = timetable.times if timetable else 1
     tasks = sum(step.count for step in job_steps)
     per_occurrence = PROGRESS_BYTES * len(job_steps) + TASK_BYTES * tasks
-    return JOB_BYTES + STEP_BYTES * len(job_steps) + times * per_occurrence
+    return JOB_BYTES + sum(map(_step_bytes, job_steps)) + times * per_occurrence
+
+
+def _refuse_descriptions(job_steps: tuple[steps.Step, ...], row_size: int) -> verdict.Refusal:
+    """Return a refusal that names the field which takes most of the row."""
+    totals: collections.Counter[str] = collections.Counter()
+    for step in job_steps:
+        totals.update(_variable_bytes(step))
+    ((field, size),) = totals.most_common(1)
+    expected = (
+        f"less in this field of all steps: the job's state takes {row_size} bytes of "
+        f"{MAX_ROW_BYTES}"
+    )
+    return verdict.invalid(field, f"{size} bytes", expected)
+
+
+def _step_bytes(step: steps.Step) -> int:
+    return max(STEP_BYTES, STEP_FIXED_BYTES + sum(_variable_bytes(step).values()))
+
+
+def _variable_bytes(step: steps.Step) -> dict[str, int]:
+    """Return the sizes of the parts of a step's description that have no fixed bound."""
+    return {
+        "image": _encoded_bytes(step.image),
+        "requires": _encoded_bytes(step.requires),
+        "affinity": _encoded_bytes(step.affinity),
+        "after": sum(len(str(earlier)) + 1 for earlier in step.after),
+    }
+
+
+def _encoded_bytes(text: str) -> int:
+    """Return an upper bound of the size of a text in JSON, without its quotation marks."""
+    escaped = sum(character in '"\\' for character in text)
+    control = sum(character < " " for character in text)
+    return len(text.encode()) + escaped + (ESCAPE_BYTES - 1) * control
