--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -124,6 +124,21 @@
         writer.transport.abort()
 
 
+async def _send_foreign_heartbeat(soak, process, fault):
+    """Let another writer send one odd heartbeat or deregistration to an agent."""
+    worker = soak.workers[fault.target % len(soak.workers)]
+    later = {"born": worker.started_ms + 60_000, "seq": 2**40}
+    odd = [
+        ("other-1", later | {"service": "no-such-service"}),
+        ("other-2", later | {"state": "draining"}),
+        (worker.instance, later),
+        (worker.instance, {"service": "no-such-service", "seq": 2**40}),
+        (worker.instance, None),
+    ]
+    instance, changes = odd[int(1000 * fault.at) % len(odd)]
+    await soak_installation.send_heartbeat(soak, worker, instance, changes)
+
+
 _FAULTS = {
     "kill": _kill, "pause": _pause, "terminate": _terminate,
     "store_reset": _proxy_fault("reset", "store"), "store_silent": _proxy_fault("silent", "store"),
@@ -133,5 +148,5 @@
     "worker_silent": _proxy_fault("silent", "worker"),
     "worker_reset": _proxy_fault("reset", "worker"), "worker_restart": _restart_worker,
     "worker_fails": _fail_tasks, "revoke": _revoke, "evacuate": _evacuate,
-    "clients_exceed_limits": _exceed_limits,
+    "clients_exceed_limits": _exceed_limits, "foreign_heartbeat": _send_foreign_heartbeat,
 }  # fmt: skip
--- a/tests/soak/soak_installation.py
+++ b/tests/soak/soak_installation.py
@@ -195,16 +195,23 @@
 async def send_heartbeats(soak):
     """Send a heartbeat for each worker twice a second."""
     while True:
-        await asyncio.gather(*(_send_heartbeat(soak, worker) for worker in soak.workers))
+        await asyncio.gather(*(send_heartbeat(soak, worker) for worker in soak.workers))
         await asyncio.sleep(0.5)
 
 
-async def _send_heartbeat(soak, worker):
+async def send_heartbeat(soak, worker, instance=None, changes=()):
+    """Send a heartbeat to the agent of a worker; without ``changes``, send a deregistration."""
     path = f"http://{HOST}:{soak.heartbeat_ports[worker.number]}/peridothatch/instances/"
-    body = worker.heartbeat(soak.observations.zones[worker.number])
+    method, body = "DELETE", None
+    if changes is not None:
+        method = "PUT"
+        body = worker.heartbeat(soak.observations.zones[worker.number]) | dict(changes)
     with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-        async with soak.session.put(
-            path + worker.instance, json=body, timeout=aiohttp.ClientTimeout(total=1.0)
+        async with soak.session.request(
+            method,
+            path + (instance or worker.instance),
+            json=body,
+            timeout=aiohttp.ClientTimeout(total=1.0),
         ):
             pass
 
--- a/tests/soak/soak_plan.py
+++ b/tests/soak/soak_plan.py
@@ -148,6 +148,23 @@
     )
 
 
+def make_foreign(seed, foreign=20, kills=4, others=2, jobs=24):
+    """Return a plan in which other writers send heartbeats, while agents and workers restart."""
+    rng = random.Random(seed)
+    plan = make(seed, others, jobs, ("worker_fails", "worker_silent", "store_slow", "pause"))
+    faults = [
+        *plan.faults,
+        *(Fault(rng.uniform(0.5, FAULT_SECONDS), "foreign_heartbeat", rng.randrange(AGENTS), 0.0)
+          for _ in range(foreign)),
+        *(Fault(rng.uniform(1.0, FAULT_SECONDS), "kill", ENTRIES + rng.randrange(AGENTS),
+                rng.uniform(0.5, 3.5))
+          for _ in range(kills)),
+        *(Fault(rng.uniform(1.0, FAULT_SECONDS), "worker_restart", rng.randrange(AGENTS), 0.0)
+          for _ in range(2)),
+    ]  # fmt: skip
+    return dataclasses.replace(plan, faults=tuple(sorted(faults, key=lambda fault: fault.at)))
+
+
 def make(seed, faults=7, jobs=14, kinds=KINDS):
     """Return the plan of a seed; faults may overlap."""
     rng = random.Random(seed)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -35,6 +35,10 @@
 """Seeds from this one on restart workers under their ids beside a slow or unreliable store."""
 
 
+FIRST_FOREIGN_SEED = 5000
+"""Seeds from this one on have heartbeats of other writers, while agents are killed."""
+
+
 async def run(seed, folder, plan=None):
     """Run one seed and return the observations; processes write their logs to ``folder``."""
     soak = await soak_installation.start(plan or make_plan(seed), pathlib.Path(folder))
@@ -61,6 +65,8 @@
 
 def make_plan(seed):
     """Return the plan of a seed, whose range selects the kind of plan."""
+    if seed >= FIRST_FOREIGN_SEED:
+        return soak_plan.make_foreign(seed)
     if seed >= FIRST_RESTART_SEED:
         return soak_plan.make_restarts(seed)
     if seed >= FIRST_EXCESS_SEED:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -53,6 +53,14 @@
     assert observations.starts
 
 
+# Guards against tasks that run twice: a heartbeat of another writer ended the runs of a worker.
+async def test_invariants_hold_beside_heartbeats_of_other_writers(tmp_path):
+    plan = soak_plan.make_foreign(soak_run.FIRST_FOREIGN_SEED, foreign=12, kills=2, jobs=10)
+    observations = await soak_run.run(plan.seed, tmp_path, plan)
+    assert observations.breaches == []
+    assert observations.starts
+
+
 @pytest.mark.parametrize("seed", soak_regressions.SEEDS)
 async def test_invariants_hold_for_seeds_that_failed_before(seed, tmp_path):
     observations = await soak_run.run(seed, tmp_path)
