--- a/packages/core/src/peridothatch_core/hold/incarnation.py
+++ b/packages/core/src/peridothatch_core/hold/incarnation.py
@@ -26,8 +26,8 @@
     return worker.instance, worker.started_ms
 
 
-def add_candidate(state: states.State, candidate: states.Candidate) -> None:
-    """Keep a heartbeat until the worker's address has confirmed its incarnation."""
+def add_candidate(state: states.State, candidate: states.ReceivedHeartbeat) -> None:
+    """Keep a heartbeat until the worker's address has confirmed or refuted its incarnation."""
     key = identity(candidate.worker)
     earlier = state.candidates.get(key)
     if earlier is None and len(state.candidates) >= MAX_CANDIDATES:
@@ -57,7 +57,7 @@
 
 def take_confirmed(
     state: states.State, event: exchange.WorkerIdentified, now: float
-) -> states.Candidate | None:
+) -> states.ReceivedHeartbeat | None:
     """Remove the candidates that an answer refutes, and return the one that it confirms."""
     if event.fence != state.fence:
         # Its place has been taken by a call with the current token.
@@ -103,9 +103,9 @@
 def replace(state: states.State, known: agents.Worker, worker: agents.Worker, now: float) -> None:
     """Reset the state of the worker's previous incarnation, which ended with all its runs.
 
-    A start that was sent before this may have reached the new incarnation already, if it
-    has the same id, and an unanswered one may still reach it. Runs that the previous incarnation
-    has listed are recorded as lost at once. The next list shows which of the others the new
+    A start that was sent before this may have reached the new incarnation already, if it has the
+    same id, and an unanswered one may still reach it. Runs that the previous incarnation has
+    listed are recorded as lost at once. The next list shows which of the others the new
     incarnation runs; the rest are stopped and then recorded as lost.
     """
     _observe_change(state, known, worker)
--- a/packages/core/src/peridothatch_core/hold/state.py
+++ b/packages/core/src/peridothatch_core/hold/state.py
@@ -176,8 +176,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
-    """A heartbeat of an incarnation that the worker's address has not confirmed yet.
+class ReceivedHeartbeat:
+    """A heartbeat with the time of its arrival.
 
     Attributes
     ----------
@@ -248,8 +248,9 @@
         Orders that an earlier process of this node claimed.
     worker : Worker or None
         Latest description of the worker.
-    candidates : dict of Candidate
-        Latest heartbeats of incarnations other than the known one, by instance and start time.
+    candidates : dict of ReceivedHeartbeat
+        Latest heartbeats of incarnations that the worker's address has not confirmed, by instance
+        and start time.
     identification : IdentifyWorker or None
         The call that asks for a candidate, until it is answered.
     identification_retry_at : float
@@ -335,7 +336,7 @@
     claim_retry_at: float = 0.0
     inherited_claims: set[exchange.RunKey] = dataclasses.field(default_factory=set)
     worker: agents.Worker | None = None
-    candidates: dict[tuple[str, int], Candidate] = dataclasses.field(default_factory=dict)
+    candidates: dict[tuple[str, int], ReceivedHeartbeat] = dataclasses.field(default_factory=dict)
     identification: exchange.IdentifyWorker | None = None
     identification_retry_at: float = 0.0
     sequence: int = -1
--- a/packages/core/src/peridothatch_core/hold/worker.py
+++ b/packages/core/src/peridothatch_core/hold/worker.py
@@ -29,7 +29,7 @@
     """
     known = state.worker
     if known is None or incarnation.identity(worker) != incarnation.identity(known):
-        incarnation.add_candidate(state, states.Candidate(worker, sequence, now))
+        incarnation.add_candidate(state, states.ReceivedHeartbeat(worker, sequence, now))
         return False
     if (worker.service, worker.zone) != (known.service, known.zone):
         # Both are fixed for the lifetime of an incarnation.
@@ -37,7 +37,7 @@
         return False
     if sequence <= state.sequence:
         return False
-    _apply_heartbeat(state, states.Candidate(worker, sequence, now), now)
+    _apply_heartbeat(state, states.ReceivedHeartbeat(worker, sequence, now), now)
     return True
 
 
@@ -58,7 +58,7 @@
     _apply_heartbeat(state, confirmed, now)
 
 
-def _apply_heartbeat(state: states.State, heartbeat: states.Candidate, now: float) -> None:
+def _apply_heartbeat(state: states.State, heartbeat: states.ReceivedHeartbeat, now: float) -> None:
     worker, known = heartbeat.worker, state.worker
     state.sequence = heartbeat.sequence
     state.last_contact_at = now
--- a/packages/core/src/peridothatch_core/schedule/write_limits.py
+++ b/packages/core/src/peridothatch_core/schedule/write_limits.py
@@ -19,8 +19,7 @@
     """Return how many runs of a job may still be ordered in this cycle.
 
     All orders of a job are written in the transaction of its row, together with its withdrawals
-    and stops. Each takes at least one entry. The row holds all open and
-    all unreported runs.
+    and stops. Each takes at least one entry. The row holds all open and all unreported runs.
     """
     change = state.changes.get(job.id)
     used = len(change.writes) + len(change.conditions) if change else 0
--- a/packages/core/tests/hold/test_foreign_heartbeats.py
+++ b/packages/core/tests/hold/test_foreign_heartbeats.py
@@ -182,6 +182,7 @@
 )
 
 
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
 @hypothesis.given(heartbeats)
 def test_whatever_is_sent_the_known_incarnation_is_the_one_at_the_address(sent):
     """A run is recorded as lost only once the incarnation that it runs on has ended."""
--- a/packages/core/tests/reception/test_limits.py
+++ b/packages/core/tests/reception/test_limits.py
@@ -37,6 +37,7 @@
 
 # Guards against a job that is accepted and never starts: the estimate left out the names of
 # images, and the store rejected each write of the job's row.
+@hypothesis.settings(derandomize=True, deadline=None)
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
