--- a/tests/platform/test_decoder_memory.py
+++ b/tests/platform/test_decoder_memory.py
@@ -14,9 +14,7 @@
 
 JOB = '{"spec":"","phases":[%s]}'
 PHASE = '{"count":1,%s}'
-HEARTBEAT = (
-    '{"service":"s","zone":"z","state":"ready","seq":1,"capacity":{"cpu":1},"labels":[%s],"seq":1}'
-)
+HEARTBEAT = '{"service":"s","zone":"z","state":"ready","seq":1,"capacity":{"cpu":1},"labels":[%s]}'
 
 SUBMISSIONS = {
     "numbers as phases": (JOB, "0"),
